--- /dev/null
+++ b/packages/core/src/agreement.cpp
@@ -0,0 +1,545 @@
+// Agreement on the configuration in force. The argument is in agreement.h.
+
+#include "agreement.h"
+
+#include <algorithm>
+
+#include "permits.h"
+#include "records.h"
+#include "routing.h"
+
+namespace cuminbridge {
+
+namespace {
+
+constexpr Duration kWatcherReadInterval = std::chrono::seconds(1);
+constexpr Duration kUnfreshReadInterval = std::chrono::milliseconds(500);
+constexpr Duration kConfigAskInterval = std::chrono::milliseconds(100);
+constexpr Duration kForgetPeerAfter = std::chrono::seconds(60);
+constexpr std::size_t kHeartbeatsRemembered = 16;
+constexpr std::size_t kMaxPending = 8;
+
+// When the evidence was gathered that a majority of the members, together,
+// knew of nothing newer. The minimum if there is no such majority.
+TimePoint
+MajorityEvidence(const Entry& aEntry, TimePoint aNow)
+{
+  const Agreement& agreement = aEntry.agreement_;
+  std::vector<TimePoint> times;
+  for (const Member& member : agreement.inForce_->members_) {
+    if (IsSelf(aEntry, member)) {
+      times.push_back(aNow);
+      continue;
+    }
+    const auto peer = agreement.peers_.find(member.id_);
+    const bool isSame = peer != agreement.peers_.end() &&
+                        peer->second.incarnation_ == member.incarnation_;
+    times.push_back(isSame ? peer->second.evidenceAt_ : TimePoint::min());
+  }
+  if (times.empty()) {
+    return TimePoint::min();
+  }
+  const std::size_t last = MajorityOf(times.size()) - 1;
+  std::nth_element(times.begin(),
+                   times.begin() + static_cast<std::ptrdiff_t>(last),
+                   times.end(),
+                   std::greater<>());
+  return times[last];
+}
+
+void
+UpdateFreshness(Turn& aTurn)
+{
+  Agreement& agreement = aTurn.entry_.agreement_;
+  if (!agreement.inForce_) {
+    return;
+  }
+  const TimePoint evidence = std::max(
+    MajorityEvidence(aTurn.entry_, aTurn.now_), agreement.storeEvidenceAt_);
+  if (evidence == TimePoint::min()) {
+    return;
+  }
+  const bool wasFresh = aTurn.now_ < agreement.freshUntil_;
+  agreement.freshUntil_ = evidence + aTurn.entry_.options_.evidenceLifetime_;
+  if (!wasFresh && aTurn.now_ < agreement.freshUntil_) {
+    aTurn.Note("fresh", "work may start");
+    DispatchAll(aTurn);
+  }
+}
+
+bool
+IsPendingKnown(const Agreement& aAgreement, const std::string& aOperation)
+{
+  return std::any_of(aAgreement.pending_.begin(),
+                     aAgreement.pending_.end(),
+                     [&](const PendingChange& aPending) {
+                       return aPending.prepare_.operation_ == aOperation;
+                     });
+}
+
+void
+AskForConfig(Turn& aTurn, const std::string& aPeer)
+{
+  Agreement& agreement = aTurn.entry_.agreement_;
+  if (aTurn.now_ < agreement.nextConfigAsk_) {
+    return;
+  }
+  agreement.nextConfigAsk_ = aTurn.now_ + kConfigAskInterval;
+  ConfigAsk ask;
+  if (agreement.inForce_) {
+    ask.haveRevision_ = agreement.inForce_->revision_;
+    ask.haveNumber_ = agreement.inForce_->config_->number_;
+  }
+  SendToPeer(aTurn, aPeer, ask);
+}
+
+// Addresses worth a heartbeat: members, peers heard not long ago, and seeds.
+std::set<std::string>
+KnownAddresses(const Entry& aEntry, TimePoint aNow)
+{
+  const Agreement& agreement = aEntry.agreement_;
+  std::set<std::string> addresses(aEntry.options_.seeds_.begin(),
+                                  aEntry.options_.seeds_.end());
+  if (agreement.inForce_) {
+    for (const Member& member : agreement.inForce_->members_) {
+      addresses.insert(member.peerAddress_);
+    }
+  }
+  for (const auto& [id, peer] : agreement.peers_) {
+    if (aNow - peer.heardAt_ < kForgetPeerAfter) {
+      addresses.insert(peer.address_);
+    }
+  }
+  addresses.erase(aEntry.options_.self_.peerAddress_);
+  return addresses;
+}
+
+void
+SendHeartbeats(Turn& aTurn)
+{
+  Agreement& agreement = aTurn.entry_.agreement_;
+  agreement.nextHeartbeat_ =
+    aTurn.now_ + aTurn.entry_.options_.heartbeatInterval_;
+  const auto addresses = KnownAddresses(aTurn.entry_, aTurn.now_);
+  if (addresses != agreement.linked_) {
+    agreement.linked_ = addresses;
+    aTurn.Emit(KeepLinks{ { addresses.begin(), addresses.end() } });
+  }
+  Heartbeat beat;
+  beat.sequence_ = ++agreement.heartbeatSequence_;
+  beat.teams_ = ReportTeamUse(aTurn.entry_);
+  beat.targets_ = ReportTargetUse(aTurn.entry_);
+  agreement.heartbeatSentAt_[beat.sequence_] = aTurn.now_;
+  if (agreement.heartbeatSentAt_.size() > kHeartbeatsRemembered) {
+    agreement.heartbeatSentAt_.erase(agreement.heartbeatSentAt_.begin());
+  }
+  for (const std::string& address : addresses) {
+    aTurn.Emit(SendPeer{ address, beat });
+  }
+}
+
+// One entry of each data centre reads the head for the others.
+bool
+IsWatcher(const Entry& aEntry, TimePoint aNow)
+{
+  const Member& self = aEntry.options_.self_;
+  for (const Member& member : aEntry.agreement_.inForce_->members_) {
+    const bool isHere = member.dataCentre_ == self.dataCentre_;
+    if (isHere &&
+        (IsSelf(aEntry, member) || IsHeard(aEntry, member.id_, aNow))) {
+      return IsSelf(aEntry, member);
+    }
+  }
+  return false;
+}
+
+bool
+IsHeadReadDue(const Entry& aEntry, TimePoint aNow)
+{
+  const Agreement& agreement = aEntry.agreement_;
+  if (agreement.headCall_ != 0 || aNow < agreement.nextHeadRead_) {
+    return false;
+  }
+  return !agreement.inForce_ || !IsFresh(aEntry, aNow) ||
+         IsWatcher(aEntry, aNow);
+}
+
+void
+ReadHead(Turn& aTurn, bool aIsWhole)
+{
+  Agreement& agreement = aTurn.entry_.agreement_;
+  agreement.headCall_ = aTurn.entry_.nextCall_++;
+  agreement.headReadSentAt_ = aTurn.now_;
+  agreement.isWholeRead_ = aIsWhole;
+  const std::string_view key = aIsWhole ? kConfigPrefix : kHeadKey;
+  aTurn.Emit(StoreRead{ agreement.headCall_, std::string(key), aIsWhole });
+}
+
+} // namespace
+
+std::size_t
+MajorityOf(std::size_t aMembers)
+{
+  return aMembers / 2 + 1;
+}
+
+bool
+IsFresh(const Entry& aEntry, TimePoint aNow)
+{
+  return aEntry.agreement_.inForce_ && aNow < aEntry.agreement_.freshUntil_;
+}
+
+const Member*
+FindMember(const Entry& aEntry,
+           const std::string& aId,
+           std::uint64_t aIncarnation)
+{
+  if (!aEntry.agreement_.inForce_) {
+    return nullptr;
+  }
+  for (const Member& member : aEntry.agreement_.inForce_->members_) {
+    if (member.id_ == aId && member.incarnation_ == aIncarnation) {
+      return &member;
+    }
+  }
+  return nullptr;
+}
+
+bool
+IsSelf(const Entry& aEntry, const Member& aMember)
+{
+  const Member& self = aEntry.options_.self_;
+  return aMember.id_ == self.id_ && aMember.incarnation_ == self.incarnation_;
+}
+
+bool
+IsMember(const Entry& aEntry)
+{
+  const Member& self = aEntry.options_.self_;
+  return FindMember(aEntry, self.id_, self.incarnation_) != nullptr;
+}
+
+bool
+IsHeard(const Entry& aEntry, const std::string& aId, TimePoint aNow)
+{
+  const auto peer = aEntry.agreement_.peers_.find(aId);
+  return peer != aEntry.agreement_.peers_.end() && !peer->second.isLeaving_ &&
+         aNow - peer->second.heardAt_ < aEntry.options_.memberLapse_;
+}
+
+std::string
+FindSteward(const Entry& aEntry, TimePoint aNow)
+{
+  if (!aEntry.agreement_.inForce_) {
+    return "";
+  }
+  for (const Member& member : aEntry.agreement_.inForce_->members_) {
+    if (IsSelf(aEntry, member) || IsHeard(aEntry, member.id_, aNow)) {
+      return member.id_;
+    }
+  }
+  return "";
+}
+
+std::string
+FindNextSteward(const Entry& aEntry, TimePoint aNow)
+{
+  if (!aEntry.agreement_.inForce_) {
+    return "";
+  }
+  for (const Member& member : aEntry.agreement_.inForce_->members_) {
+    if (IsHeard(aEntry, member.id_, aNow)) {
+      return member.id_;
+    }
+  }
+  return "";
+}
+
+bool
+IsSteward(const Entry& aEntry, TimePoint aNow)
+{
+  return IsMember(aEntry) &&
+         FindSteward(aEntry, aNow) == aEntry.options_.self_.id_;
+}
+
+ConfigDelta
+MakeDelta(const Snapshot& aSnapshot, std::int64_t aSinceNumber)
+{
+  ConfigDelta delta;
+  delta.revision_ = aSnapshot.revision_;
+  delta.number_ = aSnapshot.config_->number_;
+  delta.digest_ = aSnapshot.config_->digest_;
+  delta.sinceNumber_ = aSinceNumber;
+  delta.members_ = aSnapshot.members_;
+  for (const auto& [name, pool] : aSnapshot.config_->pools_) {
+    if (pool->changedIn_ > aSinceNumber) {
+      delta.pools_.push_back(*pool);
+    }
+  }
+  for (const auto& [name, team] : aSnapshot.config_->teams_) {
+    if (team->changedIn_ > aSinceNumber) {
+      delta.teams_.push_back(*team);
+    }
+  }
+  return delta;
+}
+
+ConfigPtr
+ApplyDelta(const ConfigDelta& aDelta, const Config* aBase)
+{
+  const std::int64_t baseNumber = aBase == nullptr ? -1 : aBase->number_;
+  if (baseNumber < aDelta.sinceNumber_) {
+    return nullptr;
+  }
+  ConfigBuilder builder =
+    aBase == nullptr ? ConfigBuilder() : ConfigBuilder(*aBase);
+  builder.SetTicket(aDelta.number_, aDelta.digest_);
+  for (const PoolConfig& pool : aDelta.pools_) {
+    builder.SetPool(std::make_shared<const PoolConfig>(pool));
+  }
+  for (const TeamConfig& team : aDelta.teams_) {
+    builder.SetTeam(std::make_shared<const TeamConfig>(team));
+  }
+  return builder.Build();
+}
+
+void
+Adopt(Turn& aTurn, SnapshotPtr aSnapshot, std::string_view aSource)
+{
+  Agreement& agreement = aTurn.entry_.agreement_;
+  const SnapshotPtr old = agreement.inForce_;
+  if (!aSnapshot || (old && aSnapshot->revision_ <= old->revision_)) {
+    return;
+  }
+  if (!old) {
+    agreement.knownSince_ = aTurn.now_;
+  }
+  agreement.inForce_ = std::move(aSnapshot);
+  std::erase_if(agreement.pending_, [&](const PendingChange& aPending) {
+    return aPending.prepare_.baseRevision_ < agreement.inForce_->revision_;
+  });
+  aTurn.Note("in force",
+             "ticket " + std::to_string(agreement.inForce_->config_->number_) +
+               ", revision " + std::to_string(agreement.inForce_->revision_) +
+               ", from " + std::string(aSource));
+  ++aTurn.entry_.counts_["config_adopted"];
+  OnConfigInForce(aTurn, old);
+  if (!old || old->members_ != agreement.inForce_->members_) {
+    OnMembersInForce(aTurn);
+  }
+  UpdateFreshness(aTurn);
+}
+
+void
+SetStoreEvidence(Turn& aTurn, TimePoint aSentAt)
+{
+  Agreement& agreement = aTurn.entry_.agreement_;
+  agreement.storeEvidenceAt_ = std::max(agreement.storeEvidenceAt_, aSentAt);
+  UpdateFreshness(aTurn);
+}
+
+bool
+AddPending(Turn& aTurn, const Prepare& aPrepare, const std::string& aProposer)
+{
+  Agreement& agreement = aTurn.entry_.agreement_;
+  if (IsPendingKnown(agreement, aPrepare.operation_)) {
+    return true;
+  }
+  if (!agreement.inForce_ ||
+      agreement.inForce_->revision_ != aPrepare.baseRevision_ ||
+      agreement.pending_.size() >= kMaxPending) {
+    return false;
+  }
+  ConfigPtr next =
+    ApplyDelta(aPrepare.change_, agreement.inForce_->config_.get());
+  if (!next) {
+    return false;
+  }
+  agreement.pending_.push_back(
+    { aPrepare, std::move(next), aProposer, aTurn.now_ });
+  return true;
+}
+
+void
+DropPending(Entry& aEntry, const std::string& aOperation)
+{
+  std::erase_if(aEntry.agreement_.pending_, [&](const PendingChange& aPending) {
+    return aPending.prepare_.operation_ == aOperation;
+  });
+}
+
+void
+SendToPeer(Turn& aTurn, const std::string& aId, PeerMessage aMessage)
+{
+  const auto& peers = aTurn.entry_.agreement_.peers_;
+  const auto peer = peers.find(aId);
+  if (peer != peers.end()) {
+    aTurn.Emit(SendPeer{ peer->second.address_, std::move(aMessage) });
+  }
+}
+
+void
+SendToMembers(Turn& aTurn, const PeerMessage& aMessage)
+{
+  const Agreement& agreement = aTurn.entry_.agreement_;
+  if (!agreement.inForce_) {
+    return;
+  }
+  for (const Member& member : agreement.inForce_->members_) {
+    if (member.id_ != aTurn.entry_.options_.self_.id_) {
+      aTurn.Emit(SendPeer{ member.peerAddress_, aMessage });
+    }
+  }
+}
+
+void
+OnHeartbeat(Turn& aTurn, const PeerFrame& aFrame, const Heartbeat& aBeat)
+{
+  const Agreement& agreement = aTurn.entry_.agreement_;
+  HeartbeatAck ack;
+  ack.sequence_ = aBeat.sequence_;
+  if (agreement.inForce_) {
+    ack.revision_ = agreement.inForce_->revision_;
+    ack.number_ = agreement.inForce_->config_->number_;
+  }
+  for (const PendingChange& pending : agreement.pending_) {
+    ack.pending_.push_back(pending.prepare_.operation_);
+  }
+  SendToPeer(aTurn, aFrame.from_, ack);
+  PeerState& peer = aTurn.entry_.agreement_.peers_.at(aFrame.from_);
+  TakeTeamUse(aTurn.entry_, peer, aBeat.teams_);
+  TakeTargetUse(aTurn.entry_, peer, aBeat.targets_);
+}
+
+void
+OnHeartbeatAck(Turn& aTurn, const PeerFrame& aFrame, const HeartbeatAck& aAck)
+{
+  Agreement& agreement = aTurn.entry_.agreement_;
+  PeerState& peer = agreement.peers_.at(aFrame.from_);
+  peer.revision_ = aAck.revision_;
+  peer.number_ = aAck.number_;
+  const auto sentAt = agreement.heartbeatSentAt_.find(aAck.sequence_);
+  if (sentAt == agreement.heartbeatSentAt_.end()) {
+    return;
+  }
+  const std::int64_t ours =
+    agreement.inForce_ ? agreement.inForce_->revision_ : 0;
+  // What a peer holds pending matters only if it can follow what is in force
+  // here; a peer that is behind may hold changes that are long decided.
+  const bool isAllKnown =
+    aAck.revision_ < ours ||
+    std::all_of(aAck.pending_.begin(),
+                aAck.pending_.end(),
+                [&](const std::string& aOperation) {
+                  return IsPendingKnown(agreement, aOperation);
+                });
+  if (aAck.revision_ > ours || !isAllKnown) {
+    AskForConfig(aTurn, aFrame.from_);
+    return;
+  }
+  peer.evidenceAt_ = std::max(peer.evidenceAt_, sentAt->second);
+  UpdateFreshness(aTurn);
+}
+
+void
+OnConfigAsk(Turn& aTurn, const PeerFrame& aFrame, const ConfigAsk& aAsk)
+{
+  const Agreement& agreement = aTurn.entry_.agreement_;
+  if (!agreement.inForce_) {
+    return;
+  }
+  ConfigReply reply;
+  reply.inForce_ = MakeDelta(*agreement.inForce_, aAsk.haveNumber_);
+  for (const PendingChange& pending : agreement.pending_) {
+    reply.pending_.push_back(pending.prepare_);
+  }
+  SendToPeer(aTurn, aFrame.from_, reply);
+}
+
+void
+OnConfigReply(Turn& aTurn, const PeerFrame& aFrame, const ConfigReply& aReply)
+{
+  Agreement& agreement = aTurn.entry_.agreement_;
+  const ConfigDelta& delta = aReply.inForce_;
+  const Config* base =
+    agreement.inForce_ ? agreement.inForce_->config_.get() : nullptr;
+  const std::int64_t ours =
+    agreement.inForce_ ? agreement.inForce_->revision_ : 0;
+  if (delta.revision_ > ours) {
+    ConfigPtr config = ApplyDelta(delta, base);
+    if (!config) {
+      AskForConfig(aTurn, aFrame.from_);
+      return;
+    }
+    auto snapshot = std::make_shared<Snapshot>();
+    snapshot->revision_ = delta.revision_;
+    snapshot->members_ = delta.members_;
+    snapshot->config_ = std::move(config);
+    Adopt(aTurn, std::move(snapshot), aFrame.from_);
+  }
+  for (const Prepare& prepare : aReply.pending_) {
+    AddPending(aTurn, prepare, aFrame.from_);
+  }
+  SendToPeer(aTurn, aFrame.from_, ConfigAck{ agreement.inForce_->revision_ });
+}
+
+void
+OnHeadAnswer(Turn& aTurn, const StoreAnswer& aAnswer)
+{
+  Agreement& agreement = aTurn.entry_.agreement_;
+  const TimePoint sentAt = agreement.headReadSentAt_;
+  agreement.headCall_ = 0;
+  agreement.nextHeadRead_ =
+    aTurn.now_ + (IsFresh(aTurn.entry_, aTurn.now_) ? kWatcherReadInterval
+                                                    : kUnfreshReadInterval);
+  if (aAnswer.status_ != StoreStatus::Ok || aAnswer.values_.empty()) {
+    return;
+  }
+  const bool isHeadOnly = !agreement.isWholeRead_;
+  const std::int64_t ours =
+    agreement.inForce_ ? agreement.inForce_->revision_ : 0;
+  if (isHeadOnly && aAnswer.values_.front().revision_ > ours) {
+    ReadHead(aTurn, true);
+    return;
+  }
+  if (isHeadOnly && aAnswer.values_.front().revision_ == ours) {
+    SetStoreEvidence(aTurn, sentAt);
+    return;
+  }
+  TakeSnapshot(aTurn, aAnswer, sentAt);
+}
+
+bool
+TakeSnapshot(Turn& aTurn, const StoreAnswer& aAnswer, TimePoint aSentAt)
+{
+  const auto snapshot = DecodeSnapshot(aAnswer.values_);
+  if (!snapshot || !*snapshot) {
+    if (!snapshot) {
+      aTurn.Note("store record unreadable", "the configuration is kept");
+    }
+    return false;
+  }
+  const Agreement& agreement = aTurn.entry_.agreement_;
+  const std::int64_t revision = (*snapshot)->revision_;
+  if (agreement.inForce_ && revision < agreement.inForce_->revision_) {
+    aTurn.Note("stale read refused", "revision " + std::to_string(revision));
+    return false;
+  }
+  Adopt(aTurn, *snapshot, "store");
+  SetStoreEvidence(aTurn, aSentAt);
+  return true;
+}
+
+void
+TickAgreement(Turn& aTurn)
+{
+  if (aTurn.now_ >= aTurn.entry_.agreement_.nextHeartbeat_) {
+    SendHeartbeats(aTurn);
+  }
+  UpdateFreshness(aTurn);
+  if (IsHeadReadDue(aTurn.entry_, aTurn.now_)) {
+    ReadHead(aTurn, !aTurn.entry_.agreement_.inForce_);
+  }
+}
+
+} // namespace cuminbridge
--- /dev/null
+++ b/packages/core/src/permits.cpp
@@ -0,0 +1,377 @@
+// Holding, asking for and moving permits. The steward's part is in
+// steward.cpp.
+
+#include "permits.h"
+
+#include <algorithm>
+
+#include "agreement.h"
+#include "claims.h"
+#include "routing.h"
+#include "steward.h"
+
+namespace cuminbridge {
+
+namespace {
+
+constexpr Duration kTransferResend = std::chrono::milliseconds(300);
+constexpr Duration kAskInterval = std::chrono::milliseconds(100);
+constexpr Duration kAskLifetime = std::chrono::milliseconds(500);
+constexpr int kPeersAsked = 3;
+constexpr std::size_t kTransfersRemembered = 4096;
+
+void
+Give(Turn& aTurn, TeamState& aTeam, const std::string& aPeer, int aCount)
+{
+  Permits& permits = aTurn.entry_.permits_;
+  const auto& peers = aTurn.entry_.agreement_.peers_;
+  const auto peer = peers.find(aPeer);
+  if (aCount <= 0 || peer == peers.end() ||
+      FindMember(aTurn.entry_, aPeer, peer->second.incarnation_) == nullptr) {
+    return;
+  }
+  Transfer transfer;
+  transfer.give_ = {
+    permits.nextTransfer_++, permits.epoch_, aTeam.name_, aCount
+  };
+  transfer.peer_ = aPeer;
+  transfer.incarnation_ = peer->second.incarnation_;
+  transfer.resendAt_ = aTurn.now_ + kTransferResend;
+  aTeam.held_ -= aCount;
+  SendToPeer(aTurn, aPeer, transfer.give_);
+  permits.transfers_.emplace(transfer.give_.transfer_, std::move(transfer));
+  aTurn.entry_.counts_["permits_given"] += static_cast<unsigned>(aCount);
+}
+
+bool
+IsFrozen(const Entry& aEntry, TimePoint aNow)
+{
+  return aNow < aEntry.permits_.frozenUntil_;
+}
+
+void
+FreeQuarantine(Turn& aTurn, TeamState& aTeam)
+{
+  while (!aTeam.quarantine_.empty() &&
+         aTeam.quarantine_.front() <= aTurn.now_) {
+    aTeam.quarantine_.pop_front();
+    OnPermitFreed(aTurn, aTeam);
+  }
+}
+
+void
+ResendTransfers(Turn& aTurn)
+{
+  Permits& permits = aTurn.entry_.permits_;
+  for (auto it = permits.transfers_.begin(); it != permits.transfers_.end();) {
+    Transfer& transfer = it->second;
+    if (FindMember(aTurn.entry_, transfer.peer_, transfer.incarnation_) ==
+        nullptr) {
+      // The receiver is out of the members. Whatever it took of these is
+      // void; an audit issues them again.
+      it = permits.transfers_.erase(it);
+      continue;
+    }
+    if (aTurn.now_ >= transfer.resendAt_) {
+      transfer.resendAt_ = aTurn.now_ + kTransferResend;
+      SendToPeer(aTurn, transfer.peer_, transfer.give_);
+    }
+    ++it;
+  }
+}
+
+// A team over its limit: what lies idle goes to the steward, who takes it out
+// of the ledger.
+void
+ReturnSurplus(Turn& aTurn, TeamState& aTeam)
+{
+  const std::string steward = FindSteward(aTurn.entry_, aTurn.now_);
+  if (IsFrozen(aTurn.entry_, aTurn.now_) || steward.empty() ||
+      steward == aTurn.entry_.options_.self_.id_) {
+    return;
+  }
+  Give(aTurn, aTeam, steward, IdlePermits(aTeam));
+}
+
+} // namespace
+
+std::string
+NameProcess(const std::string& aId, std::uint64_t aIncarnation)
+{
+  return aId + "#" + std::to_string(aIncarnation);
+}
+
+TeamState&
+FindTeam(Entry& aEntry, const std::string& aName)
+{
+  TeamState& team = aEntry.permits_.teams_[aName];
+  if (team.name_.empty()) {
+    team.name_ = aName;
+  }
+  return team;
+}
+
+int
+IdlePermits(const TeamState& aTeam)
+{
+  const int used = aTeam.running_ + static_cast<int>(aTeam.quarantine_.size());
+  return std::max(0, aTeam.held_ - used);
+}
+
+bool
+IsTeamBlocked(const Entry& aEntry, const std::string& aTeam)
+{
+  const Agreement& agreement = aEntry.agreement_;
+  const LedgerNote& ledger = aEntry.permits_.ledger_;
+  const auto& teams = agreement.inForce_->config_->teams_;
+  const auto config = teams.find(aTeam);
+  if (config == teams.end() || !aEntry.permits_.isLedgerKnown_) {
+    return true;
+  }
+  int limit = config->second->limit_;
+  for (const PendingChange& pending : agreement.pending_) {
+    const auto next = pending.config_->teams_.find(aTeam);
+    if (next != pending.config_->teams_.end()) {
+      limit = std::min(limit, next->second->limit_);
+    }
+  }
+  const auto issued = ledger.issued_.find(aTeam);
+  const int count = issued == ledger.issued_.end() ? 0 : issued->second;
+  return ledger.number_ < config->second->loweredIn_ || count > limit;
+}
+
+void
+AskForPermits(Turn& aTurn, TeamState& aTeam)
+{
+  Entry& entry = aTurn.entry_;
+  if (aTeam.waiting_ == 0 || aTurn.now_ < aTeam.nextAsk_ ||
+      IsTeamBlocked(entry, aTeam.name_)) {
+    return;
+  }
+  aTeam.nextAsk_ = aTurn.now_ + kAskInterval;
+  std::vector<std::pair<int, const PeerState*>> peers;
+  for (const auto& [id, peer] : entry.agreement_.peers_) {
+    if (FindMember(entry, id, peer.incarnation_) == nullptr) {
+      continue;
+    }
+    const auto use = peer.teams_.find(aTeam.name_);
+    const int idle = use == peer.teams_.end() ? 0 : use->second.idle_;
+    const int running = use == peer.teams_.end() ? 0 : use->second.running_;
+    // Idle permits count most, then running ones: some will come free.
+    constexpr int kIdleWeight = 1000;
+    const int noise = static_cast<int>(entry.routing_.random_(2));
+    peers.emplace_back(idle * kIdleWeight + 2 * running + noise, &peer);
+  }
+  std::sort(peers.begin(), peers.end(), [](const auto& aOne, const auto& aTwo) {
+    return aOne.first > aTwo.first;
+  });
+  if (peers.size() > kPeersAsked) {
+    peers.resize(kPeersAsked);
+  }
+  for (const auto& [weight, peer] : peers) {
+    aTurn.Emit(
+      SendPeer{ peer->address_, PermitAsk{ aTeam.name_, aTeam.waiting_ } });
+  }
+}
+
+void
+OnPermitFreed(Turn& aTurn, TeamState& aTeam)
+{
+  std::erase_if(aTeam.asks_, [&](const auto& aAsk) {
+    return aAsk.second.second <= aTurn.now_;
+  });
+  if (aTeam.asks_.empty() || IsFrozen(aTurn.entry_, aTurn.now_) ||
+      IdlePermits(aTeam) == 0) {
+    return;
+  }
+  // Own requests and asking peers take turns, so that none of them starves.
+  aTeam.isGiveTurn_ = !aTeam.isGiveTurn_;
+  if (aTeam.waiting_ > 0 && !aTeam.isGiveTurn_) {
+    return;
+  }
+  const auto ask = aTeam.asks_.begin();
+  const std::string peer = ask->first;
+  if (--ask->second.first <= 0) {
+    aTeam.asks_.erase(ask);
+  }
+  Give(aTurn, aTeam, peer, 1);
+}
+
+std::map<std::string, TeamUse>
+ReportTeamUse(const Entry& aEntry)
+{
+  std::map<std::string, TeamUse> report;
+  for (const auto& [name, team] : aEntry.permits_.teams_) {
+    const TeamUse use{ IdlePermits(team), team.running_, team.waiting_ };
+    if (!(use == TeamUse{})) {
+      report.emplace(name, use);
+    }
+  }
+  return report;
+}
+
+void
+TakeTeamUse(Entry& aEntry,
+            PeerState& aPeer,
+            const std::map<std::string, TeamUse>& aUse)
+{
+  for (const auto& [name, use] : aPeer.teams_) {
+    TeamState& team = FindTeam(aEntry, name);
+    team.runningElsewhere_ -= use.running_;
+    team.waitingElsewhere_ -= use.waiting_;
+  }
+  aPeer.teams_ = aUse;
+  for (const auto& [name, use] : aPeer.teams_) {
+    TeamState& team = FindTeam(aEntry, name);
+    team.runningElsewhere_ += use.running_;
+    team.waitingElsewhere_ += use.waiting_;
+  }
+}
+
+void
+ForgetUse(Entry& aEntry, PeerState& aPeer)
+{
+  TakeTeamUse(aEntry, aPeer, {});
+  TakeTargetUse(aEntry, aPeer, {});
+}
+
+void
+GiveAllIdle(Turn& aTurn)
+{
+  for (auto& [name, team] : aTurn.entry_.permits_.teams_) {
+    std::string heir = FindSteward(aTurn.entry_, aTurn.now_);
+    if (heir == aTurn.entry_.options_.self_.id_) {
+      heir = FindNextSteward(aTurn.entry_, aTurn.now_);
+    }
+    Give(aTurn, team, heir, IdlePermits(team));
+  }
+}
+
+void
+OnMembersInForce(Turn& aTurn)
+{
+  Entry& entry = aTurn.entry_;
+  const bool wasMember = entry.permits_.epoch_ != 0;
+  const bool isMember = IsMember(entry);
+  entry.permits_.epoch_ =
+    isMember ? HashMembers(entry.agreement_.inForce_->members_) : 0;
+  if (wasMember && !isMember) {
+    // Taken out of the members: what was held here is void from now on. A new
+    // incarnation joins with nothing.
+    for (auto& [name, team] : entry.permits_.teams_) {
+      team.held_ = 0;
+    }
+    entry.permits_.transfers_.clear();
+    ++entry.options_.self_.incarnation_;
+    aTurn.Note("removed from the members", "joining again with nothing held");
+  }
+  for (auto& [id, peer] : entry.agreement_.peers_) {
+    if (FindMember(entry, id, peer.incarnation_) == nullptr) {
+      ForgetUse(entry, peer);
+    }
+  }
+  OnEpochChanged(aTurn);
+  if (isMember) {
+    OnClaimsEpoch(aTurn);
+  }
+}
+
+void
+OnPermitAsk(Turn& aTurn, const PeerFrame& aFrame, const PermitAsk& aAsk)
+{
+  TeamState& team = FindTeam(aTurn.entry_, aAsk.team_);
+  if (IsFrozen(aTurn.entry_, aTurn.now_) || aAsk.count_ <= 0) {
+    return;
+  }
+  const int idle = IdlePermits(team);
+  const int spare = team.waiting_ > 0 ? idle / 2 : idle;
+  const int given = std::min(spare, aAsk.count_);
+  Give(aTurn, team, aFrame.from_, given);
+  if (given < aAsk.count_) {
+    team.asks_[aFrame.from_] = { aAsk.count_ - given,
+                                 aTurn.now_ + kAskLifetime };
+  }
+}
+
+void
+OnPermitGive(Turn& aTurn, const PeerFrame& aFrame, const PermitGive& aGive)
+{
+  Entry& entry = aTurn.entry_;
+  Permits& permits = entry.permits_;
+  auto& received =
+    permits.received_[NameProcess(aFrame.from_, aFrame.incarnation_)];
+  if (received.contains(aGive.transfer_)) {
+    SendToPeer(aTurn, aFrame.from_, PermitReceipt{ aGive.transfer_, true });
+    return;
+  }
+  if (IsFrozen(entry, aTurn.now_)) {
+    return; // the sender counts them until it hears from us
+  }
+  const bool isAccepted =
+    permits.epoch_ != 0 && aGive.epoch_ == permits.epoch_ &&
+    FindMember(entry, aFrame.from_, aFrame.incarnation_) != nullptr;
+  if (isAccepted) {
+    received.insert(aGive.transfer_);
+    if (received.size() > kTransfersRemembered) {
+      received.erase(received.begin());
+    }
+    FindTeam(entry, aGive.team_).held_ += aGive.count_;
+  }
+  SendToPeer(aTurn, aFrame.from_, PermitReceipt{ aGive.transfer_, isAccepted });
+  if (isAccepted) {
+    DispatchTeam(aTurn, aGive.team_);
+  }
+}
+
+void
+OnPermitReceipt(Turn& aTurn,
+                const PeerFrame& aFrame,
+                const PermitReceipt& aReceipt)
+{
+  Permits& permits = aTurn.entry_.permits_;
+  const auto transfer = permits.transfers_.find(aReceipt.transfer_);
+  if (transfer == permits.transfers_.end() ||
+      transfer->second.peer_ != aFrame.from_ ||
+      transfer->second.incarnation_ != aFrame.incarnation_) {
+    return;
+  }
+  const PermitGive give = transfer->second.give_;
+  permits.transfers_.erase(transfer);
+  if (!aReceipt.accepted_) {
+    FindTeam(aTurn.entry_, give.team_).held_ += give.count_;
+    DispatchTeam(aTurn, give.team_);
+  }
+}
+
+void
+OnLedgerNote(Turn& aTurn, const LedgerNote& aNote)
+{
+  Permits& permits = aTurn.entry_.permits_;
+  if (permits.isLedgerKnown_ && aNote.revision_ <= permits.ledger_.revision_) {
+    return;
+  }
+  permits.ledger_ = aNote;
+  permits.isLedgerKnown_ = true;
+  DispatchAll(aTurn);
+}
+
+void
+TickPermits(Turn& aTurn)
+{
+  Entry& entry = aTurn.entry_;
+  for (auto& [name, team] : entry.permits_.teams_) {
+    FreeQuarantine(aTurn, team);
+    if (team.waiting_ > 0) {
+      DispatchTeam(aTurn, name);
+      AskForPermits(aTurn, team);
+    }
+    if (entry.agreement_.inForce_ && IdlePermits(team) > 0 &&
+        IsTeamBlocked(entry, name)) {
+      ReturnSurplus(aTurn, team);
+    }
+  }
+  ResendTransfers(aTurn);
+  TickSteward(aTurn);
+}
+
+} // namespace cuminbridge
--- /dev/null
+++ b/packages/core/src/permits.h
@@ -0,0 +1,73 @@
+// Internal: upper limits across entries, by permits.
+//
+// A request of a team runs only on a permit, and no more permits of a team
+// exist than its limit. The store's ledger says how many were issued; between
+// two writes of the ledger permits only move, from entry to entry, in
+// acknowledged transfers that are counted once. Nothing here rests on a clock
+// except two waits: an audit's freeze, and the run limit after which a lost
+// request is known to have ended.
+//
+// The steward writes the ledger: it issues up to the limit, takes back what a
+// lowered limit leaves over, and after a member has gone counts what is left.
+// docs/design/limits.md has the ways weighed and the argument.
+
+#ifndef cuminbridge_core_permits_h
+#define cuminbridge_core_permits_h
+
+#include "entry_state.h"
+
+namespace cuminbridge {
+
+// "id#incarnation", as the ledger and the sets of transfers name a process.
+std::string NameProcess(const std::string& aId, std::uint64_t aIncarnation);
+
+TeamState& FindTeam(Entry& aEntry, const std::string& aName);
+
+// Permits that a request could start on now.
+int IdlePermits(const TeamState& aTeam);
+
+// True while more permits may exist than the limit allows: nothing starts.
+bool IsTeamBlocked(const Entry& aEntry, const std::string& aTeam);
+
+// Asks peers for permits, if requests wait for them here.
+void AskForPermits(Turn& aTurn, TeamState& aTeam);
+
+// A permit came free: hands it to an asking peer when it is their turn.
+void OnPermitFreed(Turn& aTurn, TeamState& aTeam);
+
+// What the heartbeat tells of teams, and taking a peer's into account.
+std::map<std::string, TeamUse> ReportTeamUse(const Entry& aEntry);
+void TakeTeamUse(Entry& aEntry,
+                 PeerState& aPeer,
+                 const std::map<std::string, TeamUse>& aUse);
+
+// A peer's use counts no more: it has gone, or started anew.
+void ForgetUse(Entry& aEntry, PeerState& aPeer);
+
+// Hands all that lies idle to the steward, before leaving.
+void GiveAllIdle(Turn& aTurn);
+
+// The members in force have changed.
+void OnMembersInForce(Turn& aTurn);
+
+void OnPermitAsk(Turn& aTurn, const PeerFrame& aFrame, const PermitAsk& aAsk);
+void OnPermitGive(Turn& aTurn,
+                  const PeerFrame& aFrame,
+                  const PermitGive& aGive);
+void OnPermitReceipt(Turn& aTurn,
+                     const PeerFrame& aFrame,
+                     const PermitReceipt& aReceipt);
+void OnAuditAsk(Turn& aTurn, const PeerFrame& aFrame, const AuditAsk& aAsk);
+void OnAuditReply(Turn& aTurn,
+                  const PeerFrame& aFrame,
+                  const AuditReply& aReply);
+void OnLedgerNote(Turn& aTurn, const LedgerNote& aNote);
+
+// True if the answer was to a call about the ledger.
+bool OnLedgerAnswer(Turn& aTurn, const StoreAnswer& aAnswer);
+
+void TickPermits(Turn& aTurn);
+
+} // namespace cuminbridge
+
+#endif // cuminbridge_core_permits_h
--- /dev/null
+++ b/packages/core/src/records.cpp
@@ -0,0 +1,135 @@
+// The store's records as JSON.
+
+#include <algorithm>
+#include <cstdio>
+
+#include <boost/leaf/error.hpp>
+#include <nlohmann/json.hpp>
+
+#include "records.h"
+
+namespace cuminbridge {
+
+namespace leaf = boost::leaf;
+using nlohmann::json;
+
+namespace {
+
+constexpr std::string_view kPoolPrefix = "cuminbridge/config/pool/";
+constexpr std::string_view kTeamPrefix = "cuminbridge/config/team/";
+
+} // namespace
+
+std::string
+TicketKey(std::int64_t aNumber)
+{
+  // Zeros in front, so that keys sort as numbers do.
+  std::string digits = std::to_string(aNumber);
+  constexpr std::size_t kWidth = 13;
+  digits.insert(0, kWidth - std::min(kWidth, digits.size()), '0');
+  return "cuminbridge/ticket/" + digits;
+}
+
+std::string
+EncodeHead(const Config& aConfig, const std::vector<Member>& aMembers)
+{
+  const json head = { { "number", aConfig.number_ },
+                      { "digest", aConfig.digest_ },
+                      { "members", aMembers } };
+  return head.dump();
+}
+
+std::vector<StorePut>
+EncodeChange(const ConfigDelta& aChange, const Config& aNext)
+{
+  std::vector<StorePut> puts;
+  puts.push_back(
+    { std::string(kHeadKey), EncodeHead(aNext, aChange.members_) });
+  for (const PoolConfig& pool : aChange.pools_) {
+    puts.push_back(
+      { std::string(kPoolPrefix) + pool.name_, json(pool).dump() });
+  }
+  for (const TeamConfig& team : aChange.teams_) {
+    puts.push_back(
+      { std::string(kTeamPrefix) + team.name_, json(team).dump() });
+  }
+  return puts;
+}
+
+std::string
+EncodeTicketRecord(const Ticket& aTicket)
+{
+  return json({ { "digest", aTicket.digest_ }, { "text", aTicket.text_ } })
+    .dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+std::optional<std::string>
+DecodeTicketDigest(const std::string& aValue)
+{
+  const json record = json::parse(aValue, nullptr, false);
+  if (!record.is_object() || !record.contains("digest") ||
+      !record["digest"].is_string()) {
+    return {};
+  }
+  return record["digest"].get<std::string>();
+}
+
+leaf::result<SnapshotPtr>
+DecodeSnapshot(const std::vector<StoreValue>& aValues)
+{
+  auto snapshot = std::make_shared<Snapshot>();
+  ConfigBuilder builder;
+  bool hasHead = false;
+  try {
+    for (const StoreValue& value : aValues) {
+      const json record = json::parse(value.value_);
+      if (value.key_ == kHeadKey) {
+        hasHead = true;
+        snapshot->revision_ = value.revision_;
+        record.at("members").get_to(snapshot->members_);
+        builder.SetTicket(record.at("number"), record.at("digest"));
+      } else if (value.key_.starts_with(kPoolPrefix)) {
+        builder.SetPool(
+          std::make_shared<const PoolConfig>(record.get<PoolConfig>()));
+      } else if (value.key_.starts_with(kTeamPrefix)) {
+        builder.SetTeam(
+          std::make_shared<const TeamConfig>(record.get<TeamConfig>()));
+      }
+    }
+  } catch (const json::exception& error) {
+    return leaf::new_error(std::string(error.what()));
+  }
+  if (!hasHead) {
+    return SnapshotPtr();
+  }
+  snapshot->config_ = builder.Build();
+  return SnapshotPtr(std::move(snapshot));
+}
+
+std::string
+EncodeLedger(const LedgerRecord& aLedger)
+{
+  return json({ { "members", aLedger.members_ },
+                { "number", aLedger.number_ },
+                { "issued", aLedger.issued_ },
+                { "operation", aLedger.operation_ } })
+    .dump();
+}
+
+std::optional<LedgerRecord>
+DecodeLedger(const std::string& aValue)
+{
+  try {
+    const json record = json::parse(aValue);
+    LedgerRecord ledger;
+    record.at("members").get_to(ledger.members_);
+    record.at("number").get_to(ledger.number_);
+    record.at("issued").get_to(ledger.issued_);
+    record.at("operation").get_to(ledger.operation_);
+    return ledger;
+  } catch (const json::exception&) {
+    return {};
+  }
+}
+
+} // namespace cuminbridge
--- /dev/null
+++ b/packages/core/src/records.h
@@ -0,0 +1,57 @@
+// Internal: the records that the project keeps in the store, and their keys.
+//
+//   cuminbridge/config/head         number, digest, members
+//   cuminbridge/config/pool/NAME    one pool
+//   cuminbridge/config/team/NAME    one team
+//   cuminbridge/ticket/NUMBER       digest and text of an accepted ticket
+//   cuminbridge/ledger              permits issued
+//
+// The head and all parts are changed in one transaction that compares the
+// revision of the head, and read in one range: they are never seen half
+// changed.
+
+#ifndef cuminbridge_core_records_h
+#define cuminbridge_core_records_h
+
+#include "cuminbridge/core.h"
+
+namespace cuminbridge {
+
+inline constexpr std::string_view kConfigPrefix = "cuminbridge/config/";
+inline constexpr std::string_view kHeadKey = "cuminbridge/config/head";
+inline constexpr std::string_view kLedgerKey = "cuminbridge/ledger";
+
+// Accepted tickets kept in the store, for repeated filings and for operators.
+inline constexpr std::int64_t kTicketsKept = 10'000;
+
+std::string EncodeHead(const Config& aConfig,
+                       const std::vector<Member>& aMembers);
+
+// Puts for everything that a delta changes, the head among them.
+std::vector<StorePut> EncodeChange(const ConfigDelta& aChange,
+                                   const Config& aNext);
+
+std::string EncodeTicketRecord(const Ticket& aTicket);
+
+// The digest in a ticket's record; nothing if it can't be read.
+std::optional<std::string> DecodeTicketDigest(const std::string& aValue);
+
+// The snapshot in the answer to a read of kConfigPrefix. Null if the store has
+// no head. An error, as text, if a record can't be read.
+boost::leaf::result<SnapshotPtr> DecodeSnapshot(
+  const std::vector<StoreValue>& aValues);
+
+struct LedgerRecord
+{
+  std::vector<std::string> members_; // "id#incarnation"
+  std::int64_t number_ = 0;
+  std::map<std::string, int> issued_;
+  std::string operation_; // of the swap that wrote it
+};
+
+std::string EncodeLedger(const LedgerRecord& aLedger);
+std::optional<LedgerRecord> DecodeLedger(const std::string& aValue);
+
+} // namespace cuminbridge
+
+#endif // cuminbridge_core_records_h
--- /dev/null
+++ b/packages/core/src/routing.cpp
@@ -0,0 +1,727 @@
+// Requests from their arrival to their end. Targets are chosen in
+// placement.cpp, permits are in permits.cpp.
+
+#include "routing.h"
+
+#include <algorithm>
+
+#include "agreement.h"
+#include "claims.h"
+#include "permits.h"
+#include "placement.h"
+
+namespace cuminbridge {
+
+namespace {
+
+constexpr int kRetryAfterSeconds = 1;
+constexpr int kUrgentInRow = 8; // then one that is not urgent, if one waits
+constexpr double kMaxRetryCredit = 100;
+
+int
+ToMilliseconds(Duration aDuration)
+{
+  return static_cast<int>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Who may ask
+//-----------------------------------------------------------------------------
+
+// The team of a key by the configuration in force and by every change that may
+// come; empty if they differ or there is none.
+std::string
+TeamOfKey(const Entry& aEntry, const std::string& aKeyHash)
+{
+  const Agreement& agreement = aEntry.agreement_;
+  const auto& teams = agreement.inForce_->config_->teamOfKey_;
+  const auto found = teams.find(aKeyHash);
+  if (found == teams.end()) {
+    return "";
+  }
+  for (const PendingChange& pending : agreement.pending_) {
+    const auto next = pending.config_->teamOfKey_.find(aKeyHash);
+    if (next == pending.config_->teamOfKey_.end() ||
+        next->second != found->second) {
+      return "";
+    }
+  }
+  return found->second;
+}
+
+bool
+IsOpen(const Entry& aEntry, const std::string& aPool)
+{
+  const Agreement& agreement = aEntry.agreement_;
+  const auto isOpen = [&](const Config& aConfig) {
+    const auto found = aConfig.pools_.find(aPool);
+    return found != aConfig.pools_.end() && found->second->open_;
+  };
+  return isOpen(*agreement.inForce_->config_) &&
+         std::all_of(agreement.pending_.begin(),
+                     agreement.pending_.end(),
+                     [&](const PendingChange& aPending) {
+                       return isOpen(*aPending.config_);
+                     });
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Refusing
+//-----------------------------------------------------------------------------
+
+void
+RefuseNew(Turn& aTurn,
+          const RequestArrived& aArrived,
+          int aStatus,
+          const std::string& aDetail,
+          int aRetryAfter = 0)
+{
+  ++aTurn.entry_.counts_["requests_refused"];
+  aTurn.Emit(
+    LogDecision{ aArrived.id_, "", aArrived.pool_, "", aDetail, 0, 0 });
+  aTurn.Emit(RefuseRequest{
+    aArrived.id_, aStatus, Outcome::NotRun, aDetail, aRetryAfter });
+}
+
+// Ends a request that has an entry in requests_ and is in no queue.
+void
+RefuseKnown(Turn& aTurn,
+            Request& aRequest,
+            int aStatus,
+            Outcome aOutcome,
+            const std::string& aDetail,
+            int aRetryAfter = 0)
+{
+  const RequestId id = aRequest.arrived_.id_;
+  ++aTurn.entry_.counts_[aOutcome == Outcome::NotRun ? "requests_refused"
+                                                     : "requests_unknown"];
+  LogDecision log;
+  log.request_ = id;
+  log.team_ = aRequest.team_;
+  log.pool_ = aRequest.arrived_.pool_;
+  log.why_ = aDetail;
+  log.waited_ = ToMilliseconds(aTurn.now_ - aRequest.arrivedAt_);
+  aTurn.Emit(std::move(log));
+  aTurn.Emit(RefuseRequest{ id, aStatus, aOutcome, aDetail, aRetryAfter });
+  if (aRequest.isClaimed_ && aOutcome == Outcome::NotRun) {
+    ReleaseClaim(aTurn, aRequest);
+  }
+  aTurn.entry_.routing_.requests_.erase(id);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Queues
+//-----------------------------------------------------------------------------
+
+PoolState*
+FindPool(Entry& aEntry, std::string_view aName)
+{
+  const auto found = aEntry.routing_.pools_.find(aName);
+  return found == aEntry.routing_.pools_.end() ? nullptr : &found->second;
+}
+
+void
+Enqueue(Turn& aTurn, Request& aRequest, bool aIsFront)
+{
+  Entry& entry = aTurn.entry_;
+  PoolState& pool = *FindPool(entry, aRequest.arrived_.pool_);
+  aRequest.phase_ = RequestPhase::Waiting;
+  TeamQueue& queue = pool.queues_[aRequest.team_];
+  auto& line = aRequest.arrived_.urgent_ ? queue.urgent_ : queue.normal_;
+  if (aIsFront) {
+    line.push_front(aRequest.arrived_.id_);
+  } else {
+    line.push_back(aRequest.arrived_.id_);
+  }
+  ++queue.count_;
+  ++entry.routing_.waiting_;
+  if (!aRequest.team_.empty()) {
+    TeamState& team = FindTeam(entry, aRequest.team_);
+    ++team.waiting_;
+    team.waitingPools_.insert(aRequest.arrived_.pool_);
+  }
+}
+
+// Takes a waiting request out of the counts. Its id may stay in the line.
+void
+CountDequeued(Turn& aTurn, const Request& aRequest)
+{
+  Entry& entry = aTurn.entry_;
+  --entry.routing_.waiting_;
+  PoolState* pool = FindPool(entry, aRequest.arrived_.pool_);
+  TeamQueue& queue = pool->queues_[aRequest.team_];
+  --queue.count_;
+  if (!aRequest.team_.empty()) {
+    TeamState& team = FindTeam(entry, aRequest.team_);
+    --team.waiting_;
+    if (queue.count_ == 0) {
+      team.waitingPools_.erase(aRequest.arrived_.pool_);
+    }
+  }
+  if (queue.count_ == 0) {
+    pool->queues_.erase(aRequest.team_);
+  }
+}
+
+Request*
+FindWaiting(Entry& aEntry, RequestId aId)
+{
+  const auto found = aEntry.routing_.requests_.find(aId);
+  const bool isWaiting = found != aEntry.routing_.requests_.end() &&
+                         found->second.phase_ == RequestPhase::Waiting;
+  return isWaiting ? &found->second : nullptr;
+}
+
+// Drops ids of requests that went away from the front of a line.
+void
+TrimLine(Entry& aEntry, std::deque<RequestId>& aLine)
+{
+  while (!aLine.empty() && FindWaiting(aEntry, aLine.front()) == nullptr) {
+    aLine.pop_front();
+  }
+}
+
+// The line whose front goes next, or null if none waits.
+std::deque<RequestId>*
+NextLine(Entry& aEntry, TeamQueue& aQueue)
+{
+  TrimLine(aEntry, aQueue.urgent_);
+  TrimLine(aEntry, aQueue.normal_);
+  const bool isNormalsTurn =
+    aQueue.urgent_.empty() ||
+    (aQueue.urgentInRow_ >= kUrgentInRow && !aQueue.normal_.empty());
+  auto& line = isNormalsTurn ? aQueue.normal_ : aQueue.urgent_;
+  return line.empty() ? nullptr : &line;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Dispatch
+//-----------------------------------------------------------------------------
+
+bool
+HasPermit(Turn& aTurn, const std::string& aTeam)
+{
+  if (aTeam.empty()) {
+    return true; // open pools have no team and no limit
+  }
+  TeamState& team = FindTeam(aTurn.entry_, aTeam);
+  if (IdlePermits(team) == 0) {
+    AskForPermits(aTurn, team);
+    return false;
+  }
+  return !IsTeamBlocked(aTurn.entry_, aTeam);
+}
+
+// What a team runs, by its share. The smallest goes first.
+double
+NormalizedUse(Entry& aEntry, const std::string& aTeam)
+{
+  if (aTeam.empty()) {
+    return 0;
+  }
+  const auto& teams = aEntry.agreement_.inForce_->config_->teams_;
+  const auto config = teams.find(aTeam);
+  const int share = config == teams.end() ? 1 : config->second->share_;
+  const TeamState& team = FindTeam(aEntry, aTeam);
+  return static_cast<double>(team.running_ + team.runningElsewhere_) / share;
+}
+
+// The waiting team that is furthest below its share and has a permit; the end
+// of the queues if there is none.
+auto
+NextTeam(Turn& aTurn, PoolState& aPool, const std::set<std::string>& aSkip)
+{
+  auto best = aPool.queues_.end();
+  double bestUse = 0;
+  for (auto it = aPool.queues_.begin(); it != aPool.queues_.end(); ++it) {
+    if (aSkip.contains(it->first) || !HasPermit(aTurn, it->first)) {
+      continue;
+    }
+    const double use = NormalizedUse(aTurn.entry_, it->first);
+    if (best == aPool.queues_.end() || use < bestUse) {
+      best = it;
+      bestUse = use;
+    }
+  }
+  return best;
+}
+
+void
+StartRequest(Turn& aTurn, Request& aRequest, const Choice& aChoice)
+{
+  Entry& entry = aTurn.entry_;
+  CountDequeued(aTurn, aRequest);
+  TargetState& target = *aChoice.target_;
+  aRequest.phase_ = RequestPhase::Running;
+  aRequest.target_ = target.address_;
+  aRequest.startedAt_ = aTurn.now_;
+  ++aRequest.attempts_;
+  ++target.running_;
+  target.isProbing_ |= aChoice.isProbe_;
+  ++entry.routing_.running_;
+  if (!aRequest.team_.empty()) {
+    ++FindTeam(entry, aRequest.team_).running_;
+  }
+  LogDecision log;
+  log.request_ = aRequest.arrived_.id_;
+  log.team_ = aRequest.team_;
+  log.pool_ = aRequest.arrived_.pool_;
+  log.target_ = target.address_;
+  log.why_ = aChoice.isProbe_ ? "probe" : "least loaded";
+  log.weighed_ = aChoice.weighed_;
+  log.waited_ = ToMilliseconds(aTurn.now_ - aRequest.arrivedAt_);
+  aTurn.Emit(std::move(log));
+  aTurn.Emit(ForwardRequest{ aRequest.arrived_.id_,
+                             target.address_,
+                             target.isOldScheduler_,
+                             entry.agreement_.freshUntil_ });
+}
+
+// The key may have been withdrawn, or the pool closed, while it waited.
+bool
+IsStillAllowed(Turn& aTurn, const Request& aRequest)
+{
+  if (aRequest.team_.empty()) {
+    return IsOpen(aTurn.entry_, aRequest.arrived_.pool_);
+  }
+  return TeamOfKey(aTurn.entry_, aRequest.arrived_.keyHash_) == aRequest.team_;
+}
+
+// Starts the next request of a team. False if no target can take it.
+bool
+StartNextOf(Turn& aTurn, PoolState& aPool, TeamQueue& aQueue)
+{
+  auto* line = NextLine(aTurn.entry_, aQueue);
+  if (line == nullptr) {
+    return false;
+  }
+  Request& request = *FindWaiting(aTurn.entry_, line->front());
+  if (!IsStillAllowed(aTurn, request)) {
+    line->pop_front();
+    CountDequeued(aTurn, request);
+    RefuseKnown(aTurn, request, 401, Outcome::NotRun, "the key was withdrawn");
+    return true;
+  }
+  const Choice choice = ChooseTarget(aTurn, aPool, request);
+  if (choice.target_ == nullptr) {
+    return false;
+  }
+  const bool isUrgent = line == &aQueue.urgent_;
+  aQueue.urgentInRow_ = isUrgent ? aQueue.urgentInRow_ + 1 : 0;
+  line->pop_front();
+  StartRequest(aTurn, request, choice);
+  return true;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Ends and retries
+//-----------------------------------------------------------------------------
+
+void
+CountRunEnded(Turn& aTurn, const Request& aRequest, bool aMayStillRun)
+{
+  Entry& entry = aTurn.entry_;
+  --entry.routing_.running_;
+  const auto target = entry.routing_.targets_.find(aRequest.target_);
+  if (target != entry.routing_.targets_.end()) {
+    --target->second.running_;
+  }
+  if (aRequest.team_.empty()) {
+    return;
+  }
+  TeamState& team = FindTeam(entry, aRequest.team_);
+  --team.running_;
+  if (aMayStillRun) {
+    // The target's lease on it ends with the run limit, counted from the
+    // start; until then the permit stays in use.
+    team.quarantine_.push_back(aTurn.now_ + entry.options_.runLimit_);
+  } else {
+    OnPermitFreed(aTurn, team);
+  }
+}
+
+bool
+MayRetry(Turn& aTurn, const Request& aRequest, const ExchangeEnded& aEnded)
+{
+  Entry& entry = aTurn.entry_;
+  const RequestArrived& arrived = aRequest.arrived_;
+  const bool isSafe = aEnded.result_ == ExchangeResult::NotBegun ||
+                      (aEnded.result_ == ExchangeResult::Broken &&
+                       arrived.idempotent_ && !aEnded.answerStarted_);
+  // What has not begun can be sent once more even if it has a body: the body is
+  // read only after a target was reached.
+  const bool isAtHand =
+    arrived.replayable_ || aEnded.result_ == ExchangeResult::NotBegun;
+  if (!isSafe || !isAtHand ||
+      aRequest.attempts_ >= entry.options_.maxAttempts_ ||
+      aTurn.now_ - aRequest.arrivedAt_ >= entry.options_.queueLimit_ ||
+      entry.routing_.retryCredit_ < 1 ||
+      FindPool(entry, arrived.pool_) == nullptr) {
+    return false;
+  }
+  entry.routing_.retryCredit_ -= 1;
+  ++entry.counts_["retries"];
+  return true;
+}
+
+void
+NoteTargetOutcome(Turn& aTurn,
+                  const Request& aRequest,
+                  const ExchangeEnded& aEnded)
+{
+  auto& targets = aTurn.entry_.routing_.targets_;
+  const auto target = targets.find(aRequest.target_);
+  if (target == targets.end()) {
+    return;
+  }
+  const bool isGood =
+    aEnded.result_ == ExchangeResult::Answered && !aEnded.serverError_;
+  if (isGood) {
+    OnTargetSucceeded(aTurn, target->second);
+  } else if (aRequest.attempts_ <= 1 || target->second.isProbing_) {
+    // A request that fails wherever it goes says nothing of the later targets.
+    OnTargetFailed(aTurn, target->second);
+  }
+}
+
+void
+RefuseAfterRun(Turn& aTurn, Request& aRequest, const ExchangeEnded& aEnded)
+{
+  if (aEnded.result_ == ExchangeResult::NotBegun) {
+    RefuseKnown(aTurn,
+                aRequest,
+                503,
+                Outcome::NotRun,
+                "no target could be reached",
+                kRetryAfterSeconds);
+  } else if (aEnded.isTimeout_) {
+    RefuseKnown(aTurn,
+                aRequest,
+                504,
+                Outcome::Unknown,
+                "the target gave no whole answer within the run limit");
+  } else {
+    RefuseKnown(aTurn,
+                aRequest,
+                502,
+                Outcome::Unknown,
+                "the target gave no whole answer");
+  }
+}
+
+TargetState&
+FindTarget(Entry& aEntry, const std::string& aAddress)
+{
+  TargetState& target = aEntry.routing_.targets_[aAddress];
+  if (target.address_.empty()) {
+    target.address_ = aAddress;
+    const auto vm = aEntry.fleet_.vms_.find(aAddress);
+    if (vm != aEntry.fleet_.vms_.end()) {
+      target.status_ = vm->second.status_;
+    }
+  }
+  return target;
+}
+
+void
+RebuildTargets(Entry& aEntry, PoolState& aPool)
+{
+  aPool.targets_.clear();
+  aPool.ejected_ = 0;
+  if (aPool.config_->scheduler_ == Scheduler::Old) {
+    if (!aEntry.options_.oldScheduler_.empty()) {
+      TargetState& old = FindTarget(aEntry, aEntry.options_.oldScheduler_);
+      old.isOldScheduler_ = true;
+      aPool.targets_.push_back(&old);
+    }
+    return;
+  }
+  for (const std::string& vm : aPool.config_->vms_) {
+    TargetState& target = FindTarget(aEntry, vm);
+    aPool.ejected_ += target.isEjected_ ? 1 : 0;
+    aPool.targets_.push_back(&target);
+  }
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Events
+//-----------------------------------------------------------------------------
+
+void
+OnRequestArrived(Turn& aTurn, const RequestArrived& aArrived)
+{
+  Entry& entry = aTurn.entry_;
+  ++entry.counts_["requests_arrived"];
+  if (entry.shutdown_.isIdle_) {
+    RefuseNew(aTurn, aArrived, 503, "shutting down", kRetryAfterSeconds);
+    return;
+  }
+  if (!IsFresh(entry, aTurn.now_)) {
+    RefuseNew(aTurn,
+              aArrived,
+              503,
+              "this entry can't tell what is in force",
+              kRetryAfterSeconds);
+    return;
+  }
+  if (FindPool(entry, aArrived.pool_) == nullptr) {
+    RefuseNew(aTurn, aArrived, 404, "no such pool");
+    return;
+  }
+  const std::string team = TeamOfKey(entry, aArrived.keyHash_);
+  if (team.empty() && !IsOpen(entry, aArrived.pool_)) {
+    RefuseNew(aTurn, aArrived, 401, "no team has this key");
+    return;
+  }
+  if (entry.routing_.waiting_ >= entry.options_.queueCapacity_) {
+    RefuseNew(aTurn, aArrived, 429, "the queue is full", kRetryAfterSeconds);
+    return;
+  }
+  Request& request = entry.routing_.requests_[aArrived.id_];
+  request.arrived_ = aArrived;
+  request.team_ = team;
+  request.arrivedAt_ = aTurn.now_;
+  entry.routing_.retryCredit_ = std::min(
+    kMaxRetryCredit, entry.routing_.retryCredit_ + entry.options_.retryRatio_);
+  if (!aArrived.idempotencyKey_.empty()) {
+    request.phase_ = RequestPhase::Claiming;
+    StartClaim(aTurn, request);
+    return;
+  }
+  Enqueue(aTurn, request, false);
+  DispatchPool(aTurn, *FindPool(entry, aArrived.pool_));
+}
+
+void
+OnClaimGranted(Turn& aTurn, RequestId aRequest)
+{
+  auto& requests = aTurn.entry_.routing_.requests_;
+  const auto found = requests.find(aRequest);
+  if (found == requests.end()) {
+    return;
+  }
+  Request& request = found->second;
+  request.isClaimed_ = true;
+  PoolState* pool = FindPool(aTurn.entry_, request.arrived_.pool_);
+  if (pool == nullptr) {
+    RefuseKnown(aTurn, request, 404, Outcome::NotRun, "no such pool");
+    return;
+  }
+  Enqueue(aTurn, request, false);
+  DispatchPool(aTurn, *pool);
+}
+
+void
+OnClaimRefused(Turn& aTurn, RequestId aRequest, bool aIsHeld)
+{
+  auto& requests = aTurn.entry_.routing_.requests_;
+  const auto found = requests.find(aRequest);
+  if (found == requests.end()) {
+    return;
+  }
+  if (aIsHeld) {
+    RefuseKnown(aTurn,
+                found->second,
+                409,
+                Outcome::Unknown,
+                "another request has this Idempotency-Key and may have run");
+  } else {
+    RefuseKnown(aTurn,
+                found->second,
+                503,
+                Outcome::NotRun,
+                "no majority of the entries can vouch for this "
+                "Idempotency-Key",
+                kRetryAfterSeconds);
+  }
+}
+
+void
+OnRequestCancelled(Turn& aTurn, const RequestCancelled& aCancelled)
+{
+  auto& requests = aTurn.entry_.routing_.requests_;
+  const auto found = requests.find(aCancelled.id_);
+  if (found == requests.end() ||
+      found->second.phase_ == RequestPhase::Running) {
+    return;
+  }
+  ++aTurn.entry_.counts_["requests_cancelled"];
+  if (found->second.phase_ == RequestPhase::Waiting) {
+    CountDequeued(aTurn, found->second);
+  }
+  if (!found->second.arrived_.idempotencyKey_.empty()) {
+    ReleaseClaim(aTurn, found->second);
+  }
+  requests.erase(found);
+}
+
+void
+OnExchangeEnded(Turn& aTurn, const ExchangeEnded& aEnded)
+{
+  Entry& entry = aTurn.entry_;
+  const auto found = entry.routing_.requests_.find(aEnded.id_);
+  if (found == entry.routing_.requests_.end() ||
+      found->second.phase_ != RequestPhase::Running) {
+    return; // late or crossed: it was settled before
+  }
+  Request& request = found->second;
+  const std::string pool = request.arrived_.pool_;
+  const std::string team = request.team_;
+  NoteTargetOutcome(aTurn, request, aEnded);
+  CountRunEnded(aTurn, request, aEnded.result_ == ExchangeResult::Broken);
+  if (aEnded.result_ == ExchangeResult::Answered) {
+    ++entry.counts_["requests_answered"];
+    entry.routing_.requests_.erase(found);
+  } else if (MayRetry(aTurn, request, aEnded)) {
+    request.tried_.push_back(request.target_);
+    Enqueue(aTurn, request, true);
+  } else {
+    RefuseAfterRun(aTurn, request, aEnded);
+  }
+  PoolState* state = FindPool(entry, pool);
+  if (state != nullptr) {
+    DispatchPool(aTurn, *state);
+  }
+  if (!team.empty()) {
+    DispatchTeam(aTurn, team);
+  }
+}
+
+void
+DispatchPool(Turn& aTurn, PoolState& aPool)
+{
+  if (aPool.queues_.empty() || !IsFresh(aTurn.entry_, aTurn.now_)) {
+    return;
+  }
+  std::set<std::string> skip;
+  for (auto next = NextTeam(aTurn, aPool, skip); next != aPool.queues_.end();
+       next = NextTeam(aTurn, aPool, skip)) {
+    const std::string team = next->first;
+    if (!StartNextOf(aTurn, aPool, next->second)) {
+      skip.insert(team);
+    }
+  }
+}
+
+void
+DispatchTeam(Turn& aTurn, const std::string& aTeam)
+{
+  const std::set<std::string> pools =
+    FindTeam(aTurn.entry_, aTeam).waitingPools_;
+  for (const std::string& name : pools) {
+    PoolState* pool = FindPool(aTurn.entry_, name);
+    if (pool != nullptr) {
+      DispatchPool(aTurn, *pool);
+    }
+  }
+}
+
+void
+DispatchAll(Turn& aTurn)
+{
+  for (auto& [name, pool] : aTurn.entry_.routing_.pools_) {
+    DispatchPool(aTurn, pool);
+  }
+}
+
+void
+OnConfigInForce(Turn& aTurn, const SnapshotPtr& aOld)
+{
+  Entry& entry = aTurn.entry_;
+  const Config& config = *entry.agreement_.inForce_->config_;
+  for (const auto& [name, pool] : config.pools_) {
+    const bool isSame = aOld && aOld->config_->pools_.contains(name) &&
+                        aOld->config_->pools_.at(name) == pool;
+    PoolState& state = entry.routing_.pools_[name];
+    if (!isSame || !state.config_) {
+      state.config_ = pool;
+      RebuildTargets(entry, state);
+    }
+  }
+  DispatchAll(aTurn);
+}
+
+void
+OnVmListRead(Turn& aTurn, const VmListRead& aList)
+{
+  Entry& entry = aTurn.entry_;
+  for (const VmState& vm : aList.changed_) {
+    entry.fleet_.vms_[vm.address_] = vm;
+    const auto target = entry.routing_.targets_.find(vm.address_);
+    if (target != entry.routing_.targets_.end()) {
+      target->second.status_ = vm.status_;
+    }
+  }
+  if (!aList.changed_.empty()) {
+    DispatchAll(aTurn);
+  }
+}
+
+std::map<std::string, int>
+ReportTargetUse(const Entry& aEntry)
+{
+  std::map<std::string, int> report;
+  for (const auto& [id, request] : aEntry.routing_.requests_) {
+    if (request.phase_ == RequestPhase::Running) {
+      ++report[request.target_];
+    }
+  }
+  return report;
+}
+
+void
+TakeTargetUse(Entry& aEntry,
+              PeerState& aPeer,
+              const std::map<std::string, int>& aUse)
+{
+  const auto add = [&](const std::string& aTarget, int aCount) {
+    FindTarget(aEntry, aTarget).elsewhere_ += aCount;
+  };
+  for (const auto& [target, count] : aPeer.targets_) {
+    add(target, -count);
+  }
+  aPeer.targets_ = aUse;
+  for (const auto& [target, count] : aPeer.targets_) {
+    add(target, count);
+  }
+}
+
+void
+TickRouting(Turn& aTurn)
+{
+  Entry& entry = aTurn.entry_;
+  std::vector<RequestId> late;
+  for (auto& [name, pool] : entry.routing_.pools_) {
+    for (auto& [team, queue] : pool.queues_) {
+      for (auto* line : { &queue.urgent_, &queue.normal_ }) {
+        for (const RequestId id : *line) {
+          const Request* request = FindWaiting(entry, id);
+          if (request == nullptr) {
+            continue;
+          }
+          if (aTurn.now_ - request->arrivedAt_ < entry.options_.queueLimit_) {
+            break; // those behind it came later
+          }
+          late.push_back(id);
+        }
+      }
+    }
+  }
+  for (const RequestId id : late) {
+    Request& request = *FindWaiting(entry, id);
+    const bool isLimited = !request.team_.empty() &&
+                           IdlePermits(FindTeam(entry, request.team_)) == 0;
+    CountDequeued(aTurn, request);
+    RefuseKnown(aTurn,
+                request,
+                isLimited ? 429 : 503,
+                Outcome::NotRun,
+                isLimited ? "the team is at its limit" : "no target is free",
+                kRetryAfterSeconds);
+  }
+}
+
+} // namespace cuminbridge
--- /dev/null
+++ b/packages/core/src/routing.h
@@ -0,0 +1,39 @@
+// Internal: requests, pools and targets: who runs next, and where.
+
+#ifndef cuminbridge_core_routing_h
+#define cuminbridge_core_routing_h
+
+#include "entry_state.h"
+
+namespace cuminbridge {
+
+void OnRequestArrived(Turn& aTurn, const RequestArrived& aArrived);
+void OnRequestCancelled(Turn& aTurn, const RequestCancelled& aCancelled);
+void OnExchangeEnded(Turn& aTurn, const ExchangeEnded& aEnded);
+
+// The claim on a request's Idempotency-Key is decided.
+void OnClaimGranted(Turn& aTurn, RequestId aRequest);
+void OnClaimRefused(Turn& aTurn, RequestId aRequest, bool aIsHeld);
+
+// Starts what can start, in one pool, in all pools where a team waits, or in
+// all pools.
+void DispatchPool(Turn& aTurn, PoolState& aPool);
+void DispatchTeam(Turn& aTurn, const std::string& aTeam);
+void DispatchAll(Turn& aTurn);
+
+// A configuration came into force; aOld is the one before, or null.
+void OnConfigInForce(Turn& aTurn, const SnapshotPtr& aOld);
+
+void OnVmListRead(Turn& aTurn, const VmListRead& aList);
+
+std::map<std::string, int> ReportTargetUse(const Entry& aEntry);
+void TakeTargetUse(Entry& aEntry,
+                   PeerState& aPeer,
+                   const std::map<std::string, int>& aUse);
+
+// Refuses what has waited too long.
+void TickRouting(Turn& aTurn);
+
+} // namespace cuminbridge
+
+#endif // cuminbridge_core_routing_h
--- /dev/null
+++ b/packages/core/src/steward.h
@@ -0,0 +1,17 @@
+// Internal: the steward's part of the permits: the ledger and its audits.
+
+#ifndef cuminbridge_core_steward_h
+#define cuminbridge_core_steward_h
+
+#include "entry_state.h"
+
+namespace cuminbridge {
+
+// The members in force have changed: what was under way is void.
+void OnEpochChanged(Turn& aTurn);
+
+void TickSteward(Turn& aTurn);
+
+} // namespace cuminbridge
+
+#endif // cuminbridge_core_steward_h
--- /dev/null
+++ b/packages/core/src/views.cpp
@@ -0,0 +1,146 @@
+// What an entry tells about itself.
+
+#include "agreement.h"
+#include "permits.h"
+
+namespace cuminbridge {
+
+namespace {
+
+int
+AgeInMilliseconds(TimePoint aThen, TimePoint aNow)
+{
+  return static_cast<int>(
+    std::chrono::duration_cast<std::chrono::milliseconds>(aNow - aThen)
+      .count());
+}
+
+const char*
+NameState(const TargetState& aTarget)
+{
+  if (aTarget.status_ == VmStatus::Gone) {
+    return "gone";
+  }
+  if (aTarget.status_ == VmStatus::Leaving) {
+    return "leaving";
+  }
+  return aTarget.isEjected_ ? "ejected" : "live";
+}
+
+} // namespace
+
+const Member&
+ViewSelf(const Entry& aEntry)
+{
+  return aEntry.options_.self_;
+}
+
+std::vector<std::string>
+ViewUnreadyReasons(const Entry& aEntry, TimePoint aNow)
+{
+  std::vector<std::string> reasons;
+  if (aEntry.shutdown_.isAsked_) {
+    reasons.emplace_back("shutting down");
+  }
+  if (!aEntry.agreement_.inForce_) {
+    reasons.emplace_back(
+      "no configuration yet: neither the store nor a peer has given one");
+  } else if (!IsFresh(aEntry, aNow)) {
+    reasons.emplace_back("no fresh evidence: neither the store nor a majority "
+                         "of the members was heard lately");
+  }
+  return reasons;
+}
+
+InForceView
+ViewInForce(const Entry& aEntry, TimePoint aNow)
+{
+  InForceView view;
+  const Agreement& agreement = aEntry.agreement_;
+  if (!agreement.inForce_) {
+    return view;
+  }
+  view.number_ = agreement.inForce_->config_->number_;
+  view.revision_ = agreement.inForce_->revision_;
+  view.digest_ = agreement.inForce_->config_->digest_;
+  for (const PendingChange& pending : agreement.pending_) {
+    view.pending_.push_back(pending.prepare_.operation_);
+  }
+  view.evidenceAgeMilliseconds_ = AgeInMilliseconds(
+    agreement.freshUntil_ - aEntry.options_.evidenceLifetime_, aNow);
+  for (const Member& member : agreement.inForce_->members_) {
+    MemberView seen;
+    seen.member_ = member;
+    const auto peer = agreement.peers_.find(member.id_);
+    if (IsSelf(aEntry, member)) {
+      seen.revision_ = view.revision_;
+      seen.number_ = view.number_;
+      seen.heardMillisecondsAgo_ = 0;
+    } else if (peer != agreement.peers_.end()) {
+      seen.revision_ = peer->second.revision_;
+      seen.number_ = peer->second.number_;
+      seen.heardMillisecondsAgo_ =
+        AgeInMilliseconds(peer->second.heardAt_, aNow);
+    }
+    view.members_.push_back(std::move(seen));
+  }
+  return view;
+}
+
+std::vector<PoolView>
+ViewPools(const Entry& aEntry, TimePoint)
+{
+  std::vector<PoolView> views;
+  for (const auto& [name, pool] : aEntry.routing_.pools_) {
+    PoolView view;
+    view.pool_ = pool.config_;
+    for (const auto& [team, queue] : pool.queues_) {
+      view.waiting_ += queue.count_;
+    }
+    for (const TargetState* target : pool.targets_) {
+      view.targets_.push_back({ target->address_,
+                                NameState(*target),
+                                target->running_,
+                                target->elsewhere_ });
+    }
+    views.push_back(std::move(view));
+  }
+  return views;
+}
+
+std::vector<TeamView>
+ViewTeams(const Entry& aEntry, TimePoint)
+{
+  std::vector<TeamView> views;
+  if (!aEntry.agreement_.inForce_) {
+    return views;
+  }
+  for (const auto& [name, team] : aEntry.agreement_.inForce_->config_->teams_) {
+    TeamView view;
+    view.team_ = team;
+    const auto state = aEntry.permits_.teams_.find(name);
+    if (state != aEntry.permits_.teams_.end()) {
+      view.held_ = state->second.held_;
+      view.running_ = state->second.running_;
+      view.waiting_ = state->second.waiting_;
+      view.runningElsewhere_ = state->second.runningElsewhere_;
+    }
+    const auto issued = aEntry.permits_.ledger_.issued_.find(name);
+    if (issued != aEntry.permits_.ledger_.issued_.end()) {
+      view.issued_ = issued->second;
+    }
+    views.push_back(std::move(view));
+  }
+  return views;
+}
+
+std::map<std::string, std::uint64_t>
+ViewCounts(const Entry& aEntry)
+{
+  auto counts = aEntry.counts_;
+  counts["requests_running"] = aEntry.routing_.running_;
+  counts["requests_waiting"] = aEntry.routing_.waiting_;
+  return counts;
+}
+
+} // namespace cuminbridge
--- /dev/null
+++ b/packages/ctl/src/main.cpp
@@ -0,0 +1,9 @@
+// cuminbridgectl.
+
+#include "cuminbridge/ctl.h"
+
+int
+main(int argc, char** argv)
+{
+  return cuminbridge::RunControl(argc, argv);
+}
--- /dev/null
+++ b/packages/entry/src/log.cpp
@@ -0,0 +1,95 @@
+// JSON lines by spdlog.
+
+#include "log.h"
+
+#include <nlohmann/json.hpp>
+#include <spdlog/async.h>
+#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/spdlog.h>
+
+namespace cuminbridge {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr std::size_t kQueueLines = 8192;
+constexpr std::size_t kLogThreads = 1;
+
+std::string
+Dump(const json& aLine)
+{
+  // Text of callers may be no UTF-8; the log stays readable all the same.
+  return aLine.dump(-1, ' ', false, json::error_handler_t::replace);
+}
+
+void
+Write(spdlog::level::level_enum aLevel,
+      const std::string& aWhat,
+      const std::string& aDetail)
+{
+  auto logger = spdlog::default_logger();
+  if (logger->should_log(aLevel)) {
+    const std::string line = Dump({ { "what", aWhat }, { "detail", aDetail } });
+    logger->log(aLevel, "{}", std::string_view(line).substr(1));
+  }
+}
+
+} // namespace
+
+void
+StartLog(const std::string& aLevel, const Member& aSelf)
+{
+  spdlog::init_thread_pool(kQueueLines, kLogThreads);
+  auto logger = std::make_shared<spdlog::async_logger>(
+    "entry",
+    std::make_shared<spdlog::sinks::stdout_sink_mt>(),
+    spdlog::thread_pool(),
+    spdlog::async_overflow_policy::overrun_oldest);
+  // Each message is a JSON object without its first brace.
+  logger->set_pattern(
+    R"({"time":"%Y-%m-%dT%H:%M:%S.%eZ","level":"%l","entry":")" + aSelf.id_ +
+      R"(",%v)",
+    spdlog::pattern_time_type::utc);
+  logger->set_level(spdlog::level::from_str(aLevel));
+  spdlog::set_default_logger(logger);
+  spdlog::flush_every(std::chrono::seconds(1));
+}
+
+void
+StopLog()
+{
+  spdlog::shutdown();
+}
+
+void
+LogInfo(const std::string& aWhat, const std::string& aDetail)
+{
+  Write(spdlog::level::info, aWhat, aDetail);
+}
+
+void
+LogError(const std::string& aWhat, const std::string& aDetail)
+{
+  Write(spdlog::level::err, aWhat, aDetail);
+}
+
+void
+WriteDecision(const LogDecision& aDecision)
+{
+  auto logger = spdlog::default_logger_raw();
+  if (!logger->should_log(spdlog::level::info)) {
+    return;
+  }
+  const std::string line = Dump({ { "what", "decision" },
+                                  { "request", aDecision.request_ },
+                                  { "team", aDecision.team_ },
+                                  { "pool", aDecision.pool_ },
+                                  { "target", aDecision.target_ },
+                                  { "why", aDecision.why_ },
+                                  { "weighed", aDecision.weighed_ },
+                                  { "waited_ms", aDecision.waited_ } });
+  logger->info("{}", std::string_view(line).substr(1));
+}
+
+} // namespace cuminbridge
--- /dev/null
+++ b/packages/entry/src/operator_views.h
@@ -0,0 +1,20 @@
+// Internal: what operators read back, as JSON.
+
+#ifndef cuminbridge_entry_operator_views_h
+#define cuminbridge_entry_operator_views_h
+
+#include <nlohmann/json.hpp>
+
+#include "cuminbridge/core.h"
+
+namespace cuminbridge {
+
+nlohmann::json ShowFiling(const AnswerFiling& aAnswer);
+nlohmann::json ShowInForce(const Entry& aEntry, TimePoint aNow);
+nlohmann::json ShowPools(const Entry& aEntry, TimePoint aNow);
+nlohmann::json ShowTeams(const Entry& aEntry, TimePoint aNow);
+nlohmann::json ShowReadiness(const Entry& aEntry, TimePoint aNow);
+
+} // namespace cuminbridge
+
+#endif // cuminbridge_entry_operator_views_h
--- /dev/null
+++ b/packages/model/src/json.cpp
@@ -0,0 +1,76 @@
+// JSON of the values that go to the store and between entries.
+
+#include <nlohmann/json.hpp>
+
+#include "cuminbridge/model.h"
+
+namespace cuminbridge {
+
+using nlohmann::json;
+
+void
+to_json(json& aJson, const PoolConfig& aPool)
+{
+  aJson = { { "name", aPool.name_ },
+            { "vms", aPool.vms_ },
+            { "min_available", aPool.minAvailable_ },
+            { "open", aPool.open_ },
+            { "old", aPool.scheduler_ == Scheduler::Old },
+            { "changed_in", aPool.changedIn_ } };
+}
+
+void
+from_json(const json& aJson, PoolConfig& aPool)
+{
+  aJson.at("name").get_to(aPool.name_);
+  aJson.at("vms").get_to(aPool.vms_);
+  aJson.at("min_available").get_to(aPool.minAvailable_);
+  aJson.at("open").get_to(aPool.open_);
+  aPool.scheduler_ =
+    aJson.at("old").get<bool>() ? Scheduler::Old : Scheduler::Cuminbridge;
+  aJson.at("changed_in").get_to(aPool.changedIn_);
+}
+
+void
+to_json(json& aJson, const TeamConfig& aTeam)
+{
+  aJson = { { "name", aTeam.name_ },
+            { "keys", aTeam.keys_ },
+            { "share", aTeam.share_ },
+            { "limit", aTeam.limit_ },
+            { "changed_in", aTeam.changedIn_ },
+            { "lowered_in", aTeam.loweredIn_ } };
+}
+
+void
+from_json(const json& aJson, TeamConfig& aTeam)
+{
+  aJson.at("name").get_to(aTeam.name_);
+  aJson.at("keys").get_to(aTeam.keys_);
+  aJson.at("share").get_to(aTeam.share_);
+  aJson.at("limit").get_to(aTeam.limit_);
+  aJson.at("changed_in").get_to(aTeam.changedIn_);
+  aJson.at("lowered_in").get_to(aTeam.loweredIn_);
+}
+
+void
+to_json(json& aJson, const Member& aMember)
+{
+  aJson = { { "id", aMember.id_ },
+            { "incarnation", aMember.incarnation_ },
+            { "peer_address", aMember.peerAddress_ },
+            { "data_centre", aMember.dataCentre_ },
+            { "voter", aMember.isVoter_ } };
+}
+
+void
+from_json(const json& aJson, Member& aMember)
+{
+  aJson.at("id").get_to(aMember.id_);
+  aJson.at("incarnation").get_to(aMember.incarnation_);
+  aJson.at("peer_address").get_to(aMember.peerAddress_);
+  aJson.at("data_centre").get_to(aMember.dataCentre_);
+  aJson.at("voter").get_to(aMember.isVoter_);
+}
+
+} // namespace cuminbridge
--- /dev/null
+++ b/packages/model/src/ticket.cpp
@@ -0,0 +1,268 @@
+// Reading, checking and applying tickets.
+
+#include <algorithm>
+#include <cctype>
+#include <set>
+
+#include <boost/leaf/error.hpp>
+
+#include "cuminbridge/model.h"
+
+namespace cuminbridge {
+
+namespace leaf = boost::leaf;
+
+namespace {
+
+constexpr std::size_t kMaxNameLength = 64;
+constexpr std::size_t kMaxAddressLength = 64;
+constexpr std::size_t kKeyHashLength = 71; // "sha256:" and 64 digits
+constexpr std::int64_t kMaxTicketNumber = 1'000'000'000'000;
+constexpr std::int64_t kMaxVms = 100'000;
+constexpr std::int64_t kMaxShare = 1'000'000;
+constexpr std::int64_t kMaxLimit = 1'000'000;
+
+bool
+IsName(std::string_view aText)
+{
+  if (aText.empty() || aText.size() > kMaxNameLength) {
+    return false;
+  }
+  return std::all_of(aText.begin(), aText.end(), [](unsigned char aChar) {
+    return std::isalnum(aChar) != 0 || aChar == '-' || aChar == '_';
+  });
+}
+
+// An IP number, of either family. A port is not part of it.
+bool
+IsAddress(std::string_view aText)
+{
+  if (aText.empty() || aText.size() > kMaxAddressLength) {
+    return false;
+  }
+  return std::all_of(aText.begin(), aText.end(), [](unsigned char aChar) {
+    return std::isxdigit(aChar) != 0 || aChar == '.' || aChar == ':';
+  });
+}
+
+bool
+IsKeyHash(std::string_view aText)
+{
+  if (aText.size() != kKeyHashLength || !aText.starts_with("sha256:")) {
+    return false;
+  }
+  const std::string_view digits = aText.substr(7);
+  return std::all_of(digits.begin(), digits.end(), [](unsigned char aChar) {
+    return std::isdigit(aChar) != 0 || (aChar >= 'a' && aChar <= 'f');
+  });
+}
+
+void
+SortAndReportRepeats(std::vector<std::string>& aValues,
+                     TomlTable& aTable,
+                     std::string_view aKey)
+{
+  std::sort(aValues.begin(), aValues.end());
+  const auto repeat = std::adjacent_find(aValues.begin(), aValues.end());
+  if (repeat != aValues.end()) {
+    aTable.Report(aKey, "names " + *repeat + " more than once");
+  }
+}
+
+PoolConfig
+ReadPool(const std::string& aName, TomlTable& aTable)
+{
+  PoolConfig pool;
+  pool.name_ = aName;
+  if (!IsName(aName)) {
+    aTable.Report("", "a pool name is 1 to 64 letters, digits, '-' or '_'");
+  }
+  pool.vms_ = aTable.ReadStrings("vms");
+  for (const std::string& vm : pool.vms_) {
+    if (!IsAddress(vm)) {
+      aTable.Report("vms", "'" + vm + "' is not an IP number");
+    }
+  }
+  SortAndReportRepeats(pool.vms_, aTable, "vms");
+  pool.minAvailable_ =
+    static_cast<int>(aTable.ReadInteger("min_available", 0, kMaxVms));
+  if (pool.minAvailable_ > static_cast<int>(pool.vms_.size())) {
+    aTable.Report("min_available", "is more than the pool has VMs");
+  }
+  pool.open_ = aTable.ReadBool("open", false);
+  const std::string scheduler = aTable.ReadString("scheduler", "cuminbridge");
+  if (scheduler != "cuminbridge" && scheduler != "old") {
+    aTable.Report("scheduler", "must be \"cuminbridge\" or \"old\"");
+  }
+  pool.scheduler_ =
+    scheduler == "old" ? Scheduler::Old : Scheduler::Cuminbridge;
+  aTable.ReportUnknownKeys();
+  return pool;
+}
+
+TeamConfig
+ReadTeam(const std::string& aName, TomlTable& aTable)
+{
+  TeamConfig team;
+  team.name_ = aName;
+  if (!IsName(aName)) {
+    aTable.Report("", "a team name is 1 to 64 letters, digits, '-' or '_'");
+  }
+  team.keys_ = aTable.ReadStrings("keys");
+  for (const std::string& key : team.keys_) {
+    if (!IsKeyHash(key)) {
+      // The text is not repeated: it may be a key in clear.
+      aTable.Report("keys", "must be \"sha256:\" and 64 hex digits (a-f)");
+    }
+  }
+  SortAndReportRepeats(team.keys_, aTable, "keys");
+  team.share_ = static_cast<int>(aTable.ReadInteger("share", 1, kMaxShare));
+  team.limit_ = static_cast<int>(aTable.ReadInteger("limit", 0, kMaxLimit));
+  aTable.ReportUnknownKeys();
+  return team;
+}
+
+Ticket
+ReadTicket(TomlTable& aTable)
+{
+  Ticket ticket;
+  ticket.number_ = aTable.ReadInteger("ticket", 1, kMaxTicketNumber);
+  ticket.places_["ticket"] = aTable.PlaceOf("ticket");
+  for (auto& [name, table] : aTable.ReadTables("pool")) {
+    ticket.pools_.push_back(ReadPool(name, table));
+    ticket.places_["pool." + name] = table.PlaceOf("vms");
+  }
+  for (auto& [name, table] : aTable.ReadTables("team")) {
+    ticket.teams_.push_back(ReadTeam(name, table));
+    ticket.places_["team." + name] = table.PlaceOf("keys");
+  }
+  aTable.ReportUnknownKeys();
+  const std::size_t parts = ticket.pools_.size() + ticket.teams_.size();
+  if (parts == 0) {
+    aTable.Report("", "names no pool and no team");
+  }
+  if (parts > kMaxTicketParts) {
+    aTable.Report("",
+                  "names more than " + std::to_string(kMaxTicketParts) +
+                    " pools and teams; file it as several tickets");
+  }
+  for (PoolConfig& pool : ticket.pools_) {
+    pool.changedIn_ = ticket.number_;
+  }
+  for (TeamConfig& team : ticket.teams_) {
+    team.changedIn_ = ticket.number_;
+  }
+  return ticket;
+}
+
+Place
+FindPlace(const Ticket& aTicket, const std::string& aKey)
+{
+  const auto found = aTicket.places_.find(aKey);
+  return found == aTicket.places_.end() ? Place{} : found->second;
+}
+
+// Each owner's values, checked against those of every other owner.
+// aOwnerOf gives the owner in the base, or "" if the value has none there.
+template<typename Parts, typename Values, typename OwnerOf>
+void
+CheckSingleOwner(const Parts& aParts,
+                 const std::string& aKind,
+                 const std::string& aWhat,
+                 const Ticket& aTicket,
+                 Values aValues,
+                 OwnerOf aOwnerOf,
+                 Findings& aFindings)
+{
+  std::set<std::string> restated;
+  for (const auto& part : aParts) {
+    restated.insert(part.name_);
+  }
+  std::map<std::string, std::string> owners;
+  for (const auto& part : aParts) {
+    for (const std::string& value : aValues(part)) {
+      const auto [owner, isNew] = owners.emplace(value, part.name_);
+      std::string other = isNew ? aOwnerOf(value) : owner->second;
+      const bool isMove = isNew && restated.contains(other);
+      if (!other.empty() && other != part.name_ && !isMove) {
+        Place place = FindPlace(aTicket, aKind + "." + part.name_);
+        aFindings.push_back({ place,
+                              aWhat + " " + value + " is in " + aKind + " " +
+                                other + "; a move names both in one ticket" });
+      }
+    }
+  }
+}
+
+} // namespace
+
+leaf::result<Ticket>
+ParseTicket(std::string_view aText)
+{
+  Findings findings;
+  if (aText.size() > kMaxTicketBytes) {
+    findings.push_back({ {}, "is longer than 512 KiB" });
+    return leaf::new_error(findings);
+  }
+  auto table = TomlTable::Parse(aText, findings);
+  if (!table) {
+    return leaf::new_error(findings);
+  }
+  Ticket ticket = ReadTicket(*table);
+  if (!findings.empty()) {
+    return leaf::new_error(findings);
+  }
+  ticket.text_ = std::string(aText);
+  ticket.digest_ = Sha256Hex(aText);
+  return ticket;
+}
+
+Findings
+CheckTicket(const Ticket& aTicket, const Config& aBase)
+{
+  Findings findings;
+  CheckSingleOwner(
+    aTicket.pools_,
+    "pool",
+    "VM",
+    aTicket,
+    [](const PoolConfig& aPool) -> const auto& { return aPool.vms_; },
+    [&](const std::string& aVm) {
+      const auto found = aBase.poolOfVm_.find(aVm);
+      return found == aBase.poolOfVm_.end() ? std::string() : found->second;
+    },
+    findings);
+  CheckSingleOwner(
+    aTicket.teams_,
+    "team",
+    "key",
+    aTicket,
+    [](const TeamConfig& aTeam) -> const auto& { return aTeam.keys_; },
+    [&](const std::string& aKey) {
+      const auto found = aBase.teamOfKey_.find(aKey);
+      return found == aBase.teamOfKey_.end() ? std::string() : found->second;
+    },
+    findings);
+  return findings;
+}
+
+ConfigPtr
+ApplyTicket(const Ticket& aTicket, const Config& aBase)
+{
+  ConfigBuilder builder(aBase);
+  builder.SetTicket(aTicket.number_, aTicket.digest_);
+  for (const PoolConfig& pool : aTicket.pools_) {
+    builder.SetPool(std::make_shared<const PoolConfig>(pool));
+  }
+  for (TeamConfig team : aTicket.teams_) {
+    const auto old = aBase.teams_.find(team.name_);
+    if (old != aBase.teams_.end()) {
+      const bool isLower = team.limit_ < old->second->limit_;
+      team.loweredIn_ = isLower ? aTicket.number_ : old->second->loweredIn_;
+    }
+    builder.SetTeam(std::make_shared<const TeamConfig>(std::move(team)));
+  }
+  return builder.Build();
+}
+
+} // namespace cuminbridge
--- /dev/null
+++ b/packages/wire/src/wire.cpp
@@ -0,0 +1,190 @@
+// CBOR of frames, by nlohmann::json.
+
+#include "cuminbridge/wire.h"
+
+#include <boost/leaf/error.hpp>
+#include <nlohmann/json.hpp>
+
+namespace cuminbridge {
+
+namespace leaf = boost::leaf;
+using nlohmann::json;
+
+//-----------------------------------------------------------------------------
+// [SECTION] Fields of each message
+//-----------------------------------------------------------------------------
+
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TeamUse, idle_, running_, waiting_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Heartbeat, sequence_, teams_, targets_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HeartbeatAck,
+                                   sequence_,
+                                   revision_,
+                                   number_,
+                                   pending_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigDelta,
+                                   revision_,
+                                   number_,
+                                   sinceNumber_,
+                                   digest_,
+                                   members_,
+                                   pools_,
+                                   teams_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Prepare, operation_, baseRevision_, change_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PrepareAck, operation_, accepted_, revision_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Abort, operation_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigAsk, haveRevision_, haveNumber_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigReply, inForce_, pending_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigAck, revision_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PermitAsk, team_, count_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PermitGive, transfer_, epoch_, team_, count_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PermitReceipt, transfer_, accepted_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AuditAsk, epoch_, audit_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AuditReply, audit_, held_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(LedgerNote, revision_, number_, issued_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ClaimAsk, epoch_, key_, request_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ClaimReply,
+                                   epoch_,
+                                   key_,
+                                   request_,
+                                   granted_,
+                                   held_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ClaimRelease, key_, request_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ClaimSyncAsk, epoch_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ClaimSyncReply, epoch_, claims_)
+
+void
+to_json(json& aJson, const Goodbye&)
+{
+  aJson = json::object();
+}
+
+void
+from_json(const json&, Goodbye&)
+{
+}
+
+namespace {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Depth guard
+//-----------------------------------------------------------------------------
+
+// Walks a frame without building it and stops where it nests too deep: the
+// decoder would use stack for each level.
+struct DepthGuard : nlohmann::json_sax<json>
+{
+  int depth_ = 0;
+
+  bool Enter() { return ++depth_ <= kMaxFrameDepth; }
+  bool Leave()
+  {
+    --depth_;
+    return true;
+  }
+
+  // The names are those of the library's interface.
+  // NOLINTBEGIN(readability-identifier-naming)
+  bool null() override { return true; }
+  bool boolean(bool) override { return true; }
+  bool number_integer(number_integer_t) override { return true; }
+  bool number_unsigned(number_unsigned_t) override { return true; }
+  bool number_float(number_float_t, const string_t&) override { return true; }
+  bool string(string_t&) override { return true; }
+  bool binary(binary_t&) override { return true; }
+  bool start_object(std::size_t) override { return Enter(); }
+  bool key(string_t&) override { return true; }
+  bool end_object() override { return Leave(); }
+  bool start_array(std::size_t) override { return Enter(); }
+  bool end_array() override { return Leave(); }
+  bool parse_error(std::size_t,
+                   const std::string&,
+                   const nlohmann::detail::exception&) override
+  {
+    return false;
+  }
+  // NOLINTEND(readability-identifier-naming)
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Message types by number
+//-----------------------------------------------------------------------------
+
+// A message's type on the wire is its place in PeerMessage: new types go last.
+template<std::size_t kIndex = 0>
+PeerMessage
+DecodeMessage(std::size_t aType, const json& aBody)
+{
+  if constexpr (kIndex < std::variant_size_v<PeerMessage>) {
+    if (aType == kIndex) {
+      return aBody.get<std::variant_alternative_t<kIndex, PeerMessage>>();
+    }
+    return DecodeMessage<kIndex + 1>(aType, aBody);
+  } else {
+    throw std::out_of_range("unknown message type");
+  }
+}
+
+Frame
+ReadFrame(const json& aJson)
+{
+  enum Field
+  {
+    Version,
+    Id,
+    Incarnation,
+    Address,
+    DataCentre,
+    Type,
+    Body,
+    FieldCount
+  };
+  if (!aJson.is_array() || aJson.size() != FieldCount ||
+      aJson[Version] != kWireVersion) {
+    throw std::out_of_range("not a frame of this version");
+  }
+  Frame frame;
+  aJson[Id].get_to(frame.sender_.id_);
+  aJson[Incarnation].get_to(frame.sender_.incarnation_);
+  aJson[Address].get_to(frame.sender_.peerAddress_);
+  aJson[DataCentre].get_to(frame.sender_.dataCentre_);
+  frame.message_ = DecodeMessage(aJson[Type].get<std::size_t>(), aJson[Body]);
+  return frame;
+}
+
+} // namespace
+
+std::string
+EncodeFrame(const Member& aSender, const PeerMessage& aMessage)
+{
+  json body;
+  std::visit([&](const auto& aTyped) { body = aTyped; }, aMessage);
+  const json frame = json::array({ kWireVersion,
+                                   aSender.id_,
+                                   aSender.incarnation_,
+                                   aSender.peerAddress_,
+                                   aSender.dataCentre_,
+                                   aMessage.index(),
+                                   std::move(body) });
+  std::string bytes;
+  json::to_cbor(frame, bytes);
+  return bytes;
+}
+
+leaf::result<Frame>
+DecodeFrame(std::string_view aBytes)
+{
+  if (aBytes.size() > kMaxFrameBytes) {
+    return leaf::new_error(std::string("frame too large"));
+  }
+  try {
+    DepthGuard guard;
+    if (!json::sax_parse(aBytes, &guard, json::input_format_t::cbor)) {
+      return leaf::new_error(std::string("not CBOR, or nested too deep"));
+    }
+    return ReadFrame(json::from_cbor(aBytes));
+  } catch (const std::exception& error) {
+    return leaf::new_error(std::string(error.what()));
+  }
+}
+
+} // namespace cuminbridge
--- /dev/null
+++ b/testing/catch_main.cpp
@@ -0,0 +1,4 @@
+// The main function of every test program.
+
+#define CATCH_CONFIG_MAIN
+#include <catch2/catch.hpp>
