Let permits go round among entries that wait

Cause, seen while looking for why no test noticed an audit without its freeze: a freed permit always went to the asking peer with the lowest id. With work waiting at all six entries, two of them passed the permits to and fro and one answered 3 of 1157 requests in 10 s. Ruled out: the choice of whom to ask. Change: the peer after the one served last is next. After: each entry answers at least half of an even part (test seen failing first). The audit's freeze is now noticed by its test when it is taken out.

--- a/packages/core/src/entry_state.h
+++ b/packages/core/src/entry_state.h
@@ -151,6 +151,7 @@
   std::set<std::string> waitingPools_;
   TimePoint nextAsk_;
   std::map<std::string, std::pair<int, TimePoint>> asks_; // by peer: how many
+  std::string lastGivenTo_; // the peer after it, by id, is next
   bool isGiveTurn_ = false; // the next freed permit goes to an asking peer
 };
 
--- a/packages/core/src/permits.cpp
+++ b/packages/core/src/permits.cpp
@@ -223,8 +223,12 @@
   if (aTeam.waiting_ > 0 && !aTeam.isGiveTurn_) {
     return;
   }
-  const auto ask = aTeam.asks_.begin();
+  auto ask = aTeam.asks_.upper_bound(aTeam.lastGivenTo_);
+  if (ask == aTeam.asks_.end()) {
+    ask = aTeam.asks_.begin();
+  }
   const std::string peer = ask->first;
+  aTeam.lastGivenTo_ = peer;
   if (--ask->second.first <= 0) {
     aTeam.asks_.erase(ask);
   }
