Measure what an entry costs as the fleet grows

capacity_bench builds one entry as it is in a fleet of four sizes and prints its state, events and frames.

--- /dev/null
+++ b/testing/capacity_bench.cpp
@@ -0,0 +1,352 @@
+// Slopes for docs/CAPACITY.md: what one entry costs as the fleet grows.
+//
+//   capacity_bench          prints the table of the page
+//   capacity_bench --check  checks what does not depend on the machine's speed
+//
+// Each line builds one entry as it is in the middle of a fleet of that size and
+// measures its state, its events and its frames.
+
+#include <chrono>
+#include <cstdio>
+#include <cstring>
+#include <string>
+
+#include <malloc.h>
+
+#include "agreement.h"
+#include "cuminbridge/wire.h"
+#include "permits.h"
+#include "steward.h"
+
+using namespace cuminbridge;
+
+namespace {
+
+struct Size
+{
+  int vms_;
+  int pools_;
+  int teams_;
+  int entries_;
+};
+
+constexpr Size kSizes[] = {
+  { 50, 5, 6, 6 },
+  { 650, 10, 20, 12 },
+  { 3250, 25, 60, 30 },
+  { 13000, 57, 170, 60 },
+};
+
+constexpr int kEvents = 20000;
+constexpr std::uint64_t kSelfIncarnation = 7;
+
+std::size_t
+HeapBytes()
+{
+  return mallinfo2().uordblks;
+}
+
+double
+NowInNanoseconds()
+{
+  timespec now{};
+  clock_gettime(CLOCK_PROCESS_CPUTIME_ID, &now);
+  return static_cast<double>(now.tv_sec) * 1e9 +
+         static_cast<double>(now.tv_nsec);
+}
+
+std::string
+NameEntry(int aIndex)
+{
+  return "10.1." + std::to_string(aIndex / 200) + "." +
+         std::to_string(1 + aIndex % 200) + ":7080";
+}
+
+ConfigPtr
+MakeConfig(const Size& aSize)
+{
+  ConfigBuilder builder;
+  builder.SetTicket(100, Sha256Hex("ticket"));
+  std::vector<PoolConfig> pools(static_cast<std::size_t>(aSize.pools_));
+  for (int vm = 0; vm < aSize.vms_; ++vm) {
+    pools[static_cast<std::size_t>(vm % aSize.pools_)].vms_.push_back(
+      "10.2." + std::to_string(vm / 200) + "." +
+      std::to_string(1 + vm % 200));
+  }
+  for (std::size_t i = 0; i < pools.size(); ++i) {
+    pools[i].name_ = "pool-" + std::to_string(i);
+    pools[i].changedIn_ = 1;
+    builder.SetPool(std::make_shared<const PoolConfig>(pools[i]));
+  }
+  for (int i = 0; i < aSize.teams_; ++i) {
+    TeamConfig team;
+    team.name_ = "team-" + std::to_string(i);
+    team.keys_ = { HashKey("key-" + std::to_string(i)) };
+    team.limit_ = std::max(8, 8 * aSize.vms_ / aSize.teams_);
+    team.changedIn_ = 1;
+    builder.SetTeam(std::make_shared<const TeamConfig>(team));
+  }
+  return builder.Build();
+}
+
+SnapshotPtr
+MakeSnapshot(const Size& aSize, std::int64_t aRevision)
+{
+  auto snapshot = std::make_shared<Snapshot>();
+  snapshot->revision_ = aRevision;
+  for (int i = 0; i < aSize.entries_; ++i) {
+    snapshot->members_.push_back(
+      { NameEntry(i), kSelfIncarnation, NameEntry(i), "dc", true });
+  }
+  snapshot->config_ = MakeConfig(aSize);
+  return snapshot;
+}
+
+// One entry with its configuration, heard peers and permits.
+struct Bench
+{
+  Size size_;
+  EntryPtr entry_;
+  TimePoint now_{ std::chrono::hours(1) };
+  Effects effects_;
+  RequestId nextRequest_ = 1;
+
+  explicit Bench(const Size& aSize)
+    : size_(aSize)
+  {
+    EntryOptions options;
+    options.self_ = { NameEntry(0), kSelfIncarnation, NameEntry(0), "dc", true };
+    entry_ = MakeEntry(options, now_);
+    Submit(Tick{});
+    Turn turn{ *entry_, now_, effects_ };
+    Adopt(turn, MakeSnapshot(aSize, 10), "bench");
+    for (int i = 1; i < aSize.entries_; ++i) {
+      Submit(FromPeer(i, Heartbeat{}));
+      Submit(FromPeer(i, HeartbeatAck{ 1, 10, 100, {} }));
+    }
+    LedgerNote note{ 5, 100, {} };
+    for (int i = 0; i < aSize.teams_; ++i) {
+      const std::string name = "team-" + std::to_string(i);
+      note.issued_[name] = 8;
+      cuminbridge::FindTeam(*entry_, name).held_ = 8;
+    }
+    Submit(FromPeer(1, note));
+  }
+
+  void Submit(const Event& aEvent)
+  {
+    effects_.clear();
+    Reduce(*entry_, aEvent, now_, effects_);
+  }
+
+  PeerFrame FromPeer(int aPeer, PeerMessage aMessage) const
+  {
+    return { NameEntry(aPeer),
+             kSelfIncarnation,
+             NameEntry(aPeer),
+             "dc",
+             std::move(aMessage) };
+  }
+
+  RequestArrived NextRequest()
+  {
+    const RequestId id = nextRequest_++;
+    RequestArrived arrived;
+    arrived.id_ = id;
+    arrived.pool_ = "pool-" + std::to_string(id % size_.pools_);
+    arrived.keyHash_ = keys_[id % static_cast<std::size_t>(size_.teams_)];
+    arrived.replayable_ = true;
+    return arrived;
+  }
+
+  std::vector<std::string> keys_ = MakeKeys(size_.teams_);
+
+  static std::vector<std::string> MakeKeys(int aTeams)
+  {
+    std::vector<std::string> keys;
+    for (int i = 0; i < aTeams; ++i) {
+      keys.push_back(HashKey("key-" + std::to_string(i)));
+    }
+    return keys;
+  }
+};
+
+// Processor time of one call, in nanoseconds, as the mean over many.
+template<typename Work>
+double
+Measure(int aTimes, Work aWork)
+{
+  const double from = NowInNanoseconds();
+  for (int i = 0; i < aTimes; ++i) {
+    aWork();
+  }
+  return (NowInNanoseconds() - from) / aTimes;
+}
+
+std::size_t
+FrameBytes(const PeerMessage& aMessage)
+{
+  const Member self{ NameEntry(0), kSelfIncarnation, NameEntry(0), "dc", true };
+  return EncodeFrame(self, aMessage).size();
+}
+
+struct Result
+{
+  std::size_t stateBytes_;
+  double requestNanoseconds_;
+  double tickNanoseconds_;
+  double beatNanoseconds_; // one heartbeat and its answer, with the codec
+  double ticketNanoseconds_;
+  std::size_t idleBeatBytes_;
+  std::size_t busyBeatBytes_;
+  std::size_t ackBytes_;
+  std::size_t ticketBytes_;
+  std::size_t wholeBytes_;
+  double framesAnInterval_; // both ways, heartbeats and answers
+};
+
+double
+MeasureRequest(Bench& aBench)
+{
+  return Measure(kEvents, [&] {
+    const RequestArrived arrived = aBench.NextRequest();
+    aBench.Submit(arrived);
+    ExchangeEnded ended;
+    ended.id_ = arrived.id_;
+    aBench.Submit(ended);
+  });
+}
+
+double
+MeasureBeat(Bench& aBench)
+{
+  const Member self{ NameEntry(0), kSelfIncarnation, NameEntry(0), "dc", true };
+  Heartbeat beat;
+  beat.sequence_ = 1;
+  return Measure(kEvents / 10, [&] {
+    const std::string bytes = EncodeFrame(self, beat);
+    const auto frame = DecodeFrame(bytes);
+    aBench.Submit(aBench.FromPeer(1, frame.value().message_));
+    aBench.Submit(aBench.FromPeer(1, HeartbeatAck{ 1, 10, 100, {} }));
+  });
+}
+
+// A ticket that changes one pool, as it comes from the entry that filed it.
+ConfigReply
+MakeTicketNews(const Size& aSize, std::int64_t aRevision, std::int64_t aNumber)
+{
+  PoolConfig pool = *MakeConfig(aSize)->pools_.at("pool-0");
+  pool.changedIn_ = aNumber;
+  ConfigReply news;
+  news.inForce_.revision_ = aRevision;
+  news.inForce_.number_ = aNumber;
+  news.inForce_.sinceNumber_ = aNumber - 1;
+  news.inForce_.digest_ = Sha256Hex("next");
+  news.inForce_.members_ = MakeSnapshot(aSize, 1)->members_;
+  news.inForce_.pools_.push_back(std::move(pool));
+  return news;
+}
+
+Result
+Run(const Size& aSize)
+{
+  Result result{};
+  const std::size_t before = HeapBytes();
+  Bench bench(aSize);
+  result.stateBytes_ = HeapBytes() - before;
+  Heartbeat idle;
+  idle.teams_ = ReportTeamUse(*bench.entry_);
+  result.idleBeatBytes_ = FrameBytes(idle);
+  result.requestNanoseconds_ = MeasureRequest(bench);
+  bench.now_ += std::chrono::milliseconds(10);
+  result.tickNanoseconds_ = Measure(kEvents / 10, [&] {
+    bench.now_ += std::chrono::microseconds(1);
+    bench.Submit(Tick{});
+  });
+  result.beatNanoseconds_ = MeasureBeat(bench);
+
+  // As busy as it gets: this entry's part of every slot in use.
+  const int running = 8 * aSize.vms_ / aSize.entries_;
+  Heartbeat busy = idle;
+  for (int i = 0; i < running; ++i) {
+    const int vm = i % aSize.vms_;
+    ++busy.targets_["10.2." + std::to_string(vm / 200) + "." +
+                    std::to_string(1 + vm % 200)];
+  }
+  result.busyBeatBytes_ = FrameBytes(busy);
+  result.ackBytes_ = FrameBytes(HeartbeatAck{ 1000, 10, 100, {} });
+  result.ticketBytes_ = FrameBytes(MakeTicketNews(aSize, 11, 101));
+  result.wholeBytes_ =
+    FrameBytes(ConfigReply{ MakeDelta(*MakeSnapshot(aSize, 1), -1), {} });
+  std::int64_t revision = 10;
+  constexpr int kTickets = 50;
+  std::vector<ConfigReply> news;
+  for (int i = 0; i < kTickets; ++i) {
+    ++revision;
+    news.push_back(MakeTicketNews(aSize, revision, 90 + revision));
+  }
+  std::size_t next = 0;
+  result.ticketNanoseconds_ = Measure(kTickets, [&] {
+    bench.Submit(bench.FromPeer(1, news[next++]));
+  });
+  result.framesAnInterval_ = 4.0 * (aSize.entries_ - 1);
+  return result;
+}
+
+void
+Print(const Size& aSize, const Result& aResult)
+{
+  std::printf("| %5d | %2d | %3d | %2d | %7zu | %5.0f | %6.1f | %5.1f | %6.2f "
+              "| %5zu | %6zu | %4zu | %6zu | %7zu |\n",
+              aSize.vms_,
+              aSize.pools_,
+              aSize.teams_,
+              aSize.entries_,
+              aResult.stateBytes_ / 1024,
+              aResult.requestNanoseconds_,
+              aResult.tickNanoseconds_ / 1000,
+              aResult.beatNanoseconds_ / 1000,
+              aResult.ticketNanoseconds_ / 1e6,
+              aResult.idleBeatBytes_,
+              aResult.busyBeatBytes_,
+              aResult.ackBytes_,
+              aResult.ticketBytes_,
+              aResult.wholeBytes_);
+}
+
+// The letter's bounds, less half of each kept in hand.
+int
+Check(const Result& aLargest)
+{
+  constexpr std::size_t kStateBound = 64ULL * 1024 * 1024 / 2;
+  int faults = 0;
+  if (aLargest.stateBytes_ > kStateBound) {
+    std::printf("FAILED: state of %zu bytes\n", aLargest.stateBytes_);
+    ++faults;
+  }
+  if (aLargest.wholeBytes_ > kMaxFrameBytes / 2) {
+    std::printf("FAILED: configuration of %zu bytes\n", aLargest.wholeBytes_);
+    ++faults;
+  }
+  return faults;
+}
+
+} // namespace
+
+int
+main(int argc, char** argv)
+{
+  const bool isCheck = argc > 1 && std::strcmp(argv[1], "--check") == 0;
+  if (isCheck) {
+    return Check(Run(kSizes[std::size(kSizes) - 1]));
+  }
+  std::printf("| VMs | pools | teams | entries | state KiB | request ns | "
+              "tick us | heartbeat us | ticket ms | idle beat B | busy beat B "
+              "| ack B | ticket B | whole B |\n");
+  std::printf("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | "
+              "--- | --- | --- | --- |\n");
+  for (const Size& size : kSizes) {
+    Print(size, Run(size));
+  }
+  return 0;
+}
