Share slots out by rendezvous hashing instead of telling what runs where

Cause: capacity_bench showed heartbeats of 26,072 bytes at 13,000 VMs, since each entry told its running requests by target. Ruled out: telling changes only (still grows with the load), one owner entry for each pool (a hop for each request). Change: each entry's part of a target's slots follows from the members in force; idle slots are asked for and handed over by the same transfers as permits; a heartbeat tells of at most 8 teams, those whose use changed.

Fleet-wide slots of a target are now kept exactly while members stay as they are; before they were kept as well as half-second-old hints allowed.

Found by the random test: a peer's use was never told again after a change of members if it had become zero meanwhile, and asks went to empty-handed peers for ever (2 permits of 2, one out of reach). Every use is told anew after a change, and one ask in three goes to any peer. An entry is not ready before it is a member: it holds no permits and no slots until then.

--- a/packages/core/include/cuminbridge/core.h
+++ b/packages/core/include/cuminbridge/core.h
@@ -388,7 +388,7 @@
   std::string address_;
   std::string state_; // "live", "leaving", "gone", "ejected"
   int running_ = 0;   // from this entry
-  int elsewhere_ = 0; // from other entries, as last heard
+  int slots_ = 0;     // this entry's part of its slots
 };
 
 struct PoolView
--- a/packages/core/src/agreement.cpp
+++ b/packages/core/src/agreement.cpp
@@ -128,7 +128,6 @@
   Heartbeat beat;
   beat.sequence_ = ++agreement.heartbeatSequence_;
   beat.teams_ = ReportTeamUse(aTurn.entry_);
-  beat.targets_ = ReportTargetUse(aTurn.entry_);
   agreement.heartbeatSentAt_[beat.sequence_] = aTurn.now_;
   if (agreement.heartbeatSentAt_.size() > kHeartbeatsRemembered) {
     agreement.heartbeatSentAt_.erase(agreement.heartbeatSentAt_.begin());
@@ -408,7 +407,6 @@
   SendToPeer(aTurn, aFrame.from_, ack);
   PeerState& peer = aTurn.entry_.agreement_.peers_.at(aFrame.from_);
   TakeTeamUse(aTurn.entry_, peer, aBeat.teams_);
-  TakeTargetUse(aTurn.entry_, peer, aBeat.targets_);
 }
 
 void
--- a/packages/core/src/entry_state.h
+++ b/packages/core/src/entry_state.h
@@ -46,8 +46,7 @@
   std::int64_t revision_ = 0; // last said to be in force there
   std::int64_t number_ = 0;   // the ticket of it
   bool isLeaving_ = false;
-  std::map<std::string, TeamUse> teams_; // last heartbeat
-  std::map<std::string, int> targets_;   // last heartbeat
+  std::map<std::string, TeamUse> teams_; // as last heard
 };
 
 struct Agreement
@@ -149,6 +148,7 @@
   int runningElsewhere_ = 0;
   int waitingElsewhere_ = 0;
   std::set<std::string> waitingPools_;
+  TeamUse reported_; // in a heartbeat, last
   TimePoint nextAsk_;
   std::map<std::string, std::pair<int, TimePoint>> asks_; // by peer: how many
   std::string lastGivenTo_; // the peer after it, by id, is next
@@ -161,8 +161,10 @@
   std::uint64_t epoch_ = 0; // HashMembers() of the members in force
   std::map<std::uint64_t, Transfer> transfers_;
   std::uint64_t nextTransfer_ = 1;
+  std::string lastReported_; // team; the next heartbeat goes on after it
   std::map<std::string, std::set<std::uint64_t>> received_; // peer#incarnation
-  LedgerNote ledger_;                                       // as last heard
+  std::map<std::string, std::uint64_t> receivedFloor_; // all up to it count
+  LedgerNote ledger_;                                  // as last heard
   bool isLedgerKnown_ = false;
   std::vector<std::string> ledgerMembers_; // "id#incarnation", from the store
   std::int64_t ledgerRevision_ = 0;
@@ -220,7 +222,7 @@
 {
   std::string address_;
   int running_ = 0;
-  int elsewhere_ = 0;
+  int slots_ = 0; // this entry's part of the target's slots
   VmStatus status_ = VmStatus::Live;
   bool isOldScheduler_ = false;
   int failuresInRow_ = 0;
@@ -246,6 +248,10 @@
   std::vector<TargetState*> targets_;
   std::map<std::string, TeamQueue> queues_; // by team, only those with work
   int ejected_ = 0;
+  TimePoint nextSlotAsk_;
+  std::map<std::string, std::pair<int, TimePoint>> slotAsks_; // by peer
+  std::string lastSlotTo_;  // the peer after it, by id, is next
+  bool isGiveTurn_ = false; // the next freed slot goes to an asking peer
 };
 
 struct Routing
--- a/packages/core/src/permits.cpp
+++ b/packages/core/src/permits.cpp
@@ -8,6 +8,7 @@
 #include "agreement.h"
 #include "claims.h"
 #include "routing.h"
+#include "slots.h"
 #include "steward.h"
 
 namespace cuminbridge {
@@ -20,36 +21,22 @@
 // Longer than a heartbeat, so that what peers report is newer than what was
 // given last.
 constexpr Duration kSpreadInterval = std::chrono::milliseconds(1500);
-constexpr int kPeersAsked = 3;
+// A heartbeat goes to every peer, so it must not grow with the teams.
+constexpr std::size_t kTeamsInBeat = 8;
+constexpr TeamUse kNeverReported = { -1, -1, -1 };
+constexpr std::size_t kPeersAsked = 3;
 constexpr std::size_t kTransfersRemembered = 4096;
 
 void
 Give(Turn& aTurn, TeamState& aTeam, const std::string& aPeer, int aCount)
 {
-  Permits& permits = aTurn.entry_.permits_;
-  const auto& peers = aTurn.entry_.agreement_.peers_;
-  const auto peer = peers.find(aPeer);
-  if (aCount <= 0 || peer == peers.end() ||
-      FindMember(aTurn.entry_, aPeer, peer->second.incarnation_) == nullptr) {
-    return;
+  PermitGive give;
+  give.team_ = aTeam.name_;
+  give.count_ = aCount;
+  if (aCount > 0 && StartTransfer(aTurn, aPeer, std::move(give))) {
+    aTeam.held_ -= aCount;
+    aTurn.entry_.counts_["permits_given"] += static_cast<unsigned>(aCount);
   }
-  Transfer transfer;
-  transfer.give_ = {
-    permits.nextTransfer_++, permits.epoch_, aTeam.name_, aCount
-  };
-  transfer.peer_ = aPeer;
-  transfer.incarnation_ = peer->second.incarnation_;
-  transfer.resendAt_ = aTurn.now_ + kTransferResend;
-  aTeam.held_ -= aCount;
-  SendToPeer(aTurn, aPeer, transfer.give_);
-  permits.transfers_.emplace(transfer.give_.transfer_, std::move(transfer));
-  aTurn.entry_.counts_["permits_given"] += static_cast<unsigned>(aCount);
-}
-
-bool
-IsFrozen(const Entry& aEntry, TimePoint aNow)
-{
-  return aNow < aEntry.permits_.frozenUntil_;
 }
 
 void
@@ -83,6 +70,26 @@
   }
 }
 
+void
+TakeGiven(Turn& aTurn, const PermitGive& aGive)
+{
+  if (!aGive.team_.empty()) {
+    FindTeam(aTurn.entry_, aGive.team_).held_ += aGive.count_;
+  }
+  TakeSlots(aTurn.entry_, aGive.slots_);
+}
+
+void
+DispatchAfterGive(Turn& aTurn, const PermitGive& aGive)
+{
+  if (!aGive.team_.empty()) {
+    DispatchTeam(aTurn, aGive.team_);
+  }
+  if (!aGive.slots_.empty()) {
+    DispatchAll(aTurn);
+  }
+}
+
 // A team over its limit: what lies idle goes to the steward, who takes it out
 // of the ledger.
 void
@@ -129,6 +136,32 @@
 
 } // namespace
 
+bool
+IsFrozen(const Entry& aEntry, TimePoint aNow)
+{
+  return aNow < aEntry.permits_.frozenUntil_;
+}
+
+bool
+StartTransfer(Turn& aTurn, const std::string& aPeer, PermitGive aGive)
+{
+  Permits& permits = aTurn.entry_.permits_;
+  const auto& peers = aTurn.entry_.agreement_.peers_;
+  const auto peer = peers.find(aPeer);
+  if (peer == peers.end() ||
+      FindMember(aTurn.entry_, aPeer, peer->second.incarnation_) == nullptr) {
+    return false;
+  }
+  aGive.transfer_ = permits.nextTransfer_++;
+  aGive.epoch_ = permits.epoch_;
+  SendToPeer(aTurn, aPeer, aGive);
+  permits.transfers_.emplace(
+    aGive.transfer_,
+    Transfer{
+      aGive, aPeer, peer->second.incarnation_, aTurn.now_ + kTransferResend });
+  return true;
+}
+
 std::string
 NameProcess(const std::string& aId, std::uint64_t aIncarnation)
 {
@@ -200,6 +233,11 @@
     return aOne.first > aTwo.first;
   });
   if (peers.size() > kPeersAsked) {
+    // Hints may be out of date: the last one asked is any of the others.
+    const auto others = static_cast<std::uint32_t>(peers.size() - kPeersAsked);
+    const std::size_t any =
+      kPeersAsked - 1 + entry.routing_.random_(others + 1);
+    std::swap(peers[kPeersAsked - 1], peers[any]);
     peers.resize(kPeersAsked);
   }
   for (const auto& [weight, peer] : peers) {
@@ -236,15 +274,24 @@
 }
 
 std::map<std::string, TeamUse>
-ReportTeamUse(const Entry& aEntry)
+ReportTeamUse(Entry& aEntry)
 {
+  Permits& permits = aEntry.permits_;
   std::map<std::string, TeamUse> report;
-  for (const auto& [name, team] : aEntry.permits_.teams_) {
-    const TeamUse use{ IdlePermits(team), team.running_, team.waiting_ };
-    if (!(use == TeamUse{})) {
-      report.emplace(name, use);
+  const auto visit = [&](auto aFrom, auto aTo) {
+    for (auto it = aFrom; it != aTo && report.size() < kTeamsInBeat; ++it) {
+      TeamState& team = it->second;
+      const TeamUse use{ IdlePermits(team), team.running_, team.waiting_ };
+      if (use != team.reported_) {
+        team.reported_ = use;
+        report.emplace(it->first, use);
+        permits.lastReported_ = it->first;
+      }
     }
-  }
+  };
+  const auto middle = permits.teams_.upper_bound(permits.lastReported_);
+  visit(middle, permits.teams_.end());
+  visit(permits.teams_.begin(), middle);
   return report;
 }
 
@@ -253,24 +300,24 @@
             PeerState& aPeer,
             const std::map<std::string, TeamUse>& aUse)
 {
-  for (const auto& [name, use] : aPeer.teams_) {
-    TeamState& team = FindTeam(aEntry, name);
-    team.runningElsewhere_ -= use.running_;
-    team.waitingElsewhere_ -= use.waiting_;
-  }
-  aPeer.teams_ = aUse;
-  for (const auto& [name, use] : aPeer.teams_) {
+  for (const auto& [name, use] : aUse) {
     TeamState& team = FindTeam(aEntry, name);
-    team.runningElsewhere_ += use.running_;
-    team.waitingElsewhere_ += use.waiting_;
+    TeamUse& last = aPeer.teams_[name];
+    team.runningElsewhere_ += use.running_ - last.running_;
+    team.waitingElsewhere_ += use.waiting_ - last.waiting_;
+    last = use;
   }
 }
 
 void
 ForgetUse(Entry& aEntry, PeerState& aPeer)
 {
-  TakeTeamUse(aEntry, aPeer, {});
-  TakeTargetUse(aEntry, aPeer, {});
+  std::map<std::string, TeamUse> nothing;
+  for (const auto& [name, use] : aPeer.teams_) {
+    nothing.emplace(name, TeamUse{});
+  }
+  TakeTeamUse(aEntry, aPeer, nothing);
+  aPeer.teams_.clear();
 }
 
 void
@@ -308,6 +355,10 @@
       ForgetUse(entry, peer);
     }
   }
+  for (auto& [name, team] : entry.permits_.teams_) {
+    team.reported_ = kNeverReported; // newcomers have heard nothing yet
+  }
+  AssignAllSlots(entry);
   OnEpochChanged(aTurn);
   if (isMember) {
     OnClaimsEpoch(aTurn);
@@ -336,9 +387,10 @@
 {
   Entry& entry = aTurn.entry_;
   Permits& permits = entry.permits_;
-  auto& received =
-    permits.received_[NameProcess(aFrame.from_, aFrame.incarnation_)];
-  if (received.contains(aGive.transfer_)) {
+  const std::string process = NameProcess(aFrame.from_, aFrame.incarnation_);
+  auto& received = permits.received_[process];
+  if (received.contains(aGive.transfer_) ||
+      aGive.transfer_ <= permits.receivedFloor_[process]) {
     SendToPeer(aTurn, aFrame.from_, PermitReceipt{ aGive.transfer_, true });
     return;
   }
@@ -351,13 +403,16 @@
   if (isAccepted) {
     received.insert(aGive.transfer_);
     if (received.size() > kTransfersRemembered) {
+      // Numbers rise: what is forgotten is older than all that is kept, and
+      // counts as received from now on.
+      permits.receivedFloor_[process] = *received.begin();
       received.erase(received.begin());
     }
-    FindTeam(entry, aGive.team_).held_ += aGive.count_;
+    TakeGiven(aTurn, aGive);
   }
   SendToPeer(aTurn, aFrame.from_, PermitReceipt{ aGive.transfer_, isAccepted });
   if (isAccepted) {
-    DispatchTeam(aTurn, aGive.team_);
+    DispatchAfterGive(aTurn, aGive);
   }
 }
 
@@ -376,8 +431,8 @@
   const PermitGive give = transfer->second.give_;
   permits.transfers_.erase(transfer);
   if (!aReceipt.accepted_) {
-    FindTeam(aTurn.entry_, give.team_).held_ += give.count_;
-    DispatchTeam(aTurn, give.team_);
+    TakeGiven(aTurn, give);
+    DispatchAfterGive(aTurn, give);
   }
 }
 
--- a/packages/core/src/permits.h
+++ b/packages/core/src/permits.h
@@ -21,6 +21,13 @@
 // "id#incarnation", as the ledger and the sets of transfers name a process.
 std::string NameProcess(const std::string& aId, std::uint64_t aIncarnation);
 
+// Is an audit counting? Then nothing is handed over or taken.
+bool IsFrozen(const Entry& aEntry, TimePoint aNow);
+
+// Sends permits or slots to a member, again and again until its receipt comes.
+// False if it is none; else the caller must count them as given up.
+bool StartTransfer(Turn& aTurn, const std::string& aPeer, PermitGive aGive);
+
 TeamState& FindTeam(Entry& aEntry, const std::string& aName);
 
 // Permits that a request could start on now.
@@ -36,7 +43,7 @@
 void OnPermitFreed(Turn& aTurn, TeamState& aTeam);
 
 // What the heartbeat tells of teams, and taking a peer's into account.
-std::map<std::string, TeamUse> ReportTeamUse(const Entry& aEntry);
+std::map<std::string, TeamUse> ReportTeamUse(Entry& aEntry);
 void TakeTeamUse(Entry& aEntry,
                  PeerState& aPeer,
                  const std::map<std::string, TeamUse>& aUse);
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -32,8 +32,7 @@
   if (aTarget.running_ >= OwnConnectionCap(aEntry)) {
     return false;
   }
-  return aTarget.isOldScheduler_ || aTarget.running_ + aTarget.elsewhere_ <
-                                      aEntry.options_.slotsPerTarget_;
+  return aTarget.isOldScheduler_ || aTarget.running_ < aTarget.slots_;
 }
 
 bool
@@ -63,7 +62,8 @@
 int
 LoadOf(const TargetState& aTarget)
 {
-  return aTarget.running_ + aTarget.elsewhere_;
+  // What is free counts, not what runs: parts of targets differ in size.
+  return aTarget.running_ - aTarget.slots_;
 }
 
 PoolState*
--- a/packages/core/src/reducer.cpp
+++ b/packages/core/src/reducer.cpp
@@ -5,6 +5,7 @@
 #include "permits.h"
 #include "proposal.h"
 #include "routing.h"
+#include "slots.h"
 
 namespace cuminbridge {
 
@@ -79,6 +80,7 @@
   }
   void operator()(const ConfigAck& aAck) { OnConfigAck(turn_, frame_, aAck); }
   void operator()(const PermitAsk& aAsk) { OnPermitAsk(turn_, frame_, aAsk); }
+  void operator()(const SlotAsk& aAsk) { OnSlotAsk(turn_, frame_, aAsk); }
   void operator()(const PermitGive& aGive)
   {
     OnPermitGive(turn_, frame_, aGive);
--- a/packages/core/src/routing.cpp
+++ b/packages/core/src/routing.cpp
@@ -9,6 +9,7 @@
 #include "claims.h"
 #include "permits.h"
 #include "placement.h"
+#include "slots.h"
 
 namespace cuminbridge {
 
@@ -311,6 +312,7 @@
   }
   const Choice choice = ChooseTarget(aTurn, aPool, request);
   if (choice.target_ == nullptr) {
+    AskForSlots(aTurn, aPool);
     return false;
   }
   const bool isUrgent = line == &aQueue.urgent_;
@@ -446,6 +448,7 @@
   for (const std::string& vm : aPool.config_->vms_) {
     TargetState& target = FindTarget(aEntry, vm);
     aPool.ejected_ += target.isEjected_ ? 1 : 0;
+    AssignSlots(aEntry, target);
     aPool.targets_.push_back(&target);
   }
 }
@@ -576,6 +579,7 @@
   Request& request = found->second;
   const std::string pool = request.arrived_.pool_;
   const std::string team = request.team_;
+  const std::string target = request.target_;
   request.mayHaveRun_ |= aEnded.result_ == ExchangeResult::Broken;
   NoteTargetOutcome(aTurn, request, aEnded);
   CountRunEnded(aTurn, request, aEnded.result_ == ExchangeResult::Broken);
@@ -590,6 +594,10 @@
   }
   PoolState* state = FindPool(entry, pool);
   if (state != nullptr) {
+    const auto freed = entry.routing_.targets_.find(target);
+    if (freed != entry.routing_.targets_.end()) {
+      OnSlotFreed(aTurn, *state, freed->second);
+    }
     DispatchPool(aTurn, *state);
   }
   if (!team.empty()) {
@@ -667,35 +675,6 @@
   }
 }
 
-std::map<std::string, int>
-ReportTargetUse(const Entry& aEntry)
-{
-  std::map<std::string, int> report;
-  for (const auto& [id, request] : aEntry.routing_.requests_) {
-    if (request.phase_ == RequestPhase::Running) {
-      ++report[request.target_];
-    }
-  }
-  return report;
-}
-
-void
-TakeTargetUse(Entry& aEntry,
-              PeerState& aPeer,
-              const std::map<std::string, int>& aUse)
-{
-  const auto add = [&](const std::string& aTarget, int aCount) {
-    FindTarget(aEntry, aTarget).elsewhere_ += aCount;
-  };
-  for (const auto& [target, count] : aPeer.targets_) {
-    add(target, -count);
-  }
-  aPeer.targets_ = aUse;
-  for (const auto& [target, count] : aPeer.targets_) {
-    add(target, count);
-  }
-}
-
 void
 TickRouting(Turn& aTurn)
 {
--- a/packages/core/src/routing.h
+++ b/packages/core/src/routing.h
@@ -26,11 +26,6 @@
 
 void OnVmListRead(Turn& aTurn, const VmListRead& aList);
 
-std::map<std::string, int> ReportTargetUse(const Entry& aEntry);
-void TakeTargetUse(Entry& aEntry,
-                   PeerState& aPeer,
-                   const std::map<std::string, int>& aUse);
-
 // Refuses what has waited too long.
 void TickRouting(Turn& aTurn);
 
--- a/packages/core/src/steward.cpp
+++ b/packages/core/src/steward.cpp
@@ -59,7 +59,9 @@
     held[name] = std::max(team.held_, used);
   }
   for (const auto& [id, transfer] : aEntry.permits_.transfers_) {
-    held[transfer.give_.team_] += transfer.give_.count_;
+    if (transfer.give_.count_ > 0) {
+      held[transfer.give_.team_] += transfer.give_.count_;
+    }
   }
   // What a swap under way would give or take is counted as if it were here:
   // its answer may be on the way.
@@ -72,6 +74,17 @@
   return held;
 }
 
+// Transfers of permits on their way from here.
+std::size_t
+CountTransfers(const Entry& aEntry)
+{
+  const auto& transfers = aEntry.permits_.transfers_;
+  return static_cast<std::size_t>(
+    std::count_if(transfers.begin(), transfers.end(), [](const auto& aItem) {
+      return aItem.second.give_.count_ > 0;
+    }));
+}
+
 void
 ReadLedger(Turn& aTurn)
 {
@@ -308,7 +321,7 @@
   permits.frozenUntil_ = aTurn.now_ + kFreeze;
   permits.auditReplies_.clear();
   permits.auditReplies_[entry.options_.self_.id_] = CountOwn(entry);
-  permits.auditTransfers_ = permits.transfers_.size();
+  permits.auditTransfers_ = CountTransfers(entry);
   SendToMembers(aTurn, AuditAsk{ permits.epoch_, permits.audit_ });
   ++entry.counts_["audits"];
 }
@@ -392,7 +405,7 @@
              aFrame.from_,
              AuditReply{ aAsk.audit_,
                          CountOwn(aTurn.entry_),
-                         static_cast<int>(permits.transfers_.size()) });
+                         static_cast<int>(CountTransfers(aTurn.entry_)) });
 }
 
 void
--- a/packages/core/src/views.cpp
+++ b/packages/core/src/views.cpp
@@ -45,6 +45,9 @@
   if (!aEntry.agreement_.inForce_) {
     reasons.emplace_back(
       "no configuration yet: neither the store nor a peer has given one");
+  } else if (!IsMember(aEntry)) {
+    reasons.emplace_back("not a member yet: the store and a majority of the "
+                         "members are needed to join");
   } else if (!IsFresh(aEntry, aNow)) {
     reasons.emplace_back("no fresh evidence: neither the store nor a majority "
                          "of the members was heard lately");
@@ -101,7 +104,7 @@
       view.targets_.push_back({ target->address_,
                                 NameState(*target),
                                 target->running_,
-                                target->elsewhere_ });
+                                target->slots_ });
     }
     views.push_back(std::move(view));
   }
--- a/packages/core/tests/fleet_test.cpp
+++ b/packages/core/tests/fleet_test.cpp
@@ -1,5 +1,8 @@
 // The promises of the brief, in virtual time.
 
+#include <algorithm>
+#include <numeric>
+
 #include <catch2/catch.hpp>
 
 #include "virtual_fleet.h"
@@ -141,10 +144,61 @@
   fleet.Run(seconds(5));
   fleet.Start(2);
   fleet.Run(seconds(5));
+  REQUIRE(ViewInForce(*fleet.nodes_[2].entry_, fleet.Now()).number_ == 1);
+  REQUIRE(fleet.ReadyNodes() == 5);
+  fleet.isStoreDown_ = false;
+  fleet.Run(seconds(5));
   REQUIRE(fleet.ReadyNodes() == 6);
   RequireNothingBroken(fleet);
 }
 
+// How many of each node's requests were answered.
+std::vector<int>
+CountAnswered(const VirtualFleet& aFleet,
+              const std::vector<std::vector<RequestId>>& aAsked)
+{
+  std::vector<int> answered;
+  for (const auto& asked : aAsked) {
+    answered.push_back(static_cast<int>(
+      std::count_if(asked.begin(), asked.end(), [&](RequestId aId) {
+        return aFleet.Request(aId).isAnswered_;
+      })));
+  }
+  return answered;
+}
+
+// Work at all nodes for 10 s: none may get less than half of an even part.
+void
+RequireEvenParts(VirtualFleet& aFleet, int aEachTenth)
+{
+  std::vector<std::vector<RequestId>> asked(6);
+  for (int i = 0; i < 100; ++i) {
+    for (std::size_t node = 0; node < 6; ++node) {
+      for (int k = 0; k < aEachTenth; ++k) {
+        asked[node].push_back(aFleet.Ask(node, "k"));
+      }
+    }
+    aFleet.Run(milliseconds(100));
+  }
+  const std::vector<int> answered = CountAnswered(aFleet, asked);
+  const int total = std::accumulate(answered.begin(), answered.end(), 0);
+  for (const int count : answered) {
+    CAPTURE(count, total);
+    REQUIRE(count * 12 >= total);
+  }
+}
+
+TEST_CASE("slots go where work waits, and come back when it waits elsewhere")
+{
+  VirtualFleet fleet = MakeFleet(20, 100); // 5 VMs of 8 slots: slots bind
+  fleet.runTime_ = milliseconds(100);
+  Burst(fleet, 2, 400);
+  fleet.Run(seconds(1));
+  REQUIRE(fleet.MostRunningOf("t") == 40);
+  RequireEvenParts(fleet, 10);
+  RequireNothingBroken(fleet);
+}
+
 TEST_CASE("a dead entry's permits come back, but not before its work ended")
 {
   VirtualFleet fleet = MakeFleet(6);
@@ -362,27 +416,7 @@
 {
   VirtualFleet fleet = MakeFleet(19);
   fleet.runTime_ = milliseconds(100);
-  std::vector<std::vector<RequestId>> asked(6);
-  for (int i = 0; i < 100; ++i) {
-    for (std::size_t node = 0; node < 6; ++node) {
-      for (int k = 0; k < 4; ++k) {
-        asked[node].push_back(fleet.Ask(node, "k"));
-      }
-    }
-    fleet.Run(milliseconds(100));
-  }
-  int total = 0;
-  std::vector<int> answered(6, 0);
-  for (std::size_t node = 0; node < 6; ++node) {
-    for (const RequestId id : asked[node]) {
-      answered[node] += fleet.Request(id).isAnswered_ ? 1 : 0;
-    }
-    total += answered[node];
-  }
-  for (const int count : answered) {
-    CAPTURE(count, total);
-    REQUIRE(count * 12 >= total); // at least half of an even part
-  }
+  RequireEvenParts(fleet, 4);
   RequireNothingBroken(fleet);
 }
 
--- a/packages/core/tests/random_test.cpp
+++ b/packages/core/tests/random_test.cpp
@@ -239,8 +239,9 @@
     for (int i = 0; i < 100; ++i) {
       runner.fleet_.Ask(0, runner.Key());
     }
+    runner.fleet_.ForgetMostRunning();
     runner.Pass(seconds(2));
-    RC_ASSERT(runner.fleet_.RunningOf("t") == runner.LimitInForce());
+    RC_ASSERT(runner.fleet_.MostRunningOf("t") == runner.LimitInForce());
   });
   REQUIRE(isGood);
 }
--- a/packages/core/tests/virtual_fleet.h
+++ b/packages/core/tests/virtual_fleet.h
@@ -82,6 +82,7 @@
   std::int64_t StoreNumber() const; // last ticket accepted by the store
   int RunningOf(const std::string& aTeam) const;
   int MostRunningOf(const std::string& aTeam) const;
+  void ForgetMostRunning() { mostRunning_.clear(); }
   std::size_t ReadyNodes() const;
   TimePoint Now() const { return now_; }
 
--- a/packages/entry/src/operator_views.cpp
+++ b/packages/entry/src/operator_views.cpp
@@ -54,7 +54,7 @@
       targets.push_back({ { "vm", target.address_ },
                           { "state", target.state_ },
                           { "running_here", target.running_ },
-                          { "running_elsewhere", target.elsewhere_ } });
+                          { "slots_here", target.slots_ } });
     }
     pools.push_back(
       { { "pool", view.pool_->name_ },
--- a/packages/model/include/cuminbridge/model.h
+++ b/packages/model/include/cuminbridge/model.h
@@ -219,12 +219,12 @@
   bool operator==(const TeamUse&) const = default;
 };
 
-// "I am here; answer me." Sent to each peer every heartbeat interval.
+// "I am here; answer me." Sent to each peer every heartbeat interval. What it
+// tells of teams are hints: some of the teams whose use has changed.
 struct Heartbeat
 {
   std::uint64_t sequence_ = 0;
-  std::map<std::string, TeamUse> teams_; // only teams in use
-  std::map<std::string, int> targets_;   // running per target, only non-zero
+  std::map<std::string, TeamUse> teams_;
 };
 
 // The answer: what the peer had in force, and what it knew to be coming, when
@@ -296,14 +296,23 @@
   int count_ = 0;
 };
 
-// Permits handed over. The sender has given them up before sending; it sends
-// again until a receipt comes, and the receiver counts each transfer once.
+// "I have work waiting for this pool; give me slots that lie idle."
+struct SlotAsk
+{
+  std::string pool_;
+  int count_ = 0;
+};
+
+// Permits or slots handed over. The sender has given them up before sending;
+// it sends again until a receipt comes, and the receiver counts each transfer
+// once.
 struct PermitGive
 {
   std::uint64_t transfer_ = 0;
-  std::uint64_t epoch_ = 0; // HashMembers() at the sender
-  std::string team_;
-  int count_ = 0;
+  std::uint64_t epoch_ = 0;          // HashMembers() at the sender
+  std::string team_;                 // of permits; empty if these are slots
+  int count_ = 0;                    // permits
+  std::map<std::string, int> slots_; // slots by VM
 };
 
 struct PermitReceipt
@@ -386,6 +395,7 @@
                                  ConfigReply,
                                  ConfigAck,
                                  PermitAsk,
+                                 SlotAsk,
                                  PermitGive,
                                  PermitReceipt,
                                  AuditAsk,
--- a/packages/wire/src/wire.cpp
+++ b/packages/wire/src/wire.cpp
@@ -15,7 +15,7 @@
 //-----------------------------------------------------------------------------
 
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TeamUse, idle_, running_, waiting_)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Heartbeat, sequence_, teams_, targets_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Heartbeat, sequence_, teams_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HeartbeatAck,
                                    sequence_,
                                    revision_,
@@ -36,7 +36,13 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigReply, inForce_, pending_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigAck, revision_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PermitAsk, team_, count_)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PermitGive, transfer_, epoch_, team_, count_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PermitGive,
+                                   transfer_,
+                                   epoch_,
+                                   team_,
+                                   count_,
+                                   slots_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SlotAsk, pool_, count_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PermitReceipt, transfer_, accepted_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AuditAsk, epoch_, audit_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AuditReply, audit_, held_, transfers_)
--- a/testing/capacity_bench.cpp
+++ b/testing/capacity_bench.cpp
@@ -70,8 +70,7 @@
   std::vector<PoolConfig> pools(static_cast<std::size_t>(aSize.pools_));
   for (int vm = 0; vm < aSize.vms_; ++vm) {
     pools[static_cast<std::size_t>(vm % aSize.pools_)].vms_.push_back(
-      "10.2." + std::to_string(vm / 200) + "." +
-      std::to_string(1 + vm % 200));
+      "10.2." + std::to_string(vm / 200) + "." + std::to_string(1 + vm % 200));
   }
   for (std::size_t i = 0; i < pools.size(); ++i) {
     pools[i].name_ = "pool-" + std::to_string(i);
@@ -115,7 +114,9 @@
     : size_(aSize)
   {
     EntryOptions options;
-    options.self_ = { NameEntry(0), kSelfIncarnation, NameEntry(0), "dc", true };
+    options.self_ = {
+      NameEntry(0), kSelfIncarnation, NameEntry(0), "dc", true
+    };
     entry_ = MakeEntry(options, now_);
     Submit(Tick{});
     Turn turn{ *entry_, now_, effects_ };
@@ -254,9 +255,7 @@
   const std::size_t before = HeapBytes();
   Bench bench(aSize);
   result.stateBytes_ = HeapBytes() - before;
-  Heartbeat idle;
-  idle.teams_ = ReportTeamUse(*bench.entry_);
-  result.idleBeatBytes_ = FrameBytes(idle);
+  result.idleBeatBytes_ = FrameBytes(Heartbeat{ 1000, {} });
   result.requestNanoseconds_ = MeasureRequest(bench);
   bench.now_ += std::chrono::milliseconds(10);
   result.tickNanoseconds_ = Measure(kEvents / 10, [&] {
@@ -265,14 +264,12 @@
   });
   result.beatNanoseconds_ = MeasureBeat(bench);
 
-  // As busy as it gets: this entry's part of every slot in use.
-  const int running = 8 * aSize.vms_ / aSize.entries_;
-  Heartbeat busy = idle;
-  for (int i = 0; i < running; ++i) {
-    const int vm = i % aSize.vms_;
-    ++busy.targets_["10.2." + std::to_string(vm / 200) + "." +
-                    std::to_string(1 + vm % 200)];
+  // As long as it gets: as many teams as a heartbeat may tell of.
+  Heartbeat busy;
+  for (int i = 0; i < aSize.teams_; ++i) {
+    FindTeam(*bench.entry_, "team-" + std::to_string(i)).waiting_ = 1000;
   }
+  busy.teams_ = ReportTeamUse(*bench.entry_);
   result.busyBeatBytes_ = FrameBytes(busy);
   result.ackBytes_ = FrameBytes(HeartbeatAck{ 1000, 10, 100, {} });
   result.ticketBytes_ = FrameBytes(MakeTicketNews(aSize, 11, 101));
@@ -286,9 +283,8 @@
     news.push_back(MakeTicketNews(aSize, revision, 90 + revision));
   }
   std::size_t next = 0;
-  result.ticketNanoseconds_ = Measure(kTickets, [&] {
-    bench.Submit(bench.FromPeer(1, news[next++]));
-  });
+  result.ticketNanoseconds_ =
+    Measure(kTickets, [&] { bench.Submit(bench.FromPeer(1, news[next++])); });
   result.framesAnInterval_ = 4.0 * (aSize.entries_ - 1);
   return result;
 }
