Maintenance: rounds by ticket, waves by permits in the store

A pool's ticket names a round; its planner (by rendezvous among the members that are heard) takes VMs one by one, each by a compare-and-swap of the pool's wave record and the head, never below min_available, within one rack; waits until every member says that nothing runs there; reboots with an operation id; gives the VM back when the list shows the operation done. What is taken, what waits and why can be read back.

Cause: a newcomer knows of no wave. It starts nothing in a pool with a round before it has heard of its wave once, and the planner tells at every change of members. Also, who had gone was known to the steward only; the planner now waits by itself until the work of those who went must have ended.

--- a/packages/core/include/cuminbridge/core.h
+++ b/packages/core/include/cuminbridge/core.h
@@ -49,10 +49,12 @@
   Duration runLimit_ = std::chrono::seconds(60);    // longest run of a request
   Duration queueLimit_ = std::chrono::seconds(5);   // longest wait for a place
   Duration filingLimit_ = std::chrono::seconds(8);  // longest filing
+  Duration waveLimit_ = std::chrono::minutes(10);   // then a VM counts as stuck
   Duration prepareLimit_ = std::chrono::milliseconds(1500);
   Duration drainGrace_ = std::chrono::seconds(2); // not ready, still accepting
   Duration claimLifetime_ = std::chrono::minutes(10);
 
+  int waveSize_ = 4;                  // most VMs of a pool taken at once
   int slotsPerTarget_ = 8;            // requests running at once, fleet-wide
   int connectionsPerTarget_ = 64;     // upstream connections, fleet-wide
   std::size_t queueCapacity_ = 20000; // waiting requests at this entry
@@ -412,6 +414,18 @@
 
 std::vector<TeamView> ViewTeams(const Entry& aEntry, TimePoint aNow);
 
+struct WaveView
+{
+  std::string pool_;
+  std::int64_t round_ = 0;
+  std::vector<std::string> taken_; // being drained or rebooted now
+  std::vector<std::string> todo_;  // still to be taken in this round
+  std::string why_;                // why nothing more is taken right now
+  bool isPlannedHere_ = false;     // only the planner knows why_
+};
+
+std::vector<WaveView> ViewWaves(const Entry& aEntry, TimePoint aNow);
+
 // Counts since the start, by name, for /metrics.
 std::map<std::string, std::uint64_t> ViewCounts(const Entry& aEntry);
 
--- a/packages/core/src/agreement.cpp
+++ b/packages/core/src/agreement.cpp
@@ -324,7 +324,7 @@
   ++aTurn.entry_.counts_["config_adopted"];
   OnConfigInForce(aTurn, old);
   if (!old || old->members_ != agreement.inForce_->members_) {
-    OnMembersInForce(aTurn);
+    OnMembersInForce(aTurn, old ? old->members_ : std::vector<Member>());
   }
   UpdateFreshness(aTurn);
 }
--- a/packages/core/src/entry_state.h
+++ b/packages/core/src/entry_state.h
@@ -6,6 +6,7 @@
 //   Permits    permits.h    who may run how much of a team's limit
 //   Routing    routing.h    requests, pools, targets
 //   Claims     claims.h     Idempotency-Keys
+//   Waves      waves.h      maintenance of VMs
 //   Fleet      fleet.h      what the platform's list says of VMs
 
 #ifndef cuminbridge_core_entry_state_h
@@ -18,6 +19,7 @@
 #include <pcg_random.hpp>
 
 #include "cuminbridge/core.h"
+#include "records.h"
 
 namespace cuminbridge {
 
@@ -222,9 +224,11 @@
 {
   std::string address_;
   int running_ = 0;
-  int slots_ = 0; // this entry's part of the target's slots
+  int mayRun_ = 0; // requests broken off there that may still run
+  int slots_ = 0;  // this entry's part of the target's slots
   VmStatus status_ = VmStatus::Live;
   bool isOldScheduler_ = false;
+  bool isInWave_ = false; // taken for maintenance
   int failuresInRow_ = 0;
   int ejections_ = 0;
   bool isEjected_ = false;
@@ -259,6 +263,8 @@
   std::unordered_map<RequestId, Request> requests_;
   std::map<std::string, PoolState, std::less<>> pools_;
   std::unordered_map<std::string, TargetState> targets_; // by address
+  // Requests broken off that may still run, and until when, by target.
+  std::deque<std::pair<TimePoint, std::string>> brokenOff_;
   std::size_t waiting_ = 0;
   std::size_t running_ = 0;
   double retryCredit_ = 10; // so that the first failures can be retried
@@ -296,6 +302,42 @@
   TimePoint nextSync_;
 };
 
+//-----------------------------------------------------------------------------
+// [SECTION] Waves
+//-----------------------------------------------------------------------------
+
+// What the planner of a pool knows of the VMs taken there.
+struct WaveState
+{
+  bool isRead_ = false; // the record at hand is the store's
+  std::vector<WaveVm> taken_;
+  std::int64_t revision_ = 0;
+  std::vector<WaveVm> swapped_; // by the call under way
+  std::uint64_t call_ = 0;
+  bool isSwapCall_ = false;
+  TimePoint nextTurn_;
+  TimePoint nextAsk_;
+  std::map<std::string, std::map<std::string, int>> replies_; // by member
+  std::map<std::string, TimePoint> rebootedAt_; // VMs, last told to reboot
+  std::map<std::string, TimePoint> takenAt_;
+  std::string why_; // why nothing more is taken, for operators
+};
+
+// What this entry has been told about a pool's VMs by whoever plans it.
+struct WaveNote
+{
+  std::int64_t revision_ = -1;
+  std::set<std::string> vms_;
+};
+
+struct Waves
+{
+  std::map<std::string, WaveState> planned_; // pools this entry plans
+  std::map<std::string, WaveNote> notes_;    // by pool
+  // Until then a process that has gone may have work on any VM.
+  TimePoint goneMayRunUntil_;
+};
+
 //-----------------------------------------------------------------------------
 // [SECTION] Fleet, and the entry
 //-----------------------------------------------------------------------------
@@ -323,6 +365,7 @@
   Permits permits_;
   Routing routing_;
   Claims claims_;
+  Waves waves_;
   Fleet fleet_;
   Shutdown shutdown_;
   TimePoint startedAt_;
--- a/packages/core/src/permits.cpp
+++ b/packages/core/src/permits.cpp
@@ -10,6 +10,7 @@
 #include "routing.h"
 #include "slots.h"
 #include "steward.h"
+#include "waves.h"
 
 namespace cuminbridge {
 
@@ -333,7 +334,7 @@
 }
 
 void
-OnMembersInForce(Turn& aTurn)
+OnMembersInForce(Turn& aTurn, const std::vector<Member>& aOld)
 {
   Entry& entry = aTurn.entry_;
   const bool wasMember = entry.permits_.epoch_ != 0;
@@ -360,6 +361,7 @@
   }
   AssignAllSlots(entry);
   OnEpochChanged(aTurn);
+  OnWavesEpoch(aTurn, aOld);
   if (isMember) {
     OnClaimsEpoch(aTurn);
   }
--- a/packages/core/src/permits.h
+++ b/packages/core/src/permits.h
@@ -54,8 +54,8 @@
 // Hands all that lies idle to the steward, before leaving.
 void GiveAllIdle(Turn& aTurn);
 
-// The members in force have changed.
-void OnMembersInForce(Turn& aTurn);
+// The members in force have changed; aOld are those before.
+void OnMembersInForce(Turn& aTurn, const std::vector<Member>& aOld);
 
 void OnPermitAsk(Turn& aTurn, const PeerFrame& aFrame, const PermitAsk& aAsk);
 void OnPermitGive(Turn& aTurn,
--- a/packages/core/src/placement.cpp
+++ b/packages/core/src/placement.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "waves.h"
+
 namespace cuminbridge {
 
 namespace {
@@ -41,7 +43,8 @@
         const PoolState& aPool,
         const Request& aRequest)
 {
-  if (aTarget.status_ != VmStatus::Live || !HasRoom(aTurn.entry_, aTarget)) {
+  if (aTarget.status_ != VmStatus::Live || aTarget.isInWave_ ||
+      !HasRoom(aTurn.entry_, aTarget)) {
     return false;
   }
   if (std::find(aRequest.tried_.begin(),
@@ -101,7 +104,7 @@
 {
   Choice choice;
   const std::size_t size = aPool.targets_.size();
-  if (size == 0) {
+  if (size == 0 || !IsWaveKnown(aTurn.entry_, *aPool.config_)) {
     return choice;
   }
   const std::size_t first =
--- a/packages/core/src/records.cpp
+++ b/packages/core/src/records.cpp
@@ -106,6 +106,37 @@
   return SnapshotPtr(std::move(snapshot));
 }
 
+std::string
+WaveKey(const std::string& aPool)
+{
+  return "cuminbridge/wave/" + aPool;
+}
+
+std::string
+EncodeWave(const WaveRecord& aWave)
+{
+  json taken = json::array();
+  for (const WaveVm& vm : aWave) {
+    taken.push_back({ { "vm", vm.vm_ }, { "operation", vm.operation_ } });
+  }
+  return json({ { "taken", std::move(taken) } }).dump();
+}
+
+std::optional<WaveRecord>
+DecodeWave(const std::string& aValue)
+{
+  try {
+    const json record = json::parse(aValue);
+    WaveRecord wave;
+    for (const json& vm : record.at("taken")) {
+      wave.push_back({ vm.at("vm"), vm.at("operation") });
+    }
+    return wave;
+  } catch (const json::exception&) {
+    return {};
+  }
+}
+
 std::string
 EncodeLedger(const LedgerRecord& aLedger)
 {
--- a/packages/core/src/records.h
+++ b/packages/core/src/records.h
@@ -5,6 +5,7 @@
 //   cuminbridge/config/team/NAME    one team
 //   cuminbridge/ticket/NUMBER       digest and text of an accepted ticket
 //   cuminbridge/ledger              permits issued
+//   cuminbridge/wave/POOL           VMs taken for maintenance
 //
 // The head and all parts are changed in one transaction that compares the
 // revision of the head, and read in one range: they are never seen half
@@ -49,6 +50,21 @@
   std::string operation_; // of the swap that wrote it
 };
 
+// A VM taken for maintenance.
+struct WaveVm
+{
+  std::string vm_;
+  std::string operation_; // id of its reboot
+
+  bool operator==(const WaveVm&) const = default;
+};
+
+using WaveRecord = std::vector<WaveVm>;
+
+std::string WaveKey(const std::string& aPool);
+std::string EncodeWave(const WaveRecord& aWave);
+std::optional<WaveRecord> DecodeWave(const std::string& aValue);
+
 std::string EncodeLedger(const LedgerRecord& aLedger);
 std::optional<LedgerRecord> DecodeLedger(const std::string& aValue);
 
--- a/packages/core/src/reducer.cpp
+++ b/packages/core/src/reducer.cpp
@@ -6,6 +6,7 @@
 #include "proposal.h"
 #include "routing.h"
 #include "slots.h"
+#include "waves.h"
 
 namespace cuminbridge {
 
@@ -112,6 +113,11 @@
   {
     OnClaimSyncReply(turn_, frame_, aReply);
   }
+  void operator()(const WaveAsk& aAsk) { OnWaveAsk(turn_, frame_, aAsk); }
+  void operator()(const WaveReply& aReply)
+  {
+    OnWaveReply(turn_, frame_, aReply);
+  }
   void operator()(const Goodbye&) { OnGoodbye(turn_, frame_); }
 };
 
@@ -130,7 +136,8 @@
 void
 OnStoreAnswer(Turn& aTurn, const StoreAnswer& aAnswer)
 {
-  if (OnProposalAnswer(aTurn, aAnswer) || OnLedgerAnswer(aTurn, aAnswer)) {
+  if (OnProposalAnswer(aTurn, aAnswer) || OnLedgerAnswer(aTurn, aAnswer) ||
+      OnWaveAnswer(aTurn, aAnswer)) {
     return;
   }
   if (aAnswer.call_ == aTurn.entry_.agreement_.headCall_) {
@@ -192,6 +199,7 @@
   TickProposals(aTurn);
   TickPermits(aTurn);
   TickClaims(aTurn);
+  TickWaves(aTurn);
   TickRouting(aTurn);
   TickShutdown(aTurn);
 }
--- a/packages/core/src/routing.cpp
+++ b/packages/core/src/routing.cpp
@@ -334,6 +334,11 @@
   const auto target = entry.routing_.targets_.find(aRequest.target_);
   if (target != entry.routing_.targets_.end()) {
     --target->second.running_;
+    if (aMayStillRun) {
+      ++target->second.mayRun_;
+      entry.routing_.brokenOff_.emplace_back(
+        aTurn.now_ + entry.options_.runLimit_, aRequest.target_);
+    }
   }
   if (aRequest.team_.empty()) {
     return;
@@ -679,6 +684,11 @@
 TickRouting(Turn& aTurn)
 {
   Entry& entry = aTurn.entry_;
+  auto& brokenOff = entry.routing_.brokenOff_;
+  while (!brokenOff.empty() && brokenOff.front().first <= aTurn.now_) {
+    --entry.routing_.targets_.at(brokenOff.front().second).mayRun_;
+    brokenOff.pop_front();
+  }
   std::vector<RequestId> late;
   for (auto& [name, pool] : entry.routing_.pools_) {
     for (auto& [team, queue] : pool.queues_) {
--- a/packages/core/src/views.cpp
+++ b/packages/core/src/views.cpp
@@ -2,6 +2,7 @@
 
 #include "agreement.h"
 #include "permits.h"
+#include "waves.h"
 
 namespace cuminbridge {
 
@@ -24,6 +25,9 @@
   if (aTarget.status_ == VmStatus::Leaving) {
     return "leaving";
   }
+  if (aTarget.isInWave_) {
+    return "maintenance";
+  }
   return aTarget.isEjected_ ? "ejected" : "live";
 }
 
@@ -137,6 +141,35 @@
   return views;
 }
 
+std::vector<WaveView>
+ViewWaves(const Entry& aEntry, TimePoint aNow)
+{
+  std::vector<WaveView> views;
+  if (!aEntry.agreement_.inForce_) {
+    return views;
+  }
+  for (const auto& [name, pool] : aEntry.agreement_.inForce_->config_->pools_) {
+    if (pool->round_ == 0) {
+      continue;
+    }
+    WaveView view;
+    view.pool_ = name;
+    view.round_ = pool->round_;
+    view.todo_ = FindTodo(aEntry, *pool);
+    const auto note = aEntry.waves_.notes_.find(name);
+    if (note != aEntry.waves_.notes_.end()) {
+      view.taken_.assign(note->second.vms_.begin(), note->second.vms_.end());
+    }
+    const auto planned = aEntry.waves_.planned_.find(name);
+    if (planned != aEntry.waves_.planned_.end()) {
+      view.why_ = planned->second.why_;
+    }
+    view.isPlannedHere_ = IsPlanner(aEntry, name, aNow);
+    views.push_back(std::move(view));
+  }
+  return views;
+}
+
 std::map<std::string, std::uint64_t>
 ViewCounts(const Entry& aEntry)
 {
--- a/packages/core/tests/virtual_fleet.cpp
+++ b/packages/core/tests/virtual_fleet.cpp
@@ -56,7 +56,11 @@
   }
   void operator()(const LogDecision&) {}
   void operator()(const KeepLinks&) {}
-  void operator()(const RebootVm&) {}
+  void operator()(const RebootVm& aEffect)
+  {
+    fleet_.At(fleet_.Delay(),
+              [fleet = &fleet_, aEffect] { fleet->Reboot(aEffect); });
+  }
   void operator()(const LogNote&) {}
   void operator()(const StopAccepting&) {}
 };
@@ -167,6 +171,9 @@
   }
   node.entry_ = MakeEntry(options, now_);
   AtNode(aNode, Delay(), [this, aNode] { TickNode(aNode); });
+  for (const auto& [address, vm] : vms_) {
+    TellVm(address, aNode);
+  }
 }
 
 void
@@ -372,14 +379,61 @@
   } else {
     leftAt_.erase(aAddress);
   }
-  VmState vm;
-  vm.address_ = aAddress;
-  vm.status_ = aStatus;
+  vms_[aAddress].status_ = aStatus;
+  TellVm(aAddress);
+}
+
+void
+VirtualFleet::AddVm(const std::string& aAddress, const std::string& aRack)
+{
+  vms_[aAddress].rack_ = aRack;
+  TellVm(aAddress);
+}
+
+void
+VirtualFleet::TellVm(const std::string& aAddress, std::size_t aOnly)
+{
+  const VirtualVm& real = vms_[aAddress];
+  const VmState vm{
+    aAddress, real.status_, "dc", real.rack_, real.lastOperation_
+  };
   for (std::size_t i = 0; i < nodes_.size(); ++i) {
-    AtNode(i, seconds(1), [this, i, vm] { Submit(i, VmListRead{ { vm } }); });
+    if (aOnly == kAllNodes || aOnly == i) {
+      AtNode(i, seconds(1), [this, i, vm] { Submit(i, VmListRead{ { vm } }); });
+    }
   }
 }
 
+// The platform reboots a VM, once for each operation id.
+void
+VirtualFleet::Reboot(const RebootVm& aReboot)
+{
+  VirtualVm& vm = vms_[aReboot.address_];
+  if (vm.lastOperation_ == aReboot.operation_) {
+    return;
+  }
+  vm.lastOperation_ = aReboot.operation_;
+  ++vm.reboots_;
+  if (vm.running_ > 0) {
+    Break(aReboot.address_ + " was rebooted under a request");
+  }
+  vm.status_ = VmStatus::Leaving;
+  const Config& config = *history_.back().second->config_;
+  const auto& pool = *config.pools_.at(config.poolOfVm_.at(aReboot.address_));
+  const auto up = std::count_if(
+    pool.vms_.begin(), pool.vms_.end(), [&](const std::string& aVm) {
+      return vms_[aVm].status_ == VmStatus::Live;
+    });
+  if (up < pool.minAvailable_) {
+    Break("a reboot left " + std::to_string(up) + " VMs up");
+  }
+  TellVm(aReboot.address_);
+  At(seconds(3), [this, address = aReboot.address_] {
+    vms_[address].status_ = VmStatus::Live;
+    TellVm(address);
+  });
+}
+
 void
 VirtualFleet::Forward(std::size_t aNode, const ForwardRequest& aForward)
 {
@@ -403,9 +457,17 @@
   const std::string team = FindTeam(request.key_);
   ++request.begun_;
   ++running_[team];
+  VirtualVm& vm = vms_[aForward.target_];
+  ++vm.running_;
+  if (vm.status_ != VmStatus::Live && !leftAt_.contains(aForward.target_)) {
+    Break("began on a VM that reboots");
+  }
   mostRunning_[team] = std::max(mostRunning_[team], running_[team]);
   CheckStart(request, aForward.target_, team);
-  At(runTime_, [this, team] { --running_[team]; });
+  At(runTime_, [this, team, target = aForward.target_] {
+    --running_[team];
+    --vms_[target].running_;
+  });
   ExchangeEnded ended;
   ended.id_ = aForward.id_;
   const bool isBroken = Chance(trouble_.brokenExchanges_);
--- a/packages/core/tests/virtual_fleet.h
+++ b/packages/core/tests/virtual_fleet.h
@@ -40,6 +40,16 @@
   std::uint64_t life_ = 0; // events of an earlier life are dropped
 };
 
+// A VM as it really is; what the list says of it lags by a second.
+struct VirtualVm
+{
+  VmStatus status_ = VmStatus::Live;
+  std::string rack_;
+  std::string lastOperation_;
+  int running_ = 0;
+  int reboots_ = 0;
+};
+
 // What became of one caller's request.
 struct VirtualRequest
 {
@@ -73,6 +83,8 @@
                 bool aIsIdempotent = false);
   std::uint64_t File(std::size_t aNode, const std::string& aText);
   void SetVm(const std::string& aAddress, VmStatus aStatus);
+  void AddVm(const std::string& aAddress, const std::string& aRack);
+  const VirtualVm& Vm(const std::string& aAddress) { return vms_[aAddress]; }
 
   const AnswerFiling* Filing(std::uint64_t aFiling) const;
   const VirtualRequest& Request(RequestId aId) const
@@ -129,6 +141,9 @@
   void Forward(std::size_t aNode, const ForwardRequest& aForward);
   void Begin(std::size_t aNode, const ForwardRequest& aForward);
   void Refuse(const RefuseRequest& aRefusal);
+  void Reboot(const RebootVm& aReboot);
+  static constexpr std::size_t kAllNodes = ~std::size_t{ 0 };
+  void TellVm(const std::string& aAddress, std::size_t aOnly = kAllNodes);
   void CheckStart(const VirtualRequest& aRequest,
                   const std::string& aTarget,
                   const std::string& aTeam);
@@ -147,6 +162,7 @@
   std::map<std::string, int> running_; // at the targets, by team
   std::map<std::string, int> mostRunning_;
   std::map<std::string, int> jobsBegun_;
+  std::map<std::string, VirtualVm> vms_;
   std::map<std::string, TimePoint> leftAt_; // VMs that leave, since when
   std::vector<std::string> broken_;
   RequestId nextRequest_ = 1;
--- a/packages/entry/src/operator_server.cpp
+++ b/packages/entry/src/operator_server.cpp
@@ -107,6 +107,9 @@
   if (aPath == "/v1/teams") {
     return MakeJson(200, ShowTeams(entry, now));
   }
+  if (aPath == "/v1/waves") {
+    return MakeJson(200, ShowWaves(entry, now));
+  }
   return MakeMessage(404, "no such page");
 }
 
--- a/packages/entry/src/operator_views.cpp
+++ b/packages/entry/src/operator_views.cpp
@@ -88,6 +88,21 @@
   return { { "teams", std::move(teams) } };
 }
 
+json
+ShowWaves(const Entry& aEntry, TimePoint aNow)
+{
+  json waves = json::array();
+  for (const WaveView& view : ViewWaves(aEntry, aNow)) {
+    waves.push_back({ { "pool", view.pool_ },
+                      { "round", view.round_ },
+                      { "taken", view.taken_ },
+                      { "todo", view.todo_ },
+                      { "planned_here", view.isPlannedHere_ },
+                      { "waits_because", view.why_ } });
+  }
+  return { { "waves", std::move(waves) } };
+}
+
 json
 ShowReadiness(const Entry& aEntry, TimePoint aNow)
 {
--- a/packages/entry/src/operator_views.h
+++ b/packages/entry/src/operator_views.h
@@ -13,6 +13,7 @@
 nlohmann::json ShowInForce(const Entry& aEntry, TimePoint aNow);
 nlohmann::json ShowPools(const Entry& aEntry, TimePoint aNow);
 nlohmann::json ShowTeams(const Entry& aEntry, TimePoint aNow);
+nlohmann::json ShowWaves(const Entry& aEntry, TimePoint aNow);
 nlohmann::json ShowReadiness(const Entry& aEntry, TimePoint aNow);
 
 } // namespace cuminbridge
--- a/packages/entry/src/settings.cpp
+++ b/packages/entry/src/settings.cpp
@@ -121,6 +121,8 @@
     aTable.ReadInteger("eject_after", 1, kMaxSlots, options.ejectAfter_));
   options.ejectShare_ =
     aTable.ReadNumber("eject_share", 0, 1, options.ejectShare_);
+  options.waveSize_ = static_cast<int>(
+    aTable.ReadInteger("wave_size", 1, kMaxSlots, options.waveSize_));
   options.oldScheduler_ = ReadEndpoint(aTable, "old_scheduler", "");
   aTable.ReportUnknownKeys();
 }
@@ -140,6 +142,7 @@
   read("filing_limit_ms", options.filingLimit_);
   read("drain_grace_ms", options.drainGrace_);
   read("claim_lifetime_ms", options.claimLifetime_);
+  read("wave_limit_ms", options.waveLimit_);
   if (options.heartbeatInterval_ * 2 > options.evidenceLifetime_) {
     aTable.Report("heartbeat_interval_ms",
                   "must be at most half of evidence_lifetime_ms, or one lost "
--- a/packages/model/include/cuminbridge/model.h
+++ b/packages/model/include/cuminbridge/model.h
@@ -79,6 +79,7 @@
   int minAvailable_ = 0;         // availability budget, in VMs
   bool open_ = false;            // open to callers without a key
   Scheduler scheduler_ = Scheduler::Cuminbridge;
+  std::int64_t round_ = 0; // maintenance round that every VM has to have had
   std::int64_t changedIn_ = 0; // ticket that last changed it
 
   bool operator==(const PoolConfig&) const = default;
@@ -382,6 +383,24 @@
   std::vector<std::pair<std::string, std::string>> claims_; // key, holder
 };
 
+// "These VMs of the pool are taken for maintenance; start nothing there. What
+// do you still run on them?" The planner of the pool repeats it all the while.
+struct WaveAsk
+{
+  std::string pool_;
+  std::uint64_t epoch_ = 0;
+  std::int64_t revision_ = 0; // of the wave's record in the store
+  std::vector<std::string> vms_;
+};
+
+struct WaveReply
+{
+  std::string pool_;
+  std::uint64_t epoch_ = 0;
+  std::int64_t revision_ = 0;
+  std::map<std::string, int> running_; // by VM, only non-zero
+};
+
 // "I am shutting down: send me nothing more."
 struct Goodbye
 {};
@@ -406,6 +425,8 @@
                                  ClaimRelease,
                                  ClaimSyncAsk,
                                  ClaimSyncReply,
+                                 WaveAsk,
+                                 WaveReply,
                                  Goodbye>;
 
 } // namespace cuminbridge
--- a/packages/model/src/json.cpp
+++ b/packages/model/src/json.cpp
@@ -16,6 +16,7 @@
             { "min_available", aPool.minAvailable_ },
             { "open", aPool.open_ },
             { "old", aPool.scheduler_ == Scheduler::Old },
+            { "round", aPool.round_ },
             { "changed_in", aPool.changedIn_ } };
 }
 
@@ -29,6 +30,7 @@
   aPool.scheduler_ =
     aJson.at("old").get<bool>() ? Scheduler::Old : Scheduler::Cuminbridge;
   aJson.at("changed_in").get_to(aPool.changedIn_);
+  aJson.at("round").get_to(aPool.round_);
 }
 
 void
--- a/packages/model/src/ticket.cpp
+++ b/packages/model/src/ticket.cpp
@@ -90,6 +90,7 @@
     aTable.Report("min_available", "is more than the pool has VMs");
   }
   pool.open_ = aTable.ReadBool("open", false);
+  pool.round_ = aTable.ReadInteger("round", 0, kMaxTicketNumber, 0);
   const std::string scheduler = aTable.ReadString("scheduler", "cuminbridge");
   if (scheduler != "cuminbridge" && scheduler != "old") {
     aTable.Report("scheduler", "must be \"cuminbridge\" or \"old\"");
--- a/packages/wire/src/wire.cpp
+++ b/packages/wire/src/wire.cpp
@@ -58,6 +58,13 @@
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ClaimSyncAsk, epoch_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ClaimSyncReply, epoch_, claims_)
 
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WaveAsk, pool_, epoch_, revision_, vms_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(WaveReply,
+                                   pool_,
+                                   epoch_,
+                                   revision_,
+                                   running_)
+
 void
 to_json(json& aJson, const Goodbye&)
 {
