--- a/packages/core/tests/wave_test.cpp
+++ b/packages/core/tests/wave_test.cpp
@@ -135,6 +135,32 @@
   }
 }
 
+TEST_CASE("a VM is not rebooted under the work of an entry that has gone")
+{
+  VirtualFleet fleet(6, 5);
+  fleet.options_.runLimit_ = seconds(40);
+  for (std::size_t i = 0; i < 6; ++i) {
+    fleet.Start(i);
+  }
+  for (int vm = 0; vm < kVms; ++vm) {
+    fleet.AddVm(NameVm(vm), "rack-1");
+  }
+  fleet.Run(seconds(60));
+  fleet.File(0, MakeTicket(1, 0, 6));
+  fleet.Run(seconds(5));
+  fleet.runTime_ = seconds(38);
+  for (int i = 0; i < 12; ++i) {
+    fleet.Ask(3, "k");
+  }
+  fleet.Run(seconds(2));
+  REQUIRE(fleet.RunningOf("t") == 12);
+  fleet.Kill(3);
+  fleet.File(0, MakeTicket(2, 1, 6));
+  fleet.Run(seconds(180));
+  REQUIRE(CountRebooted(fleet) == kVms);
+  RequireNothingBroken(fleet);
+}
+
 TEST_CASE("lost answers of the store and of reboots repeat nothing")
 {
   for (std::uint64_t seed = 1; seed <= 15; ++seed) {
