--- a/packages/entry/src/log.cpp
+++ b/packages/entry/src/log.cpp
@@ -2,9 +2,11 @@
 
 #include "log.h"
 
+#include <iostream>
+
 #include <nlohmann/json.hpp>
 #include <spdlog/async.h>
-#include <spdlog/sinks/stdout_sinks.h>
+#include <spdlog/sinks/ostream_sink.h>
 #include <spdlog/spdlog.h>
 
 namespace cuminbridge {
@@ -15,6 +17,7 @@
 
 constexpr std::size_t kQueueLines = 8192;
 constexpr std::size_t kLogThreads = 1;
+constexpr std::chrono::seconds kFlushInterval(1);
 
 std::string
 Dump(const json& aLine)
@@ -40,10 +43,11 @@
 void
 StartLog(const std::string& aLevel, const Member& aSelf)
 {
+  std::ios::sync_with_stdio(false);
   spdlog::init_thread_pool(kQueueLines, kLogThreads);
   auto logger = std::make_shared<spdlog::async_logger>(
     "entry",
-    std::make_shared<spdlog::sinks::stdout_sink_mt>(),
+    std::make_shared<spdlog::sinks::ostream_sink_mt>(std::cout),
     spdlog::thread_pool(),
     spdlog::async_overflow_policy::overrun_oldest);
   // Each message is a JSON object without its first brace.
@@ -53,7 +57,9 @@
     spdlog::pattern_time_type::utc);
   logger->set_level(spdlog::level::from_str(aLevel));
   spdlog::set_default_logger(logger);
-  spdlog::flush_every(std::chrono::seconds(1));
+  // Lines go out together, not each with a call of its own; errors go at once.
+  logger->flush_on(spdlog::level::err);
+  spdlog::flush_every(kFlushInterval);
 }
 
 void
@@ -81,6 +87,20 @@
   if (!logger->should_log(spdlog::level::info)) {
     return;
   }
+  if (!aDecision.target_.empty()) {
+    // A placed request has only checked names, which need no escaping; this
+    // line is written for each request.
+    logger->info(R"("what":"decision","request":{},"team":"{}","pool":"{}",)"
+                 R"("target":"{}","why":"{}","weighed":{},"waited_ms":{}}})",
+                 aDecision.request_,
+                 aDecision.team_,
+                 aDecision.pool_,
+                 aDecision.target_,
+                 aDecision.why_,
+                 aDecision.weighed_,
+                 aDecision.waited_);
+    return;
+  }
   const std::string line = Dump({ { "what", "decision" },
                                   { "request", aDecision.request_ },
                                   { "team", aDecision.team_ },
