--- a/testing/load.cpp
+++ b/testing/load.cpp
@@ -113,8 +113,7 @@
   }
   const auto index = static_cast<std::ptrdiff_t>(
     aPart * static_cast<double>(aValues.size() - 1));
-  std::nth_element(
-    aValues.begin(), aValues.begin() + index, aValues.end());
+  std::nth_element(aValues.begin(), aValues.begin() + index, aValues.end());
   return aValues[static_cast<std::size_t>(index)];
 }
 
