--- a/packages/core/src/waves.cpp
+++ b/packages/core/src/waves.cpp
@@ -3,6 +3,7 @@
 #include "waves.h"
 
 #include <algorithm>
+#include <charconv>
 
 #include <xxhash.h>
 
@@ -69,6 +70,15 @@
          vm->lastOperation_ == aTaken.operation_;
 }
 
+// False if the round was called off and the VM has not been rebooted for it: it
+// goes back as it is.
+bool
+IsWanted(const WaveState& aWave, const PoolConfig& aPool, const WaveVm& aTaken)
+{
+  return aTaken.operation_ == NameOperation(aPool.round_, aTaken.vm_) ||
+         aWave.rebootedAt_.contains(aTaken.vm_);
+}
+
 // A wave keeps to one rack: a rack that fails then takes no second one's VMs
 // out of their pools together with it.
 bool
@@ -150,6 +160,9 @@
   aWave.revision_ = aRevision;
   aWave.replies_.clear();
   aWave.nextAsk_ = aTurn.now_;
+  std::erase_if(aWave.rebootedAt_, [&](const auto& aTold) {
+    return !IsTaken(aWave, aTold.first);
+  });
   std::map<std::string, TimePoint> takenAt;
   for (const WaveVm& taken : aWave.taken_) {
     const auto known = aWave.takenAt_.find(taken.vm_);
@@ -235,16 +248,20 @@
 //-----------------------------------------------------------------------------
 
 void
-RebootDrained(Turn& aTurn, WaveState& aWave)
+RebootDrained(Turn& aTurn, WaveState& aWave, const PoolConfig& aPool)
 {
   for (const WaveVm& taken : aWave.taken_) {
-    TimePoint& rebootedAt = aWave.rebootedAt_[taken.vm_];
+    if (!IsWanted(aWave, aPool, taken)) {
+      continue;
+    }
+    const auto told = aWave.rebootedAt_.find(taken.vm_);
     const VmState* vm = FindVm(aTurn.entry_, taken.vm_);
-    const bool isDue = aTurn.now_ - rebootedAt >= kRebootRetry;
+    const bool isDue = told == aWave.rebootedAt_.end() ||
+                       aTurn.now_ - told->second >= kRebootRetry;
     const bool isUp = vm != nullptr && vm->status_ == VmStatus::Live &&
                       vm->lastOperation_ != taken.operation_;
     if (isDue && isUp && IsDrained(aTurn, aWave, taken.vm_)) {
-      rebootedAt = aTurn.now_;
+      aWave.rebootedAt_[taken.vm_] = aTurn.now_;
       ++aTurn.entry_.counts_["reboots_asked"];
       aTurn.Emit(RebootVm{ taken.vm_, taken.operation_ });
     }
@@ -259,7 +276,7 @@
   for (const WaveVm& taken : aWave.taken_) {
     const bool isInPool =
       std::binary_search(aPool.vms_.begin(), aPool.vms_.end(), taken.vm_);
-    if (isInPool && !IsDone(aEntry, taken)) {
+    if (isInPool && IsWanted(aWave, aPool, taken) && !IsDone(aEntry, taken)) {
       kept.push_back(taken);
     }
   }
@@ -342,10 +359,13 @@
     ReadWave(aTurn, aPool, wave);
     return;
   }
-  if (aTurn.now_ >= wave.nextAsk_) {
+  const WaveNote& note = aTurn.entry_.waves_.notes_[aPool];
+  const bool isAny =
+    aConfig.round_ > 0 || !wave.taken_.empty() || !note.vms_.empty();
+  if (isAny && aTurn.now_ >= wave.nextAsk_) {
     AskAll(aTurn, aPool, wave);
   }
-  RebootDrained(aTurn, wave);
+  RebootDrained(aTurn, wave, aConfig);
   std::vector<WaveVm> taken = KeepUndone(aTurn.entry_, wave, aConfig);
   GiveBackIfShort(aTurn.entry_, wave, aConfig, taken);
   if (taken == wave.taken_) {
@@ -367,14 +387,31 @@
   return "round-" + std::to_string(aRound) + "-" + aVm;
 }
 
+std::int64_t
+RoundOf(std::string_view aOperation)
+{
+  constexpr std::string_view kPrefix = "round-";
+  std::int64_t round = -1;
+  if (aOperation.starts_with(kPrefix)) {
+    aOperation.remove_prefix(kPrefix.size());
+    std::from_chars(
+      aOperation.data(), aOperation.data() + aOperation.size(), round);
+  }
+  return round;
+}
+
 std::vector<std::string>
 FindTodo(const Entry& aEntry, const PoolConfig& aPool)
 {
   std::vector<std::string> todo;
   for (const std::string& vm : aPool.vms_) {
+    // A later round counts too: a round that was called off is not made up for.
     const VmState* state = FindVm(aEntry, vm);
-    if (state == nullptr ||
-        state->lastOperation_ != NameOperation(aPool.round_, vm)) {
+    const std::int64_t had =
+      state == nullptr
+        ? 0
+        : std::max<std::int64_t>(0, RoundOf(state->lastOperation_));
+    if (had < aPool.round_) {
       todo.push_back(vm);
     }
   }
@@ -501,8 +538,7 @@
     return;
   }
   for (const auto& [name, pool] : entry.agreement_.inForce_->config_->pools_) {
-    const bool isOurs =
-      pool->round_ > 0 && pool->scheduler_ == Scheduler::Cuminbridge;
+    const bool isOurs = pool->scheduler_ == Scheduler::Cuminbridge;
     if (!isOurs || !IsPlanner(entry, name, aTurn.now_)) {
       entry.waves_.planned_.erase(name);
       continue;
--- a/packages/core/src/waves.h
+++ b/packages/core/src/waves.h
@@ -16,6 +16,9 @@
 // The id of a VM's reboot in a round. The platform reboots once for each id.
 std::string NameOperation(std::int64_t aRound, const std::string& aVm);
 
+// The round in such an id; -1 if it is no such id.
+std::int64_t RoundOf(std::string_view aOperation);
+
 // VMs of a pool that have not had its round yet.
 std::vector<std::string> FindTodo(const Entry& aEntry, const PoolConfig& aPool);
 
--- a/packages/core/tests/fleet_test.cpp
+++ b/packages/core/tests/fleet_test.cpp
@@ -158,6 +158,7 @@
               const std::vector<std::vector<RequestId>>& aAsked)
 {
   std::vector<int> answered;
+  answered.reserve(aAsked.size());
   for (const auto& asked : aAsked) {
     answered.push_back(static_cast<int>(
       std::count_if(asked.begin(), asked.end(), [&](RequestId aId) {
@@ -238,6 +239,7 @@
 {
   VirtualFleet fleet = MakeFleet(8);
   std::vector<std::uint64_t> filings;
+  filings.reserve(6);
   for (std::size_t node = 0; node < 6; ++node) {
     filings.push_back(
       fleet.File(node, MakeTicket(2, 20 + static_cast<int>(node))));
@@ -327,6 +329,7 @@
 {
   VirtualFleet fleet = MakeFleet(11);
   std::vector<RequestId> asked;
+  asked.reserve(12);
   for (int i = 0; i < 12; ++i) {
     asked.push_back(fleet.Ask(0, "k"));
   }
--- a/packages/core/tests/wave_test.cpp
+++ b/packages/core/tests/wave_test.cpp
@@ -49,6 +49,16 @@
   return fleet;
 }
 
+int
+CountAllReboots(VirtualFleet& aFleet)
+{
+  int reboots = 0;
+  for (int vm = 0; vm < kVms; ++vm) {
+    reboots += aFleet.Vm(NameVm(vm)).reboots_;
+  }
+  return reboots;
+}
+
 int
 CountRebooted(VirtualFleet& aFleet)
 {
@@ -114,6 +124,34 @@
   RequireNothingBroken(fleet);
 }
 
+TEST_CASE("a round that is called off gives back what is not rebooted yet")
+{
+  for (const int round : { 0, 1 }) {
+    VirtualFleet fleet = MakeFleet(6);
+    fleet.runTime_ = seconds(2); // draining takes a while
+    fleet.File(0, MakeTicket(2, 1, 6));
+    RunWithWork(fleet, 60);
+    fleet.File(0, MakeTicket(3, 2, 6));
+    RunWithWork(fleet, 3);
+    const int before = CountAllReboots(fleet);
+    fleet.File(0, MakeTicket(4, round, 6));
+    RunWithWork(fleet, 1);
+    const int atOff = CountAllReboots(fleet);
+    fleet.Run(seconds(30));
+    REQUIRE(CountAllReboots(fleet) <= atOff + 1);
+    REQUIRE(before <= atOff);
+    for (const VirtualNode& node : fleet.nodes_) {
+      REQUIRE(ViewWaves(*node.entry_, fleet.Now()).empty() == (round == 0));
+      for (const PoolView& pool : ViewPools(*node.entry_, fleet.Now())) {
+        for (const TargetView& target : pool.targets_) {
+          REQUIRE(target.state_ == "live");
+        }
+      }
+    }
+    RequireNothingBroken(fleet);
+  }
+}
+
 TEST_CASE("planners lost at any moment never break the budget or a request")
 {
   for (std::uint64_t seed = 1; seed <= 15; ++seed) {
--- a/testing/capacity_bench.cpp
+++ b/testing/capacity_bench.cpp
@@ -165,6 +165,7 @@
   static std::vector<std::string> MakeKeys(int aTeams)
   {
     std::vector<std::string> keys;
+    keys.reserve(static_cast<std::size_t>(aTeams));
     for (int i = 0; i < aTeams; ++i) {
       keys.push_back(HashKey("key-" + std::to_string(i)));
     }
--- a/testing/failures_test.sh
+++ b/testing/failures_test.sh
@@ -103,6 +103,32 @@
 start_entries 1
 wait_ready 1 || exit 1
 
+# All six replaced one after the other, while callers ask an entry that stays.
+replace() { # NUMBER
+  end "entry-$1"
+  wait "${PIDS[entry-$1]}"
+  expect "exit code of entry $1" 0 $?
+  start_entries "$1"
+  wait_ready "$1" && wait_for has_voters "$1" 6
+}
+load_while_replacing() { # ASKED NUMBER...
+  local asked=$1 number load
+  shift
+  "$BUILD/testing/load" "127.0.10.$asked:8080" /q/a/x 10 1000000 500 "$KEY" >"$WORK/load" &
+  load=$!
+  for number in "$@"; do
+    replace "$number" || expect "entry $number joins again" yes no
+  done
+  kill -INT $load
+  wait $load
+  expect "cut at entry $asked" 0 "$(field cut <"$WORK/load")"
+  expect "statuses at entry $asked" '"statuses":{"200"' "$(grep -o '"statuses":{"[0-9]*"' "$WORK/load")"
+  expect "refused at entry $asked" 0 "$(field not_run <"$WORK/load")"
+}
+wait_for has_voters 6 6 || exit 1
+load_while_replacing 6 1 2 3 4 5
+load_while_replacing 1 6
+
 # A key withdrawn while an entry is frozen: it is never served after the thaw.
 end entry-2 STOP
 ticket 2 '' 0 | file_ticket 3 >/dev/null
--- a/testing/load.cpp
+++ b/testing/load.cpp
@@ -5,12 +5,14 @@
 // RATE is in requests a second over all connections, 0 for as many as go. Each
 // request bears its own X-Job. Prints one line of JSON: answers by status,
 // connections cut before a whole answer, refusals that said "not-run", median
-// and 99th percentile in microseconds, requests a second.
+// and 99th percentile in microseconds, requests a second. SIGINT ends it early,
+// after the requests under way.
 
 #include <algorithm>
 #include <iostream>
 #include <map>
 
+#include <boost/asio/signal_set.hpp>
 #include <boost/beast/http.hpp>
 #include <nlohmann/json.hpp>
 
@@ -35,6 +37,8 @@
   int cut_ = 0;
   int notRun_ = 0;
   std::vector<double> microseconds_;
+  int running_ = 0; // connections not done yet
+  std::function<void()> onDone_;
 
   http::request<http::empty_body> Next()
   {
@@ -102,6 +106,9 @@
         co_await timer.async_wait(kAsTuple);
       }
     }
+    if (--running_ == 0) {
+      onDone_();
+    }
   }
 };
 
@@ -140,6 +147,14 @@
   for (int i = 6; i < argc; ++i) {
     load.headers_.emplace_back(argv[i]);
   }
+  boost::asio::signal_set signals(load.io_, SIGINT);
+  signals.async_wait([&](const auto& aError, int) {
+    if (!aError) {
+      load.left_ = 0; // what is under way is finished
+    }
+  });
+  load.running_ = connections;
+  load.onDone_ = [&] { signals.cancel(); };
   const auto from = SteadyClock::now();
   for (int i = 0; i < connections; ++i) {
     boost::asio::co_spawn(
