Split the large modules of core by their jobs

Routing: admission, queues, pools. Behaviour, bounds and assertions are as they were, but for one mend: numbers of transfers of processes that are no members any more are forgotten.

--- a/packages/core/src/permits.cpp
+++ b/packages/core/src/permits.cpp
@@ -359,6 +359,16 @@
   for (auto& [name, team] : entry.permits_.teams_) {
     team.reported_ = kNeverReported; // newcomers have heard nothing yet
   }
+  const auto isGone = [&](const auto& aKnown) {
+    const auto& members = entry.agreement_.inForce_->members_;
+    return std::none_of(
+      members.begin(), members.end(), [&](const Member& aMember) {
+        return NameProcess(aMember.id_, aMember.incarnation_) == aKnown.first;
+      });
+  };
+  // Their transfers are of another epoch now, and refused for that.
+  std::erase_if(entry.permits_.received_, isGone);
+  std::erase_if(entry.permits_.receivedFloor_, isGone);
   AssignAllSlots(entry);
   OnEpochChanged(aTurn);
   OnWavesEpoch(aTurn, aOld);
--- /dev/null
+++ b/packages/core/src/queues.h
@@ -0,0 +1,28 @@
+// Internal: requests that wait, by pool and team, in order of arrival.
+
+#ifndef cuminbridge_core_queues_h
+#define cuminbridge_core_queues_h
+
+#include "entry_state.h"
+
+namespace cuminbridge {
+
+PoolState* FindPool(Entry& aEntry, std::string_view aName);
+
+// Puts a request in its pool's queue; at the front if it waited before.
+void Enqueue(Turn& aTurn, Request& aRequest, bool aIsFront);
+
+// Takes a waiting request out of the counts. Its id may stay in the line until
+// it comes to the front: a wave of cancellations costs constant time each.
+void CountDequeued(Turn& aTurn, const Request& aRequest);
+
+// The request, if it still waits.
+Request* FindWaiting(Entry& aEntry, RequestId aId);
+
+// The line whose front goes next, or null if none waits. Urgent work goes
+// first, but never all the time.
+std::deque<RequestId>* NextLine(Entry& aEntry, TeamQueue& aQueue);
+
+} // namespace cuminbridge
+
+#endif // cuminbridge_core_queues_h
--- a/packages/core/src/routing.cpp
+++ b/packages/core/src/routing.cpp
@@ -5,10 +5,12 @@
 
 #include <algorithm>
 
+#include "admission.h"
 #include "agreement.h"
 #include "claims.h"
 #include "permits.h"
 #include "placement.h"
+#include "queues.h"
 #include "slots.h"
 
 namespace cuminbridge {
@@ -16,7 +18,6 @@
 namespace {
 
 constexpr int kRetryAfterSeconds = 1;
-constexpr int kUrgentInRow = 8; // then one that is not urgent, if one waits
 constexpr double kMaxRetryCredit = 100;
 
 int
@@ -26,47 +27,6 @@
     std::chrono::duration_cast<std::chrono::milliseconds>(aDuration).count());
 }
 
-//-----------------------------------------------------------------------------
-// [SECTION] Who may ask
-//-----------------------------------------------------------------------------
-
-// The team of a key by the configuration in force and by every change that may
-// come; empty if they differ or there is none.
-std::string
-TeamOfKey(const Entry& aEntry, const std::string& aKeyHash)
-{
-  const Agreement& agreement = aEntry.agreement_;
-  const auto& teams = agreement.inForce_->config_->teamOfKey_;
-  const auto found = teams.find(aKeyHash);
-  if (found == teams.end()) {
-    return "";
-  }
-  for (const PendingChange& pending : agreement.pending_) {
-    const auto next = pending.config_->teamOfKey_.find(aKeyHash);
-    if (next == pending.config_->teamOfKey_.end() ||
-        next->second != found->second) {
-      return "";
-    }
-  }
-  return found->second;
-}
-
-bool
-IsOpen(const Entry& aEntry, const std::string& aPool)
-{
-  const Agreement& agreement = aEntry.agreement_;
-  const auto isOpen = [&](const Config& aConfig) {
-    const auto found = aConfig.pools_.find(aPool);
-    return found != aConfig.pools_.end() && found->second->open_;
-  };
-  return isOpen(*agreement.inForce_->config_) &&
-         std::all_of(agreement.pending_.begin(),
-                     agreement.pending_.end(),
-                     [&](const PendingChange& aPending) {
-                       return isOpen(*aPending.config_);
-                     });
-}
-
 //-----------------------------------------------------------------------------
 // [SECTION] Refusing
 //-----------------------------------------------------------------------------
@@ -117,91 +77,6 @@
   aTurn.entry_.routing_.requests_.erase(id);
 }
 
-//-----------------------------------------------------------------------------
-// [SECTION] Queues
-//-----------------------------------------------------------------------------
-
-PoolState*
-FindPool(Entry& aEntry, std::string_view aName)
-{
-  const auto found = aEntry.routing_.pools_.find(aName);
-  return found == aEntry.routing_.pools_.end() ? nullptr : &found->second;
-}
-
-void
-Enqueue(Turn& aTurn, Request& aRequest, bool aIsFront)
-{
-  Entry& entry = aTurn.entry_;
-  PoolState& pool = *FindPool(entry, aRequest.arrived_.pool_);
-  aRequest.phase_ = RequestPhase::Waiting;
-  TeamQueue& queue = pool.queues_[aRequest.team_];
-  auto& line = aRequest.arrived_.urgent_ ? queue.urgent_ : queue.normal_;
-  if (aIsFront) {
-    line.push_front(aRequest.arrived_.id_);
-  } else {
-    line.push_back(aRequest.arrived_.id_);
-  }
-  ++queue.count_;
-  ++entry.routing_.waiting_;
-  if (!aRequest.team_.empty()) {
-    TeamState& team = FindTeam(entry, aRequest.team_);
-    ++team.waiting_;
-    team.waitingPools_.insert(aRequest.arrived_.pool_);
-  }
-}
-
-// Takes a waiting request out of the counts. Its id may stay in the line.
-void
-CountDequeued(Turn& aTurn, const Request& aRequest)
-{
-  Entry& entry = aTurn.entry_;
-  --entry.routing_.waiting_;
-  PoolState* pool = FindPool(entry, aRequest.arrived_.pool_);
-  TeamQueue& queue = pool->queues_[aRequest.team_];
-  --queue.count_;
-  if (!aRequest.team_.empty()) {
-    TeamState& team = FindTeam(entry, aRequest.team_);
-    --team.waiting_;
-    if (queue.count_ == 0) {
-      team.waitingPools_.erase(aRequest.arrived_.pool_);
-    }
-  }
-  if (queue.count_ == 0) {
-    pool->queues_.erase(aRequest.team_);
-  }
-}
-
-Request*
-FindWaiting(Entry& aEntry, RequestId aId)
-{
-  const auto found = aEntry.routing_.requests_.find(aId);
-  const bool isWaiting = found != aEntry.routing_.requests_.end() &&
-                         found->second.phase_ == RequestPhase::Waiting;
-  return isWaiting ? &found->second : nullptr;
-}
-
-// Drops ids of requests that went away from the front of a line.
-void
-TrimLine(Entry& aEntry, std::deque<RequestId>& aLine)
-{
-  while (!aLine.empty() && FindWaiting(aEntry, aLine.front()) == nullptr) {
-    aLine.pop_front();
-  }
-}
-
-// The line whose front goes next, or null if none waits.
-std::deque<RequestId>*
-NextLine(Entry& aEntry, TeamQueue& aQueue)
-{
-  TrimLine(aEntry, aQueue.urgent_);
-  TrimLine(aEntry, aQueue.normal_);
-  const bool isNormalsTurn =
-    aQueue.urgent_.empty() ||
-    (aQueue.urgentInRow_ >= kUrgentInRow && !aQueue.normal_.empty());
-  auto& line = isNormalsTurn ? aQueue.normal_ : aQueue.urgent_;
-  return line.empty() ? nullptr : &line;
-}
-
 //-----------------------------------------------------------------------------
 // [SECTION] Dispatch
 //-----------------------------------------------------------------------------
@@ -423,41 +298,6 @@
   }
 }
 
-TargetState&
-FindTarget(Entry& aEntry, const std::string& aAddress)
-{
-  TargetState& target = aEntry.routing_.targets_[aAddress];
-  if (target.address_.empty()) {
-    target.address_ = aAddress;
-    const auto vm = aEntry.fleet_.vms_.find(aAddress);
-    if (vm != aEntry.fleet_.vms_.end()) {
-      target.status_ = vm->second.status_;
-    }
-  }
-  return target;
-}
-
-void
-RebuildTargets(Entry& aEntry, PoolState& aPool)
-{
-  aPool.targets_.clear();
-  aPool.ejected_ = 0;
-  if (aPool.config_->scheduler_ == Scheduler::Old) {
-    if (!aEntry.options_.oldScheduler_.empty()) {
-      TargetState& old = FindTarget(aEntry, aEntry.options_.oldScheduler_);
-      old.isOldScheduler_ = true;
-      aPool.targets_.push_back(&old);
-    }
-    return;
-  }
-  for (const std::string& vm : aPool.config_->vms_) {
-    TargetState& target = FindTarget(aEntry, vm);
-    aPool.ejected_ += target.isEjected_ ? 1 : 0;
-    AssignSlots(aEntry, target);
-    aPool.targets_.push_back(&target);
-  }
-}
-
 } // namespace
 
 //-----------------------------------------------------------------------------
@@ -647,39 +487,6 @@
   }
 }
 
-void
-OnConfigInForce(Turn& aTurn, const SnapshotPtr& aOld)
-{
-  Entry& entry = aTurn.entry_;
-  const Config& config = *entry.agreement_.inForce_->config_;
-  for (const auto& [name, pool] : config.pools_) {
-    const bool isSame = aOld && aOld->config_->pools_.contains(name) &&
-                        aOld->config_->pools_.at(name) == pool;
-    PoolState& state = entry.routing_.pools_[name];
-    if (!isSame || !state.config_) {
-      state.config_ = pool;
-      RebuildTargets(entry, state);
-    }
-  }
-  DispatchAll(aTurn);
-}
-
-void
-OnVmListRead(Turn& aTurn, const VmListRead& aList)
-{
-  Entry& entry = aTurn.entry_;
-  for (const VmState& vm : aList.changed_) {
-    entry.fleet_.vms_[vm.address_] = vm;
-    const auto target = entry.routing_.targets_.find(vm.address_);
-    if (target != entry.routing_.targets_.end()) {
-      target->second.status_ = vm.status_;
-    }
-  }
-  if (!aList.changed_.empty()) {
-    DispatchAll(aTurn);
-  }
-}
-
 void
 TickRouting(Turn& aTurn)
 {
