--- a/packages/core/tests/fleet_test.cpp
+++ b/packages/core/tests/fleet_test.cpp
@@ -488,6 +488,74 @@
   }
 }
 
+TEST_CASE("a VM that fails all it starts is left out, and taken back")
+{
+  VirtualFleet fleet = MakeFleet(21);
+  fleet.runTime_ = milliseconds(20);
+  fleet.Vm("10.0.0.2").isFailing_ = true;
+  for (int i = 0; i < 500; ++i) {
+    fleet.Ask(static_cast<std::size_t>(i) % 6, "k");
+    fleet.Run(milliseconds(20));
+  }
+  // Five failures at each of six entries, and a few probes of 2, 4, 8 s.
+  REQUIRE(fleet.Vm("10.0.0.2").begun_ <= 6 * (5 + 3));
+  fleet.Vm("10.0.0.2").isFailing_ = false;
+  const int before = fleet.Vm("10.0.0.2").begun_;
+  for (int i = 0; i < 1500; ++i) {
+    fleet.Ask(static_cast<std::size_t>(i) % 6, "k");
+    fleet.Run(milliseconds(20));
+  }
+  REQUIRE(fleet.Vm("10.0.0.2").begun_ - before >= 100);
+  RequireNothingBroken(fleet);
+}
+
+TEST_CASE("work that fails everywhere does not empty the pool")
+{
+  VirtualFleet fleet = MakeFleet(22);
+  fleet.runTime_ = milliseconds(20);
+  for (int vm = 1; vm <= 5; ++vm) {
+    fleet.Vm("10.0.0." + std::to_string(vm)).isFailing_ = true;
+  }
+  for (int i = 0; i < 300; ++i) {
+    const RequestId id = fleet.Ask(static_cast<std::size_t>(i) % 6, "k");
+    fleet.Run(milliseconds(50));
+    REQUIRE(fleet.Request(id).isAnswered_);
+  }
+  for (const VirtualNode& node : fleet.nodes_) {
+    int ejected = 0;
+    for (const PoolView& pool : ViewPools(*node.entry_, fleet.Now())) {
+      for (const TargetView& target : pool.targets_) {
+        ejected += target.state_ == "ejected" ? 1 : 0;
+      }
+    }
+    REQUIRE(ejected <= 1); // a third of five
+  }
+  RequireNothingBroken(fleet);
+}
+
+TEST_CASE("ten thousand waiting requests are cancelled at once")
+{
+  VirtualFleet fleet = MakeFleet(23);
+  fleet.runTime_ = seconds(2);
+  std::vector<RequestId> asked;
+  asked.reserve(10000);
+  for (int i = 0; i < 10000; ++i) {
+    asked.push_back(fleet.Ask(0, "k"));
+  }
+  fleet.Run(seconds(1));
+  for (const RequestId id : asked) {
+    fleet.Cancel(id);
+  }
+  const RequestId last = fleet.Ask(0, "k");
+  fleet.Run(milliseconds(100));
+  const auto counts = ViewCounts(*fleet.nodes_[0].entry_);
+  REQUIRE(counts.at("requests_cancelled") == 10000 - 12);
+  REQUIRE(counts.at("requests_waiting") == 1);
+  fleet.Run(seconds(3));
+  REQUIRE(fleet.Request(last).isAnswered_);
+  RequireNothingBroken(fleet);
+}
+
 // Found by random_test.cpp: a try that broke, a retry that found no place in
 // time, and the refusal said "not run".
 TEST_CASE("a request that may have run is not refused as not run")
--- a/packages/core/tests/virtual_fleet.cpp
+++ b/packages/core/tests/virtual_fleet.cpp
@@ -354,6 +354,15 @@
   return id;
 }
 
+void
+VirtualFleet::Cancel(RequestId aId)
+{
+  const std::size_t node = requests_.at(aId).node_;
+  AtNode(node, Duration(0), [this, node, aId] {
+    Submit(node, RequestCancelled{ aId });
+  });
+}
+
 std::uint64_t
 VirtualFleet::File(std::size_t aNode, const std::string& aText)
 {
@@ -459,6 +468,7 @@
   ++running_[team];
   VirtualVm& vm = vms_[aForward.target_];
   ++vm.running_;
+  ++vm.begun_;
   if (vm.status_ != VmStatus::Live && !leftAt_.contains(aForward.target_)) {
     Break("began on a VM that reboots");
   }
@@ -470,6 +480,7 @@
   });
   ExchangeEnded ended;
   ended.id_ = aForward.id_;
+  ended.serverError_ = vm.isFailing_;
   const bool isBroken = Chance(trouble_.brokenExchanges_);
   ended.result_ = isBroken ? ExchangeResult::Broken : ExchangeResult::Answered;
   const Duration after = isBroken ? runTime_ / 2 : runTime_ + Delay();
--- a/packages/core/tests/virtual_fleet.h
+++ b/packages/core/tests/virtual_fleet.h
@@ -46,7 +46,9 @@
   VmStatus status_ = VmStatus::Live;
   std::string rack_;
   std::string lastOperation_;
+  bool isFailing_ = false; // answers all it starts with an error
   int running_ = 0;
+  int begun_ = 0;
   int reboots_ = 0;
 };
 
@@ -81,10 +83,11 @@
                 const std::string& aKey,
                 const std::string& aJob = "",
                 bool aIsIdempotent = false);
+  void Cancel(RequestId aId);
   std::uint64_t File(std::size_t aNode, const std::string& aText);
   void SetVm(const std::string& aAddress, VmStatus aStatus);
   void AddVm(const std::string& aAddress, const std::string& aRack);
-  const VirtualVm& Vm(const std::string& aAddress) { return vms_[aAddress]; }
+  VirtualVm& Vm(const std::string& aAddress) { return vms_[aAddress]; }
 
   const AnswerFiling* Filing(std::uint64_t aFiling) const;
   const VirtualRequest& Request(RequestId aId) const
