Don't hold an entry's own standing still against a target

A decision whose evidence had ended before the first byte counted as a failure of the target; an entry that was thawed could so leave out good ones.

--- a/packages/core/include/cuminbridge/core.h
+++ b/packages/core/include/cuminbridge/core.h
@@ -103,6 +103,7 @@
   ExchangeResult result_ = ExchangeResult::Answered;
   bool serverError_ = false;   // a whole answer, with status 500 or above
   bool answerStarted_ = false; // part of an answer has gone to the caller
+  bool isTooLate_ = false;     // not begun because startBy_ had passed
   bool isTimeout_ = false;     // broken because the run limit passed
 };
 
--- a/packages/core/src/routing.cpp
+++ b/packages/core/src/routing.cpp
@@ -221,8 +221,8 @@
   TeamState& team = FindTeam(entry, aRequest.team_);
   --team.running_;
   if (aMayStillRun) {
-    // The target's lease on it ends with the run limit, counted from the
-    // start; until then the permit stays in use.
+    // The target's lease on it ends with the run limit at the latest; until
+    // then the permit stays in use.
     team.quarantine_.push_back(aTurn.now_ + entry.options_.runLimit_);
   } else {
     OnPermitFreed(aTurn, team);
@@ -263,6 +263,10 @@
   if (target == targets.end()) {
     return;
   }
+  if (aEnded.isTooLate_) {
+    target->second.isProbing_ = false;
+    return; // it was this entry that stood still
+  }
   const bool isGood =
     aEnded.result_ == ExchangeResult::Answered && !aEnded.serverError_;
   if (isGood) {
--- a/packages/core/tests/virtual_fleet.cpp
+++ b/packages/core/tests/virtual_fleet.cpp
@@ -451,7 +451,8 @@
     ExchangeEnded ended;
     ended.id_ = aForward.id_;
     ended.result_ = ExchangeResult::NotBegun;
-    if (now_ >= aForward.startBy_ || Chance(trouble_.unbegunExchanges_)) {
+    ended.isTooLate_ = now_ >= aForward.startBy_;
+    if (ended.isTooLate_ || Chance(trouble_.unbegunExchanges_)) {
       Submit(aNode, ended);
       return;
     }
--- a/packages/entry/src/caller_server.cpp
+++ b/packages/entry/src/caller_server.cpp
@@ -214,6 +214,7 @@
     ended.result_ = outcome.result_;
     ended.serverError_ = outcome.isServerError_;
     ended.answerStarted_ = outcome.isAnswerStarted_ || outcome.isCallerLost_;
+    ended.isTooLate_ = outcome.isTooLate_;
     ended.isTimeout_ = outcome.isTimeout_;
     if (outcome.result_ == ExchangeResult::Answered) {
       loop_.Submit(ended);
--- a/packages/entry/src/exchange.cpp
+++ b/packages/entry/src/exchange.cpp
@@ -202,8 +202,8 @@
       : aForward.target_ + ":" +
           std::to_string(aLoop.GetSettings().targetPort_);
   exchange.target_ = co_await aLoop.Targets().Acquire(address);
-  const bool isTooLate = aLoop.Now() >= aForward.startBy_;
-  if (!exchange.target_.stream_ || isTooLate) {
+  exchange.outcome_.isTooLate_ = aLoop.Now() >= aForward.startBy_;
+  if (!exchange.target_.stream_ || exchange.outcome_.isTooLate_) {
     co_return exchange.outcome_;
   }
   // From here on bytes may have reached the target.
--- a/packages/entry/src/exchange.h
+++ b/packages/entry/src/exchange.h
@@ -28,6 +28,7 @@
   bool isServerError_ = false;
   bool isAnswerStarted_ = false; // the caller has part of an answer
   bool isCallerLost_ = false;    // nothing more can be said to the caller
+  bool isTooLate_ = false;       // the evidence for the decision had ended
   bool isTimeout_ = false;
 };
 
