One place for peers that ask and whose turn it is

Permits and slots each had the same turn-taking; it is in peer_asks.h now. The process tests' counting of failures stood twice, too. Behaviour as before.

--- a/packages/core/src/entry_state.h
+++ b/packages/core/src/entry_state.h
@@ -19,6 +19,7 @@
 #include <pcg_random.hpp>
 
 #include "cuminbridge/core.h"
+#include "peer_asks.h"
 #include "records.h"
 
 namespace cuminbridge {
@@ -152,9 +153,7 @@
   std::set<std::string> waitingPools_;
   TeamUse reported_; // in a heartbeat, last
   TimePoint nextAsk_;
-  std::map<std::string, std::pair<int, TimePoint>> asks_; // by peer: how many
-  std::string lastGivenTo_; // the peer after it, by id, is next
-  bool isGiveTurn_ = false; // the next freed permit goes to an asking peer
+  PeerAsks asks_;
 };
 
 struct Permits
@@ -253,9 +252,7 @@
   std::map<std::string, TeamQueue> queues_; // by team, only those with work
   int ejected_ = 0;
   TimePoint nextSlotAsk_;
-  std::map<std::string, std::pair<int, TimePoint>> slotAsks_; // by peer
-  std::string lastSlotTo_;  // the peer after it, by id, is next
-  bool isGiveTurn_ = false; // the next freed slot goes to an asking peer
+  PeerAsks slotAsks_;
 };
 
 struct Routing
--- a/packages/core/src/permits.cpp
+++ b/packages/core/src/permits.cpp
@@ -18,7 +18,6 @@
 
 constexpr Duration kTransferResend = std::chrono::milliseconds(300);
 constexpr Duration kAskInterval = std::chrono::milliseconds(100);
-constexpr Duration kAskLifetime = std::chrono::milliseconds(500);
 // Longer than a heartbeat, so that what peers report is newer than what was
 // given last.
 constexpr Duration kSpreadInterval = std::chrono::milliseconds(1500);
@@ -250,28 +249,17 @@
 void
 OnPermitFreed(Turn& aTurn, TeamState& aTeam)
 {
-  std::erase_if(aTeam.asks_, [&](const auto& aAsk) {
-    return aAsk.second.second <= aTurn.now_;
-  });
-  if (aTeam.asks_.empty() || IsFrozen(aTurn.entry_, aTurn.now_) ||
+  DropOldAsks(aTeam.asks_, aTurn.now_);
+  if (aTeam.asks_.byPeer_.empty() || IsFrozen(aTurn.entry_, aTurn.now_) ||
       IdlePermits(aTeam) == 0) {
     return;
   }
   // Own requests and asking peers take turns, so that none of them starves.
-  aTeam.isGiveTurn_ = !aTeam.isGiveTurn_;
-  if (aTeam.waiting_ > 0 && !aTeam.isGiveTurn_) {
+  aTeam.asks_.isGiveTurn_ = !aTeam.asks_.isGiveTurn_;
+  if (aTeam.waiting_ > 0 && !aTeam.asks_.isGiveTurn_) {
     return;
   }
-  auto ask = aTeam.asks_.upper_bound(aTeam.lastGivenTo_);
-  if (ask == aTeam.asks_.end()) {
-    ask = aTeam.asks_.begin();
-  }
-  const std::string peer = ask->first;
-  aTeam.lastGivenTo_ = peer;
-  if (--ask->second.first <= 0) {
-    aTeam.asks_.erase(ask);
-  }
-  Give(aTurn, aTeam, peer, 1);
+  Give(aTurn, aTeam, TakeNextAsk(aTeam.asks_), 1);
 }
 
 std::map<std::string, TeamUse>
@@ -389,8 +377,8 @@
   const int given = std::min(spare, aAsk.count_);
   Give(aTurn, team, aFrame.from_, given);
   if (given < aAsk.count_) {
-    team.asks_[aFrame.from_] = { aAsk.count_ - given,
-                                 aTurn.now_ + kAskLifetime };
+    team.asks_.byPeer_[aFrame.from_] = { aAsk.count_ - given,
+                                         aTurn.now_ + kAskLifetime };
   }
 }
 
--- a/packages/core/src/slots.cpp
+++ b/packages/core/src/slots.cpp
@@ -14,7 +14,6 @@
 namespace {
 
 constexpr Duration kAskInterval = std::chrono::milliseconds(100);
-constexpr Duration kAskLifetime = std::chrono::milliseconds(500);
 constexpr std::size_t kPeersAsked = 3;
 
 std::uint64_t
@@ -164,38 +163,29 @@
     GiveSlots(aTurn, aFrame.from_, slots);
   }
   if (left > 0) {
-    pool.slotAsks_[aFrame.from_] = { left, aTurn.now_ + kAskLifetime };
+    pool.slotAsks_.byPeer_[aFrame.from_] = { left, aTurn.now_ + kAskLifetime };
   }
 }
 
 void
 OnSlotFreed(Turn& aTurn, PoolState& aPool, const TargetState& aTarget)
 {
-  std::erase_if(aPool.slotAsks_, [&](const auto& aAsk) {
-    return aAsk.second.second <= aTurn.now_;
-  });
+  DropOldAsks(aPool.slotAsks_, aTurn.now_);
   const bool isFree = aTarget.slots_ > aTarget.running_ &&
                       aTarget.status_ == VmStatus::Live && !aTarget.isEjected_;
-  if (aPool.slotAsks_.empty() || !isFree ||
+  if (aPool.slotAsks_.byPeer_.empty() || !isFree ||
       IsFrozen(aTurn.entry_, aTurn.now_)) {
     return;
   }
   // An entry that holds no more than an even part keeps it while it has work.
-  aPool.isGiveTurn_ = !aPool.isGiveTurn_;
-  const bool isOwn = !aPool.queues_.empty() &&
-                     (!aPool.isGiveTurn_ || !HoldsMoreThanEven(aTurn, aPool));
+  aPool.slotAsks_.isGiveTurn_ = !aPool.slotAsks_.isGiveTurn_;
+  const bool isOwn =
+    !aPool.queues_.empty() &&
+    (!aPool.slotAsks_.isGiveTurn_ || !HoldsMoreThanEven(aTurn, aPool));
   if (isOwn) {
     return;
   }
-  auto ask = aPool.slotAsks_.upper_bound(aPool.lastSlotTo_);
-  if (ask == aPool.slotAsks_.end()) {
-    ask = aPool.slotAsks_.begin();
-  }
-  const std::string peer = ask->first;
-  aPool.lastSlotTo_ = peer;
-  if (--ask->second.first <= 0) {
-    aPool.slotAsks_.erase(ask);
-  }
+  const std::string peer = TakeNextAsk(aPool.slotAsks_);
   GiveSlots(aTurn, peer, { { aTarget.address_, 1 } });
 }
 
--- a/testing/failures_test.sh
+++ b/testing/failures_test.sh
@@ -9,14 +9,6 @@
 LOG_LEVEL=warn
 KEY="Authorization: Bearer key-one"
 
-failures=0
-expect() { # WHAT WANTED GOT
-  if [ "$2" != "$3" ]; then
-    echo "FAILED $1: wanted '$2', got '$3'"
-    failures=$((failures + 1))
-  fi
-}
-status() { call "$@" -o /dev/null -w '%{http_code}'; }
 field() { grep -o "\"$1\":[0-9]*" | head -n 1 | cut -d: -f2; }
 ticket() { # NUMBER KEYS ROUND
   cat <<EOF
--- a/testing/fleet.sh
+++ b/testing/fleet.sh
@@ -121,6 +121,18 @@
   curl -s -X "$method" "http://127.0.10.$number:8080$path" "$@"
 }
 
+# The status of a call.
+status() { call "$@" -o /dev/null -w '%{http_code}'; }
+
+# Counts a failure, and says so, unless what was got is what was wanted.
+failures=0
+expect() { # WHAT WANTED GOT
+  if [ "$2" != "$3" ]; then
+    echo "FAILED $1: wanted '$2', got '$3'"
+    failures=$((failures + 1))
+  fi
+}
+
 hash_of() { echo "sha256:$(printf %s "$1" | sha256sum | cut -d' ' -f1)"; }
 
 stop_fleet() {
--- a/testing/path_test.sh
+++ b/testing/path_test.sh
@@ -6,14 +6,6 @@
 trap stop_fleet EXIT
 trap 'exit 143' TERM INT
 
-failures=0
-expect() { # WHAT WANTED GOT
-  if [ "$2" != "$3" ]; then
-    echo "FAILED $1: wanted '$2', got '$3'"
-    failures=$((failures + 1))
-  fi
-}
-status() { call "$@" -o /dev/null -w '%{http_code}'; }
 outcome() { call "$@" -o /dev/null -D - | tr -d '\r' | sed -n 's/^Cuminbridge-Outcome: //p'; }
 
 start_platform
