Plan waves twice a second, not at every tick

Ruled out: the agreement's and permits' ticks, unchanged. Change: one time for all pools in place of one for each.

A test's name said that an entry replaced while the store is down serves; it holds the configuration and joins later, as its assertions say.

--- a/packages/core/src/entry_state.h
+++ b/packages/core/src/entry_state.h
@@ -312,7 +312,6 @@
   std::vector<WaveVm> swapped_; // by the call under way
   std::uint64_t call_ = 0;
   bool isSwapCall_ = false;
-  TimePoint nextTurn_;
   TimePoint nextAsk_;
   std::map<std::string, std::map<std::string, int>> replies_; // by member
   std::map<std::string, TimePoint> rebootedAt_; // VMs, last told to reboot
@@ -331,6 +330,7 @@
 {
   std::map<std::string, WaveState> planned_; // pools this entry plans
   std::map<std::string, WaveNote> notes_;    // by pool
+  TimePoint nextTurn_;
   // Until then a process that has gone may have work on any VM.
   TimePoint goneMayRunUntil_;
 };
--- a/packages/core/src/waves.cpp
+++ b/packages/core/src/waves.cpp
@@ -351,10 +351,9 @@
 PlanPool(Turn& aTurn, const std::string& aPool, const PoolConfig& aConfig)
 {
   WaveState& wave = aTurn.entry_.waves_.planned_[aPool];
-  if (wave.call_ != 0 || aTurn.now_ < wave.nextTurn_) {
+  if (wave.call_ != 0) {
     return;
   }
-  wave.nextTurn_ = aTurn.now_ + kTurnInterval;
   if (!wave.isRead_) {
     ReadWave(aTurn, aPool, wave);
     return;
@@ -534,9 +533,11 @@
 {
   Entry& entry = aTurn.entry_;
   if (!entry.agreement_.inForce_ || !IsMember(entry) ||
-      !IsFresh(entry, aTurn.now_)) {
+      !IsFresh(entry, aTurn.now_) || aTurn.now_ < entry.waves_.nextTurn_) {
     return;
   }
+  // Who plans what is a walk over pools and members: not at every tick.
+  entry.waves_.nextTurn_ = aTurn.now_ + kTurnInterval;
   for (const auto& [name, pool] : entry.agreement_.inForce_->config_->pools_) {
     const bool isOurs = pool->scheduler_ == Scheduler::Cuminbridge;
     if (!isOurs || !IsPlanner(entry, name, aTurn.now_)) {
--- a/packages/core/tests/fleet_test.cpp
+++ b/packages/core/tests/fleet_test.cpp
@@ -137,7 +137,9 @@
   RequireNothingBroken(fleet);
 }
 
-TEST_CASE("an entry replaced while the store is down serves again from peers")
+TEST_CASE(
+  "an entry replaced while the store is down has the configuration from "
+  "peers, and joins when the store is back")
 {
   VirtualFleet fleet = MakeFleet(5);
   fleet.isStoreDown_ = true;
