--- /dev/null
+++ b/packages/daemon/src/daemon.cpp
@@ -0,0 +1,310 @@
+// One entry VM's process: listeners, configuration, election, shutdown.
+
+#include "cuminbridge/daemon.h"
+
+#include <csignal>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+
+#include "daemon_log.h"
+#include "intake.h"
+#include "owner.h"
+#include "records.h"
+
+namespace cuminbridge {
+
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr int kExitSettings = 2;
+// A version is in force 2 s after its ack, with some calls lost.
+constexpr Millis kConfigInterval(400);
+// Without the store for this long an entry asks for no new connections.
+constexpr Millis kStoreMissing(1500);
+constexpr Millis kElectionWait(1500); // a silent watch is noticed after it
+constexpr Millis kRetryPause(150);
+constexpr Millis kDrainPause(50);
+// Connections between requests are closed this long after SIGTERM: callers
+// have been told to close them with each answer until then.
+constexpr Millis kCloseIdleAfter(2500);
+constexpr Millis kExitMargin(800); // before SIGKILL
+constexpr std::uint64_t kMaxBody = 256 * 1024; // until a configuration tells
+
+class Daemon
+{
+public:
+  explicit Daemon(PlatformSettings aSettings);
+
+  int Run();
+
+private:
+  Awaitable<void> PollConfig();
+  Awaitable<void> Elect();
+  Awaitable<bool> TakeOwnership(std::int64_t aLease, Instant aLeaseSent);
+  Awaitable<void> ShutDown();
+  void WaitForSignals();
+  Awaitable<HttpAnswer> TellReady(const HttpRequest& aRequest);
+  bool IsReady() const;
+  void Note(const char* aEvent, std::string aDetail);
+
+  SystemClocks clocks_;
+  PlatformSettings settings_;
+  asio::io_context io_{ 1 };
+  asio::signal_set signals_{ io_, SIGTERM, SIGHUP };
+  HttpClient http_{ io_, HttpClientOptions{} };
+  StoreClient store_{ http_, settings_.storeAddress_ };
+  DaemonParts parts_{ io_, clocks_, settings_, http_, store_ };
+  Intake intake_{ parts_ };
+  HttpServer callers_;
+  HttpServer readiness_;
+  std::shared_ptr<Owner> owner_;
+  Instant storeSeen_;
+  std::int64_t configRevision_ = 0;
+  bool isStopping_ = false;
+};
+
+HttpServerOptions
+MakeServerOptions()
+{
+  HttpServerOptions options;
+  options.maxBody_ = kMaxBody;
+  return options;
+}
+
+Daemon::Daemon(PlatformSettings aSettings)
+  : settings_(std::move(aSettings))
+  , callers_(io_,
+             MakeServerOptions(),
+             [this](const HttpRequest& aRequest) {
+               return intake_.Answer(aRequest);
+             })
+  , readiness_(io_,
+               MakeServerOptions(),
+               [this](const HttpRequest& aRequest) {
+                 return TellReady(aRequest);
+               })
+{
+}
+
+void
+Daemon::Note(const char* aEvent, std::string aDetail)
+{
+  WriteLine({ aEvent, "", "", "", std::move(aDetail) }, clocks_.Now());
+}
+
+bool
+Daemon::IsReady() const
+{
+  return !isStopping_ && intake_.Config().version_ > 0 &&
+         clocks_.Now() - storeSeen_ < kStoreMissing;
+}
+
+Awaitable<HttpAnswer>
+Daemon::TellReady(const HttpRequest& aRequest)
+{
+  constexpr int kNotFound = 404;
+  constexpr int kUnavailable = 503;
+  HttpAnswer answer;
+  if (aRequest.path_ != kReadyPath) {
+    answer.status_ = kNotFound;
+  } else if (!IsReady()) {
+    answer.status_ = kUnavailable;
+  }
+  co_return answer;
+}
+
+Awaitable<void>
+Daemon::PollConfig()
+{
+  bool isReached = false;
+  while (!isStopping_) {
+    const auto reply = co_await store_.Get(kConfigKey);
+    const bool isNowReached =
+      reply.IsDone() || reply.status_ == StoreStatus::Missing;
+    if (isNowReached != isReached) {
+      isReached = isNowReached;
+      Note(isReached ? "store_reached" : "store_lost",
+           "status " + std::to_string(static_cast<int>(reply.status_)));
+    }
+    if (isNowReached) {
+      storeSeen_ = clocks_.Now();
+    }
+    if (reply.IsDone() && reply.items_.front().revision_ > configRevision_) {
+      configRevision_ = reply.items_.front().revision_;
+      if (auto config = ReadConfig(reply.items_.front().value_)) {
+        Note("config_seen",
+             "version " + std::to_string(config->version_) + " at " +
+               std::to_string(configRevision_));
+        if (owner_) {
+          owner_->Handle(ConfigSeen{ *config });
+        }
+        intake_.SetConfig(std::move(*config));
+      } else {
+        Note("config_unreadable", "at " + std::to_string(configRevision_));
+      }
+    }
+    co_await Sleep(io_, kConfigInterval);
+  }
+}
+
+Awaitable<bool>
+Daemon::TakeOwnership(std::int64_t aLease, Instant aLeaseSent)
+{
+  const auto term = co_await store_.Get(kTermKey);
+  if (!term.IsDone() && term.status_ != StoreStatus::Missing) {
+    co_return false;
+  }
+  const int number =
+    term.IsDone() ? std::atoi(term.items_.front().value_.c_str()) + 1 : 1;
+  StoreWrite write;
+  write.conditions_.push_back({ kOwnerKey, 0 });
+  write.conditions_.push_back(
+    { kTermKey, term.IsDone() ? term.items_.front().revision_ : 0 });
+  write.puts_.push_back({ kOwnerKey, settings_.name_, aLease });
+  write.puts_.push_back({ kTermKey, std::to_string(number), 0 });
+  write.puts_.push_back({ kChainKey, "0", 0 });
+  const auto reply = co_await store_.Write(write);
+  if (!reply.IsDone() || isStopping_) {
+    co_return false;
+  }
+  Ownership ownership;
+  ownership.token_ = reply.revision_;
+  ownership.lease_ = aLease;
+  ownership.term_ = number;
+  ownership.validUntil_ = aLeaseSent + kOwnerLease;
+  owner_ = std::make_shared<Owner>(parts_, ownership, intake_.Config());
+  intake_.SetOwner(owner_);
+  owner_->Begin();
+  co_return true;
+}
+
+Awaitable<void>
+Daemon::Elect()
+{
+  while (!isStopping_) {
+    if (owner_ && !owner_->HasEnded()) {
+      co_await Sleep(io_, kRetryPause);
+      continue;
+    }
+    if (owner_) {
+      intake_.SetOwner(nullptr);
+      owner_.reset();
+    }
+    const auto current = co_await store_.Get(kOwnerKey);
+    if (current.IsDone()) {
+      co_await store_.Watch(kOwnerKey, current.revision_, kElectionWait);
+      continue;
+    }
+    if (current.status_ != StoreStatus::Missing ||
+        intake_.Config().version_ == 0) {
+      co_await Sleep(io_, kRetryPause);
+      continue;
+    }
+    const auto sent = clocks_.Now();
+    const auto lease = co_await store_.OpenLease(kOwnerLease);
+    if (!lease.IsDone()) {
+      co_await Sleep(io_, kRetryPause);
+      continue;
+    }
+    if (!co_await TakeOwnership(lease.revision_, sent)) {
+      // Also ends a key that an unanswered write may have created.
+      co_await store_.EndLease(lease.revision_);
+    }
+  }
+}
+
+Awaitable<void>
+Daemon::ShutDown()
+{
+  isStopping_ = true;
+  const auto began = clocks_.Now();
+  Note("stopping", "SIGTERM");
+  callers_.BeginDrain();
+  if (owner_ && !owner_->HasEnded()) {
+    co_await owner_->HandOver();
+  }
+  intake_.SetOwner(nullptr);
+  const auto last = began + settings_.stopLimit_ - kExitMargin;
+  while (clocks_.Now() - began < kCloseIdleAfter) {
+    co_await Sleep(io_, kDrainPause);
+  }
+  callers_.CloseIdle();
+  while (!callers_.IsIdle() && clocks_.Now() < last) {
+    co_await Sleep(io_, kDrainPause);
+  }
+  Note("stopped", "");
+  io_.stop();
+}
+
+void
+Daemon::WaitForSignals()
+{
+  signals_.async_wait([this](boost::system::error_code aError, int aSignal) {
+    if (aError) {
+      return;
+    }
+    if (aSignal == SIGTERM) {
+      if (!isStopping_) {
+        asio::co_spawn(io_, ShutDown(), asio::detached);
+      }
+    } else {
+      // All that the settings hold is read at the start of a process.
+      Note("settings_unchanged", "SIGHUP");
+    }
+    WaitForSignals();
+  });
+}
+
+int
+Daemon::Run()
+{
+  StartDaemonLog(settings_.name_);
+  Note("started", settings_.dataCentre_);
+  for (const auto& [server, address] :
+       { std::pair(&callers_, settings_.callerAddress_),
+         std::pair(&readiness_, settings_.readyAddress_) }) {
+    const auto error = server->Open(address);
+    if (!error.empty()) {
+      std::cerr << error << "\n";
+      StopDaemonLog();
+      return 1;
+    }
+  }
+  WaitForSignals();
+  asio::co_spawn(io_, PollConfig(), asio::detached);
+  asio::co_spawn(io_, Elect(), asio::detached);
+  io_.run();
+  StopDaemonLog();
+  return 0;
+}
+
+} // namespace
+
+int
+RunDaemon(const std::string& aSettingsPath)
+{
+  const std::string path =
+    aSettingsPath.empty() ? PlatformSettingsPath() : aSettingsPath;
+  std::ifstream file(path);
+  if (!file) {
+    std::cerr << path << ": can't be opened\n";
+    return kExitSettings;
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  Findings findings;
+  auto settings = ReadPlatformSettings(text.str(), findings);
+  if (!findings.empty()) {
+    std::cerr << path << ": refused\n" << FormatFindings(findings);
+    return kExitSettings;
+  }
+  return Daemon(std::move(settings)).Run();
+}
+
+} // namespace cuminbridge
--- /dev/null
+++ b/packages/daemon/src/records.h
@@ -0,0 +1,31 @@
+// Internal: the project's own keys in the store.
+
+#ifndef cuminbridge_daemon_records_h
+#define cuminbridge_daemon_records_h
+
+#include <string>
+
+namespace cuminbridge {
+
+// Who owns the fleet. Created under the owner's lease; the revision of its
+// creation is the owner's fencing token.
+inline constexpr const char* kOwnerKey = "owner";
+// Counts the owners.
+inline constexpr const char* kTermKey = "term";
+// Changed by each write of the owner, which makes the writes a chain: one that
+// is carried out late finds another revision and does nothing.
+inline constexpr const char* kChainKey = "chain";
+// Jobs and cancellations as callers handed them in: "in/job/ID", "in/cancel/ID".
+inline constexpr const char* kIntakePrefix = "in/";
+inline constexpr const char* kJobPrefix = "in/job/";
+inline constexpr const char* kCancelPrefix = "in/cancel/";
+// What the owner knows of a job: "progress/ID".
+inline constexpr const char* kProgressPrefix = "progress/";
+// VMs of a wave whose upkeep has begun: "upkeep/N".
+inline constexpr const char* kUpkeepPrefix = "upkeep/";
+// Waiting jobs by queue.
+inline constexpr const char* kLoadKey = "load";
+
+} // namespace cuminbridge
+
+#endif // cuminbridge_daemon_records_h
--- /dev/null
+++ b/packages/fleet/src/jobs.cpp
@@ -0,0 +1,425 @@
+// The life of jobs, from the store and back to it.
+
+#include "jobs.h"
+
+#include "runs.h"
+
+namespace cuminbridge {
+
+namespace {
+
+// Rough work of one item, in core-milliseconds.
+double
+WorkOf(const Step& aStep)
+{
+  constexpr double kThousandths = 1000;
+  return static_cast<double>(aStep.needs_.cpu_) / kThousandths *
+         static_cast<double>(aStep.estimate_.count());
+}
+
+int
+OccurrencesOf(const Job& aJob)
+{
+  return std::max(1, aJob.repeats_);
+}
+
+void
+CountStepDone(JobEntry& aJob, Occurrence& aOccurrence)
+{
+  ++aOccurrence.stepsDone_;
+  if (aOccurrence.stepsDone_ == aOccurrence.steps_.size()) {
+    ++aJob.occurrencesDone_;
+  }
+}
+
+Occurrence&
+OpenOccurrence(JobEntry& aJob, int aNumber)
+{
+  auto& occurrence = aJob.occurrences_[aNumber];
+  if (occurrence.steps_.empty()) {
+    occurrence.steps_.resize(aJob.job_.steps_.size());
+    for (std::size_t step = 0; step < occurrence.steps_.size(); ++step) {
+      const auto& spec = aJob.job_.steps_[step];
+      occurrence.steps_[step].items_.resize(
+        static_cast<std::size_t>(spec.count_));
+      aJob.work_ += WorkOf(spec) * spec.count_;
+      if (spec.count_ == 0) {
+        CountStepDone(aJob, occurrence);
+      }
+    }
+  }
+  return occurrence;
+}
+
+void
+MarkItemDone(JobEntry& aJob,
+             Occurrence& aOccurrence,
+             StepState& aStep,
+             const Step& aSpec,
+             ItemState& aItem)
+{
+  aItem.phase_ = ItemPhase::Done;
+  aItem.checkpoint_.clear();
+  aJob.work_ -= WorkOf(aSpec);
+  ++aStep.done_;
+  if (aStep.done_ == aSpec.count_) {
+    CountStepDone(aJob, aOccurrence);
+  }
+}
+
+// What the owner before has stored of one item.
+void
+RestoreItem(FleetState& aState, JobEntry& aJob, const ItemProgress& aFrom)
+{
+  if (aFrom.occurrence_ < 0 ||
+      aFrom.occurrence_ >= OccurrencesOf(aJob.job_) || aFrom.step_ < 0 ||
+      static_cast<std::size_t>(aFrom.step_) >= aJob.job_.steps_.size()) {
+    return;
+  }
+  auto& occurrence = OpenOccurrence(aJob, aFrom.occurrence_);
+  auto& step = occurrence.steps_[static_cast<std::size_t>(aFrom.step_)];
+  const auto& spec = aJob.job_.steps_[static_cast<std::size_t>(aFrom.step_)];
+  if (aFrom.index_ < 0 || aFrom.index_ >= spec.count_) {
+    return;
+  }
+  auto& item = step.items_[static_cast<std::size_t>(aFrom.index_)];
+  item.failures_ = aFrom.failures_;
+  item.run_ = aFrom.run_;
+  item.checkpoint_ = aFrom.checkpoint_;
+  if (spec.isGang_) {
+    step.gangFailures_ = std::max(step.gangFailures_, aFrom.failures_);
+  }
+  if (aFrom.isDone_) {
+    MarkItemDone(aJob, occurrence, step, spec, item);
+    return;
+  }
+  if (aFrom.target_.empty()) {
+    return;
+  }
+  auto& target = aState.targets_[aFrom.target_];
+  target.report_.id_ = aFrom.target_;
+  Run run;
+  run.item_ = { aJob.job_.id_, aFrom.occurrence_, aFrom.step_, aFrom.index_ };
+  run.run_ = aFrom.run_;
+  run.phase_ = RunPhase::Running;
+  run.isPresumed_ = true;
+  run.sentAt_ = aState.now_;
+  AddRun(aState, target, std::move(run));
+}
+
+void
+RestoreJob(FleetState& aState, JobEntry& aJob, const Progress& aProgress)
+{
+  aJob.stored_ = aProgress.state_;
+  aJob.state_ = aProgress.state_;
+  if (aJob.HasEnded()) {
+    aJob.ended_ = aState.now_;
+    return;
+  }
+  for (const auto& item : aProgress.items_) {
+    RestoreItem(aState, aJob, item);
+  }
+}
+
+JobEntry&
+InsertJob(FleetState& aState, const Job& aJob)
+{
+  auto entry = std::make_unique<JobEntry>();
+  entry->job_ = aJob;
+  entry->arrived_ = aState.now_;
+  auto& slot = aState.jobs_[aJob.id_];
+  slot = std::move(entry);
+  return *slot;
+}
+
+Progress
+ProgressOf(const FleetState& aState, const JobEntry& aJob)
+{
+  Progress progress;
+  progress.state_ = aJob.state_;
+  progress.changed_ = aState.TimeOfDay();
+  if (aJob.HasEnded()) {
+    return progress;
+  }
+  for (const auto& [number, occurrence] : aJob.occurrences_) {
+    for (std::size_t step = 0; step < occurrence.steps_.size(); ++step) {
+      const auto& items = occurrence.steps_[step].items_;
+      for (std::size_t index = 0; index < items.size(); ++index) {
+        const auto& item = items[index];
+        if (item.phase_ == ItemPhase::Waiting && item.run_ == 0) {
+          continue;
+        }
+        ItemProgress row;
+        row.occurrence_ = number;
+        row.step_ = static_cast<int>(step);
+        row.index_ = static_cast<int>(index);
+        row.isDone_ = item.phase_ == ItemPhase::Done;
+        row.failures_ = aJob.job_.steps_[step].isGang_
+                          ? occurrence.steps_[step].gangFailures_
+                          : item.failures_;
+        row.run_ = item.run_;
+        row.checkpoint_ = item.checkpoint_;
+        if (item.phase_ == ItemPhase::Assigned) {
+          row.target_ = item.target_;
+        }
+        progress.items_.push_back(std::move(row));
+      }
+    }
+  }
+  return progress;
+}
+
+} // namespace
+
+ItemRef
+FindItem(FleetState& aState, const ItemName& aName)
+{
+  ItemRef ref;
+  const auto job = aState.jobs_.find(aName.job_);
+  if (job == aState.jobs_.end()) {
+    return ref;
+  }
+  auto& entry = *job->second;
+  const auto step = static_cast<std::size_t>(aName.step_);
+  if (aName.occurrence_ >= OccurrencesOf(entry.job_) ||
+      step >= entry.job_.steps_.size() ||
+      aName.index_ >= entry.job_.steps_[step].count_) {
+    return ref;
+  }
+  auto& occurrence = OpenOccurrence(entry, aName.occurrence_);
+  ref.job_ = &entry;
+  ref.spec_ = &entry.job_.steps_[step];
+  ref.step_ = &occurrence.steps_[step];
+  ref.item_ = &ref.step_->items_[static_cast<std::size_t>(aName.index_)];
+  return ref;
+}
+
+const std::string&
+PoolOf(const FleetState& aState, const JobEntry& aJob)
+{
+  const auto* queue = FindQueueByName(aState.config_, aJob.job_.queue_);
+  return queue ? queue->pool_ : aJob.job_.pool_;
+}
+
+void
+LoadJobs(FleetState& aState, const JobsLoaded& aLoaded)
+{
+  aState.hasJobs_ = true;
+  aState.term_ = aLoaded.term_;
+  aState.loadedUpkeeps_ = aLoaded.upkeepDone_;
+  for (const auto& job : aLoaded.jobs_) {
+    auto& entry = InsertJob(aState, job);
+    entry.wasLoaded_ = true;
+    const auto progress = aLoaded.progress_.find(job.id_);
+    if (progress != aLoaded.progress_.end()) {
+      RestoreJob(aState, entry, progress->second);
+    }
+    if (entry.HasEnded()) {
+      continue;
+    }
+    aState.active_.insert(job.id_);
+    OpenOccurrences(aState, entry);
+    if (entry.occurrencesDone_ == OccurrencesOf(job)) {
+      EndJob(aState, entry, JobState::Completed);
+    }
+  }
+  for (const auto& job : aLoaded.cancelled_) {
+    CancelJob(aState, job);
+  }
+  aState.Log("jobs_loaded",
+             "",
+             "",
+             "",
+             std::to_string(aLoaded.jobs_.size()) + " jobs, " +
+               std::to_string(aState.active_.size()) + " not ended");
+}
+
+void
+AddJob(FleetState& aState, const Job& aJob)
+{
+  if (aState.jobs_.count(aJob.id_) != 0) {
+    return;
+  }
+  auto& entry = InsertJob(aState, aJob);
+  aState.active_.insert(aJob.id_);
+  OpenOccurrences(aState, entry);
+  aState.dirtyPools_.insert(PoolOf(aState, entry));
+}
+
+void
+CancelJob(FleetState& aState, const std::string& aJob)
+{
+  const auto found = aState.jobs_.find(aJob);
+  if (found == aState.jobs_.end() || found->second->HasEnded()) {
+    return;
+  }
+  EndJob(aState, *found->second, JobState::Cancelled);
+}
+
+void
+OpenOccurrences(FleetState& aState, JobEntry& aJob)
+{
+  const auto& job = aJob.job_;
+  if (job.repeats_ <= 0) {
+    OpenOccurrence(aJob, 0);
+    return;
+  }
+  const auto now = aState.TimeOfDay();
+  for (; aJob.nextOccurrence_ < job.repeats_; ++aJob.nextOccurrence_) {
+    if (job.firstRun_ + aJob.nextOccurrence_ * job.interval_ > now) {
+      return;
+    }
+    OpenOccurrence(aJob, aJob.nextOccurrence_);
+    aState.dirtyPools_.insert(PoolOf(aState, aJob));
+  }
+}
+
+void
+MarkDirty(FleetState& aState, JobEntry& aJob)
+{
+  aJob.isDirty_ = true;
+  aState.dirtyJobs_.insert(aJob.job_.id_);
+}
+
+void
+EndJob(FleetState& aState, JobEntry& aJob, JobState aHow)
+{
+  aJob.state_ = aHow;
+  aJob.ended_ = aState.now_;
+  aState.active_.erase(aJob.job_.id_);
+  aState.isUrgent_ = true;
+  ++aState.counts_.jobsEnded_;
+  MarkDirty(aState, aJob);
+  StopJob(aState, aJob, "job ended");
+  static const char* const kNames[] = {
+    "queued", "serving", "completed", "failed", "cancelled"
+  };
+  aState.Log("job_ended",
+             aJob.job_.id_,
+             "",
+             "",
+             std::string(kNames[static_cast<int>(aHow)]) + " after " +
+               std::to_string((aState.now_ - aJob.arrived_).count()) + " ms");
+}
+
+void
+FinishItem(FleetState& aState, const ItemName& aName, ItemRef aRef)
+{
+  auto& entry = *aRef.job_;
+  if (entry.HasEnded() || aRef.item_->phase_ == ItemPhase::Done) {
+    return;
+  }
+  auto& occurrence = entry.occurrences_[aName.occurrence_];
+  MarkItemDone(entry, occurrence, *aRef.step_, *aRef.spec_, *aRef.item_);
+  if (aRef.spec_->isGang_) {
+    // The end of one member stands for all of them.
+    for (auto& item : aRef.step_->items_) {
+      if (item.phase_ != ItemPhase::Done) {
+        MarkItemDone(entry, occurrence, *aRef.step_, *aRef.spec_, item);
+      }
+    }
+  }
+  ++aState.counts_.done_;
+  MarkDirty(aState, entry);
+  aState.dirtyPools_.insert(PoolOf(aState, entry));
+  if (entry.occurrencesDone_ == OccurrencesOf(entry.job_)) {
+    EndJob(aState, entry, JobState::Completed);
+  }
+}
+
+void
+FailItem(FleetState& aState,
+         const ItemName& aName,
+         ItemRef aRef,
+         std::int64_t aRun)
+{
+  auto& entry = *aRef.job_;
+  ++aState.counts_.failed_;
+  if (entry.HasEnded()) {
+    return;
+  }
+  MarkDirty(aState, entry);
+  int failures = ++aRef.item_->failures_;
+  if (aRef.spec_->isGang_) {
+    if (aRef.step_->gangFailedRun_ != aRun) {
+      aRef.step_->gangFailedRun_ = aRun;
+      ++aRef.step_->gangFailures_;
+    }
+    failures = aRef.step_->gangFailures_;
+  }
+  if (!aRef.spec_->isLasting_ && failures >= entry.job_.attempts_) {
+    aState.Log("attempts_used_up",
+               aName.job_,
+               FormatItem(aName),
+               aRef.item_->avoid_,
+               std::to_string(failures) + " failed runs");
+    EndJob(aState, entry, JobState::Failed);
+  }
+}
+
+void
+StoreChanges(FleetState& aState)
+{
+  if (aState.batch_ != 0 || aState.dirtyJobs_.empty() ||
+      (aState.now_ < aState.nextStore_ && !aState.isUrgent_)) {
+    return;
+  }
+  StoreProgress effect;
+  aState.batch_ = effect.batch_ = ++aState.lastBatch_;
+  aState.batchStates_.clear();
+  for (const auto& id : aState.dirtyJobs_) {
+    auto& job = *aState.jobs_[id];
+    job.isDirty_ = false;
+    aState.batchStates_.emplace_back(id, job.state_);
+    effect.jobs_.emplace_back(id, ProgressOf(aState, job));
+  }
+  for (auto& [id, target] : aState.targets_) {
+    target.endsInBatch_ = target.endsTaken_;
+  }
+  aState.dirtyJobs_.clear();
+  aState.isUrgent_ = false;
+  aState.nextStore_ = aState.now_ + aState.options_.storeInterval_;
+  aState.Emit(std::move(effect));
+}
+
+void
+TakeStored(FleetState& aState, std::uint64_t aBatch)
+{
+  if (aBatch != aState.batch_) {
+    return;
+  }
+  aState.batch_ = 0;
+  for (const auto& [id, state] : aState.batchStates_) {
+    const auto job = aState.jobs_.find(id);
+    if (job != aState.jobs_.end()) {
+      job->second->stored_ = state;
+    }
+  }
+  for (auto& [id, target] : aState.targets_) {
+    target.endsStored_ = std::max(target.endsStored_, target.endsInBatch_);
+  }
+}
+
+void
+ForgetOldJobs(FleetState& aState)
+{
+  constexpr std::size_t kAtOnce = 10; // three records each, in one write
+  ForgetJobs effect;
+  for (const auto& [id, job] : aState.jobs_) {
+    if (job->HasEnded() && !job->isDirty_ && job->stored_ == job->state_ &&
+        aState.now_ - job->ended_ > aState.options_.keepEnded_) {
+      effect.jobs_.push_back(id);
+      if (effect.jobs_.size() == kAtOnce) {
+        break;
+      }
+    }
+  }
+  for (const auto& id : effect.jobs_) {
+    aState.jobs_.erase(id);
+  }
+  if (!effect.jobs_.empty()) {
+    aState.Emit(std::move(effect));
+  }
+}
+
+} // namespace cuminbridge
--- /dev/null
+++ b/packages/fleet/src/jobs.h
@@ -0,0 +1,37 @@
+// Internal: the life of jobs, from the store and back to it.
+
+#ifndef cuminbridge_fleet_jobs_h
+#define cuminbridge_fleet_jobs_h
+
+#include "state.h"
+
+namespace cuminbridge {
+
+void LoadJobs(FleetState& aState, const JobsLoaded& aLoaded);
+void AddJob(FleetState& aState, const Job& aJob);
+void CancelJob(FleetState& aState, const std::string& aJob);
+
+// The pool that serves a job now.
+const std::string& PoolOf(const FleetState& aState, const JobEntry& aJob);
+
+// Creates the occurrences whose time has come. Returns when the next is due.
+void OpenOccurrences(FleetState& aState, JobEntry& aJob);
+
+void MarkDirty(FleetState& aState, JobEntry& aJob);
+void EndJob(FleetState& aState, JobEntry& aJob, JobState aHow);
+
+// One item has ended well, or badly by its own fault.
+void FinishItem(FleetState& aState, const ItemName& aName, ItemRef aRef);
+void FailItem(FleetState& aState,
+              const ItemName& aName,
+              ItemRef aRef,
+              std::int64_t aRun);
+
+// Writes what changed, if it is time.
+void StoreChanges(FleetState& aState);
+void TakeStored(FleetState& aState, std::uint64_t aBatch);
+void ForgetOldJobs(FleetState& aState);
+
+} // namespace cuminbridge
+
+#endif // cuminbridge_fleet_jobs_h
--- /dev/null
+++ b/packages/fleet/src/reducer.cpp
@@ -0,0 +1,172 @@
+// The reducer: one event in, effects out.
+
+#include "cuminbridge/fleet.h"
+
+#include <utility>
+
+#include "dispatch.h"
+#include "jobs.h"
+#include "pacing.h"
+#include "runs.h"
+#include "state.h"
+#include "targets.h"
+#include "vms.h"
+
+namespace cuminbridge {
+
+namespace {
+
+constexpr Millis kSweepInterval(100); // between looks at all pools
+
+void
+TakeAdvice(FleetState& aState, const AdviceAnswered& aAnswer)
+{
+  // A step's name is an item's without its index.
+  const auto name = ParseItem(aAnswer.step_ + ".0");
+  const auto ref = name ? FindItem(aState, *name) : ItemRef{};
+  if (!ref.step_) {
+    return;
+  }
+  constexpr Millis kMargin(500);  // a ticket is used before its last moments
+  constexpr Millis kRetry(150);   // after a question without an answer
+  constexpr Millis kRefusal(60000); // which targets may run a step never changes
+  ref.step_->isAsking_ = false;
+  if (!aAnswer.isAnswered_) {
+    ref.step_->askAfter_ = aState.now_ + kRetry;
+    return;
+  }
+  for (const auto& target : aAnswer.asked_) {
+    ref.step_->tickets_[target] = { "", aState.now_ + kRefusal };
+  }
+  for (const auto& [target, ticket] : aAnswer.allowed_) {
+    ref.step_->tickets_[target] = {
+      ticket, aState.now_ + std::max(kMargin, aAnswer.validity_ - kMargin)
+    };
+  }
+  aState.dirtyPools_.insert(PoolOf(aState, *ref.job_));
+}
+
+void
+TakeTick(FleetState& aState, const Tick& aTick)
+{
+  aState.timeOfDay_ = aTick.timeOfDay_;
+  aState.timeOfDayAt_ = aState.now_;
+  aState.mayOrderVms_ = aTick.mayOrderVms_;
+  if (aState.now_ < aState.nextSweep_) {
+    return;
+  }
+  aState.nextSweep_ = aState.now_ + kSweepInterval;
+  for (const auto& id : aState.active_) {
+    OpenOccurrences(aState, *aState.jobs_[id]);
+    aState.dirtyPools_.insert(PoolOf(aState, *aState.jobs_[id]));
+  }
+  Evacuate(aState);
+  PlanVms(aState);
+  PaceFillers(aState);
+  ForgetOldJobs(aState);
+}
+
+struct Reducer
+{
+  FleetState& state_;
+
+  void operator()(const JobsLoaded& aEvent) { LoadJobs(state_, aEvent); }
+  void operator()(const JobArrived& aEvent) { AddJob(state_, aEvent.job_); }
+  void operator()(const JobCancelled& aEvent)
+  {
+    CancelJob(state_, aEvent.job_);
+  }
+  void operator()(const ConfigSeen& aEvent)
+  {
+    if (aEvent.config_.version_ > state_.config_.version_) {
+      state_.config_ = aEvent.config_;
+      for (const auto& pool : state_.config_.pools_) {
+        state_.dirtyPools_.insert(pool.name_);
+      }
+    }
+  }
+  void operator()(const TargetsSeen& aEvent) { TakeTargets(state_, aEvent); }
+  void operator()(const VmsSeen& aEvent) { TakeVms(state_, aEvent); }
+  void operator()(const WavesSeen& aEvent) { TakeWaves(state_, aEvent); }
+  void operator()(const StartAnswered& aEvent) { TakeStart(state_, aEvent); }
+  void operator()(const StopAnswered& aEvent) { TakeStop(state_, aEvent); }
+  void operator()(const HoldAnswered& aEvent) { TakeHold(state_, aEvent); }
+  void operator()(const AdviceAnswered& aEvent) { TakeAdvice(state_, aEvent); }
+  void operator()(const VmOrderAnswered& aEvent)
+  {
+    TakeVmOrder(state_, aEvent);
+  }
+  void operator()(const ProgressStored& aEvent)
+  {
+    TakeStored(state_, aEvent.batch_);
+  }
+  void operator()(const Tick& aEvent) { TakeTick(state_, aEvent); }
+};
+
+} // namespace
+
+Fleet::Fleet(FleetOptions aOptions, Instant aNow)
+  : state_(std::make_unique<FleetState>())
+{
+  state_->options_ = aOptions;
+  state_->began_ = aNow;
+  state_->now_ = aNow;
+}
+
+Fleet::~Fleet() = default;
+
+void
+Fleet::Handle(const Event& aEvent, Instant aNow)
+{
+  state_->now_ = std::max(state_->now_, aNow);
+  std::visit(Reducer{ *state_ }, aEvent);
+  Dispatch(*state_);
+  KeepContact(*state_);
+  StoreChanges(*state_);
+}
+
+std::vector<Effect>
+Fleet::TakeEffects()
+{
+  return std::exchange(state_->effects_, {});
+}
+
+std::optional<JobState>
+Fleet::StoredState(const std::string& aJob) const
+{
+  const auto job = state_->jobs_.find(aJob);
+  if (job == state_->jobs_.end()) {
+    return std::nullopt;
+  }
+  const auto& entry = *job->second;
+  if (!entry.stored_) {
+    return JobState::Queued;
+  }
+  return entry.HasEnded() ? *entry.stored_ : entry.state_;
+}
+
+std::vector<QueueLoad>
+Fleet::Loads() const
+{
+  std::map<std::string, QueueLoad> loads;
+  for (const auto& id : state_->active_) {
+    const auto& job = *state_->jobs_.at(id);
+    if (job.state_ == JobState::Queued && job.job_.repeats_ == 0) {
+      ++loads[job.job_.queue_].waiting_;
+    }
+  }
+  std::vector<QueueLoad> rows;
+  for (auto& [queue, load] : loads) {
+    load.queue_ = queue;
+    rows.push_back(load);
+  }
+  return rows;
+}
+
+const FleetCounts&
+Fleet::Counts() const
+{
+  return state_->counts_;
+}
+
+} // namespace cuminbridge
--- /dev/null
+++ b/packages/fleet/src/runs.cpp
@@ -0,0 +1,302 @@
+// Runs on targets, from start to end.
+
+#include "runs.h"
+
+#include <algorithm>
+
+#include "jobs.h"
+
+namespace cuminbridge {
+
+namespace {
+
+constexpr double kSlowestClock = 1.02; // a target's clock may be 2% slow
+// Runs of an owner are numbered above all that the owners before it gave out;
+// no item is started this often under one owner.
+constexpr std::int64_t kRunsOfTerm = 256;
+constexpr Millis kRefusedPause(300); // before the next start on that target
+constexpr Millis kUnhealthyPause(1000);
+
+std::int64_t
+LowestRun(const FleetState& aState)
+{
+  return (aState.term_ - 1) * kRunsOfTerm;
+}
+
+// Ties the item to its run; false if the item can have no run.
+void
+Assign(FleetState& aState, const Run& aRun, Target& aTarget)
+{
+  const auto ref = FindItem(aState, aRun.item_);
+  if (!ref.item_ || ref.item_->phase_ != ItemPhase::Waiting) {
+    return;
+  }
+  ref.item_->phase_ = ItemPhase::Assigned;
+  ref.item_->run_ = aRun.run_;
+  ref.item_->target_ = aTarget.report_.id_;
+  ++ref.step_->assigned_;
+  if (!ref.job_->HasEnded()) {
+    ref.job_->state_ = JobState::Serving;
+    MarkDirty(aState, *ref.job_);
+  }
+}
+
+} // namespace
+
+std::int64_t
+ClockOf(const FleetState& aState, const Target& aTarget)
+{
+  const auto elapsed =
+    static_cast<double>((aState.now_ - aTarget.clockAt_).count());
+  return aTarget.clockMs_ + static_cast<std::int64_t>(elapsed / kSlowestClock);
+}
+
+void
+TakeClock(FleetState& aState, Target& aTarget, std::int64_t aClockMs)
+{
+  if (aClockMs > 0 &&
+      (aTarget.clockMs_ == 0 || aClockMs > ClockOf(aState, aTarget))) {
+    aTarget.clockMs_ = aClockMs;
+    aTarget.clockAt_ = aState.now_;
+  }
+}
+
+Run*
+FindRun(Target& aTarget, const ItemName& aItem, std::int64_t aRun)
+{
+  for (auto& run : aTarget.runs_) {
+    if (run.run_ == aRun && run.item_ == aItem) {
+      return &run;
+    }
+  }
+  return nullptr;
+}
+
+Run&
+AddRun(FleetState& aState, Target& aTarget, Run aRun)
+{
+  const auto ref = FindItem(aState, aRun.item_);
+  if (ref.spec_) {
+    aRun.needs_ = ref.spec_->needs_;
+    if (ref.spec_->isFiller_) {
+      aRun.needs_.cpu_ = 0; // it takes what the others leave
+    }
+    aRun.account_ = ref.job_->job_.account_;
+    aRun.isLasting_ = ref.spec_->isLasting_;
+    aRun.isFiller_ = ref.spec_->isFiller_;
+    aRun.targetLatency_ = ref.spec_->targetLatency_;
+    auto& sum = aState.running_[aRun.account_];
+    sum += ref.spec_->needs_;
+  }
+  aTarget.used_ += aRun.needs_;
+  Assign(aState, aRun, aTarget);
+  aTarget.runs_.push_back(std::move(aRun));
+  return aTarget.runs_.back();
+}
+
+void
+Start(FleetState& aState,
+      const ItemName& aItem,
+      ItemRef aRef,
+      Target& aTarget,
+      std::int64_t aRun,
+      std::string aTicket)
+{
+  Run run;
+  run.item_ = aItem;
+  run.run_ = std::max(aRun, LowestRun(aState) + 1);
+  run.sentAt_ = aState.now_;
+  aTarget.leaseUntil_ =
+    std::max(aTarget.leaseUntil_,
+             ClockOf(aState, aTarget) + aState.options_.targetLease_.count());
+  StartRun effect;
+  effect.target_ = aTarget.report_.id_;
+  effect.address_ = aTarget.report_.address_;
+  effect.item_ = aItem;
+  effect.run_ = run.run_;
+  effect.spec_ = aRef.job_->job_.spec_;
+  effect.checkpoint_ = aRef.item_->checkpoint_;
+  effect.ticket_ = std::move(aTicket);
+  effect.leaseUntil_ = aTarget.leaseUntil_;
+  AddRun(aState, aTarget, std::move(run));
+  ++aState.counts_.starts_;
+  aState.Emit(std::move(effect));
+}
+
+void
+ReleaseRun(FleetState& aState,
+           Target& aTarget,
+           const ItemName& aItem,
+           std::int64_t aRun)
+{
+  const auto found =
+    std::find_if(aTarget.runs_.begin(), aTarget.runs_.end(), [&](const Run& r) {
+      return r.run_ == aRun && r.item_ == aItem;
+    });
+  if (found == aTarget.runs_.end()) {
+    return;
+  }
+  const Run run = std::move(*found);
+  aTarget.runs_.erase(found);
+  aTarget.used_ -= run.needs_;
+  if (aTarget.runs_.empty()) {
+    aTarget.idleSince_ = aState.now_;
+  }
+  aState.dirtyPools_.insert(aTarget.report_.pool_);
+  const auto ref = FindItem(aState, run.item_);
+  if (!ref.item_) {
+    return;
+  }
+  aState.running_[run.account_] -= ref.spec_->needs_;
+  if (ref.item_->phase_ == ItemPhase::Assigned && ref.item_->run_ == aRun &&
+      ref.item_->target_ == aTarget.report_.id_) {
+    ref.item_->phase_ = ItemPhase::Waiting;
+    ref.item_->target_.clear();
+    --ref.step_->assigned_;
+    if (!run.checkpoint_.empty()) {
+      ref.item_->checkpoint_ = run.checkpoint_;
+    }
+    aState.dirtyPools_.insert(PoolOf(aState, *ref.job_));
+    if (!ref.job_->HasEnded()) {
+      MarkDirty(aState, *ref.job_);
+    }
+  }
+}
+
+void
+ReleaseAll(FleetState& aState, Target& aTarget, const char* aWhy)
+{
+  while (!aTarget.runs_.empty()) {
+    const Run run = aTarget.runs_.back();
+    aState.Log("run_lost",
+               run.item_.job_,
+               FormatItem(run.item_),
+               aTarget.report_.id_,
+               aWhy);
+    ++aState.counts_.lost_;
+    ReleaseRun(aState, aTarget, run.item_, run.run_);
+  }
+}
+
+void
+Stop(FleetState& aState, Target& aTarget, Run& aRun, const char* aWhy)
+{
+  if (aRun.phase_ != RunPhase::Stopping) {
+    aState.Log("run_stopped",
+               aRun.item_.job_,
+               FormatItem(aRun.item_),
+               aTarget.report_.id_,
+               aWhy);
+  }
+  aRun.phase_ = RunPhase::Stopping;
+  aRun.stopSentAt_ = aState.now_;
+  aState.Emit(StopRun{
+    aTarget.report_.id_, aTarget.report_.address_, aRun.item_, aRun.run_ });
+}
+
+void
+StopJob(FleetState& aState, const JobEntry& aJob, const char* aWhy)
+{
+  for (const auto& [number, occurrence] : aJob.occurrences_) {
+    for (std::size_t step = 0; step < occurrence.steps_.size(); ++step) {
+      const auto& items = occurrence.steps_[step].items_;
+      for (std::size_t index = 0; index < items.size(); ++index) {
+        if (items[index].target_.empty()) {
+          continue;
+        }
+        auto& target = aState.targets_[items[index].target_];
+        const ItemName name{ aJob.job_.id_,
+                             number,
+                             static_cast<int>(step),
+                             static_cast<int>(index) };
+        auto* run = FindRun(target, name, items[index].run_);
+        if (run && run->phase_ != RunPhase::Stopping) {
+          Stop(aState, target, *run, aWhy);
+        }
+      }
+    }
+  }
+}
+
+void
+TakeStart(FleetState& aState, const StartAnswered& aAnswer)
+{
+  const auto found = aState.targets_.find(aAnswer.target_);
+  if (found == aState.targets_.end()) {
+    return;
+  }
+  auto& target = found->second;
+  TakeClock(aState, target, aAnswer.clockMs_);
+  auto* run = FindRun(target, aAnswer.item_, aAnswer.run_);
+  if (!run) {
+    return;
+  }
+  if (aAnswer.outcome_ == StartOutcome::Started) {
+    run->confirmedAt_ = aState.now_;
+    if (run->phase_ == RunPhase::Starting) {
+      run->phase_ = RunPhase::Running;
+    }
+    return;
+  }
+  ++aState.counts_.startsRefused_;
+  static const char* const kNames[] = { "started",    "fenced",     "old run",
+                                        "too late",   "no room",    "bad ticket",
+                                        "rejected",   "other life", "not sent",
+                                        "no answer" };
+  aState.Log("start_not_taken",
+             aAnswer.item_.job_,
+             FormatItem(aAnswer.item_),
+             aAnswer.target_,
+             kNames[static_cast<int>(aAnswer.outcome_)]);
+  if (aAnswer.outcome_ == StartOutcome::Unknown) {
+    // It may still be carried out. An answered stop rules that out.
+    Stop(aState, target, *run, "start not answered");
+    return;
+  }
+  ReleaseRun(aState, target, aAnswer.item_, aAnswer.run_);
+  const auto ref = FindItem(aState, aAnswer.item_);
+  switch (aAnswer.outcome_) {
+    case StartOutcome::Fenced:
+      aState.Emit(Abdicate{});
+      break;
+    case StartOutcome::BadTicket:
+      if (ref.step_) {
+        ref.step_->tickets_.erase(aAnswer.target_);
+      }
+      break;
+    case StartOutcome::OtherLife:
+      target.isGone_ = true;
+      ReleaseAll(aState, target, "another process at its address");
+      break;
+    case StartOutcome::Rejected:
+      target.avoidUntil_ = aState.now_ + kUnhealthyPause;
+      break;
+    case StartOutcome::TooLate:
+    case StartOutcome::NotSent:
+      target.contact_ = Contact::Unseen;
+      target.nextHold_ = aState.now_;
+      break;
+    case StartOutcome::NoRoom:
+      target.avoidUntil_ = aState.now_ + kRefusedPause;
+      target.contact_ = Contact::Unseen;
+      target.nextHold_ = aState.now_;
+      break;
+    default:
+      break;
+  }
+}
+
+void
+TakeStop(FleetState& aState, const StopAnswered& aAnswer)
+{
+  const auto found = aState.targets_.find(aAnswer.target_);
+  if (found == aState.targets_.end()) {
+    return;
+  }
+  auto* run = FindRun(found->second, aAnswer.item_, aAnswer.run_);
+  if (run && aAnswer.isDone_ && !run->stoppedAt_) {
+    run->stoppedAt_ = aState.now_;
+  }
+}
+
+} // namespace cuminbridge
--- /dev/null
+++ b/packages/fleet/src/state.h
@@ -0,0 +1,253 @@
+// Internal: what a Fleet knows.
+
+#ifndef cuminbridge_fleet_state_h
+#define cuminbridge_fleet_state_h
+
+#include "cuminbridge/fleet.h"
+
+namespace cuminbridge {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Jobs
+//-----------------------------------------------------------------------------
+
+enum class ItemPhase
+{
+  Waiting,  // for its step's turn, or for room
+  Assigned, // a run of it is, or may be, on a target
+  Done,
+};
+
+struct ItemState
+{
+  ItemPhase phase_ = ItemPhase::Waiting;
+  int failures_ = 0;
+  std::int64_t run_ = 0; // highest given out
+  std::string checkpoint_;
+  std::string target_;             // while Assigned
+  std::string avoid_;              // target where it failed last
+  Instant notBefore_;              // its next start
+};
+
+struct Ticket
+{
+  std::string text_;
+  Instant validUntil_;
+};
+
+struct StepState
+{
+  std::vector<ItemState> items_;
+  int done_ = 0;
+  int assigned_ = 0;
+  int gangFailures_ = 0;
+  std::int64_t gangFailedRun_ = 0; // a gang's failure counts once for each run
+  // Advice, by target. An empty text says that the target is not allowed.
+  std::map<std::string, Ticket> tickets_;
+  bool isAsking_ = false;
+  Instant askAfter_;
+};
+
+struct Occurrence
+{
+  std::vector<StepState> steps_;
+  std::size_t stepsDone_ = 0;
+};
+
+struct JobEntry
+{
+  Job job_;
+  JobState state_ = JobState::Queued;
+  std::optional<JobState> stored_; // what the store is known to hold
+  bool isDirty_ = false;
+  bool wasLoaded_ = false; // accepted before this owner began
+  std::map<int, Occurrence> occurrences_;
+  int nextOccurrence_ = 0; // first that is not open yet
+  int occurrencesDone_ = 0;
+  Instant arrived_;
+  Instant ended_;
+  double work_ = 0; // estimated, in core-milliseconds, of what is not done
+
+  bool HasEnded() const
+  {
+    return state_ == JobState::Completed || state_ == JobState::Failed ||
+           state_ == JobState::Cancelled;
+  }
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] Targets
+//-----------------------------------------------------------------------------
+
+enum class RunPhase
+{
+  Starting, // the start is not answered
+  Running,
+  Stopping, // a stop was sent
+};
+
+struct Run
+{
+  ItemName item_;
+  std::int64_t run_ = 0;
+  RunPhase phase_ = RunPhase::Starting;
+  bool isPresumed_ = false; // by the stored record of the owner before
+  Resources needs_;
+  std::string account_;
+  bool isLasting_ = false;
+  bool isFiller_ = false;
+  Millis targetLatency_{ 0 };
+  Instant sentAt_;
+  std::optional<Instant> confirmedAt_; // the target answered or listed it
+  Instant stopSentAt_;
+  std::optional<Instant> stoppedAt_; // the stop was answered
+  int percent_ = 0;
+  std::string checkpoint_;
+  std::int64_t usage_ = 0;
+  int pace_ = 100;
+  Instant pacedAt_;
+};
+
+enum class Contact
+{
+  Unseen, // has not told what runs there
+  Good,
+  Silent,
+};
+
+struct Target
+{
+  TargetReport report_;
+  bool isListed_ = false;
+  bool isGone_ = false; // its process has ended
+  Contact contact_ = Contact::Unseen;
+  std::int64_t born_ = 0;
+
+  // Its clock was at least clockMs_ at clockAt_.
+  std::int64_t clockMs_ = 0;
+  Instant clockAt_;
+  std::int64_t leaseUntil_ = 0; // latest sent, on its clock
+
+  std::vector<Run> runs_;
+  Resources used_;
+
+  bool isHolding_ = false; // a renewal is on its way
+  Instant nextHold_;
+  std::int64_t endsTaken_ = 0;  // ends up to here are applied
+  std::int64_t endsStored_ = 0; // ... and in the store
+  std::int64_t endsTold_ = 0;   // ... and told to the target
+  std::int64_t endsInBatch_ = 0;
+
+  Instant avoidUntil_;
+  Instant idleSince_;
+  Instant leavingUntil_;  // an order for its VM is on its way
+  bool isCordoned_ = false; // a wave wants it empty
+  Instant cordonedAt_;
+  int failuresInRow_ = 0; // runs that failed there, with no success between
+
+  bool IsUsable(Instant aNow) const
+  {
+    return isListed_ && !isGone_ && contact_ == Contact::Good &&
+           !report_.isDraining_ && !isCordoned_ && avoidUntil_ <= aNow &&
+           leavingUntil_ <= aNow;
+  }
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] VMs and waves
+//-----------------------------------------------------------------------------
+
+struct VmOrder
+{
+  bool isUpkeep_ = false;
+  std::int64_t wave_ = 0;
+  std::string pool_; // where it moves to
+  Instant sentAt_;
+  std::optional<Instant> doneAt_;
+  bool isAnswered_ = false;
+};
+
+struct WaveState
+{
+  Wave wave_;
+  Instant seenAt_;
+  std::set<std::string> done_; // upkeep has begun
+  std::map<std::string, Instant> down_; // VM and since when
+  bool isCompleted_ = false;
+  bool isTold_ = false; // its status is written
+};
+
+//-----------------------------------------------------------------------------
+// [SECTION] The fleet
+//-----------------------------------------------------------------------------
+
+struct FleetState
+{
+  FleetOptions options_;
+  Instant began_;
+  Instant now_;
+  WallTime timeOfDay_;
+  Instant timeOfDayAt_;
+  bool mayOrderVms_ = false;
+  bool hasJobs_ = false;    // JobsLoaded has come
+  bool hasTargets_ = false; // TargetsSeen has come
+  bool isLooking_ = true;   // some listed target has not been asked yet
+  int term_ = 1;
+
+  FleetConfig config_;
+  std::unordered_map<std::string, std::unique_ptr<JobEntry>> jobs_;
+  std::set<std::string> active_; // jobs that have not ended
+  std::map<std::string, Target> targets_;
+  std::map<std::string, Resources> running_; // by account
+  std::map<std::string, double> runRatio_;   // run time / estimate, by queue
+
+  std::map<std::string, Vm> vms_;
+  Instant vmsSeen_;
+  std::map<std::string, VmOrder> vmOrders_;
+  std::map<std::int64_t, WaveState> waves_;
+  std::map<std::int64_t, std::vector<std::string>> loadedUpkeeps_;
+  Instant nextPlan_;
+
+  std::set<std::string> dirtyJobs_;
+  std::uint64_t batch_ = 0; // 0: none on its way
+  std::uint64_t lastBatch_ = 0;
+  std::vector<std::pair<std::string, JobState>> batchStates_;
+  Instant nextStore_;
+  bool isUrgent_ = false; // a job has ended: store at once
+
+  std::set<std::string> dirtyPools_; // something changed that may let work start
+  Instant nextSweep_;
+
+  FleetCounts counts_;
+  std::vector<Effect> effects_;
+
+  void Emit(Effect aEffect) { effects_.push_back(std::move(aEffect)); }
+  void Log(std::string aEvent,
+           std::string aJob,
+           std::string aItem,
+           std::string aTarget,
+           std::string aDetail)
+  {
+    effects_.push_back(LogLine{ std::move(aEvent),
+                                std::move(aJob),
+                                std::move(aItem),
+                                std::move(aTarget),
+                                std::move(aDetail) });
+  }
+  WallTime TimeOfDay() const { return timeOfDay_ + (now_ - timeOfDayAt_); }
+};
+
+// What an item name stands for; all null if it is unknown.
+struct ItemRef
+{
+  JobEntry* job_ = nullptr;
+  StepState* step_ = nullptr;
+  const Step* spec_ = nullptr;
+  ItemState* item_ = nullptr;
+};
+
+ItemRef FindItem(FleetState& aState, const ItemName& aName);
+
+} // namespace cuminbridge
+
+#endif // cuminbridge_fleet_state_h
--- /dev/null
+++ b/packages/fleet/src/targets.cpp
@@ -0,0 +1,433 @@
+// Contact with targets: lists, renewals, lapses.
+
+#include "targets.h"
+
+#include "jobs.h"
+#include "runs.h"
+
+namespace cuminbridge {
+
+namespace {
+
+constexpr double kSlowestClock = 1.02; // a target's clock may be 2% slow
+constexpr Millis kLapseSlack(150);     // for a target that is late to notice
+constexpr Millis kSilentRetry(300);    // between calls to a silent target
+constexpr Millis kStopWait(250);       // a stop takes 200 ms at most
+// A renewal is answered at once while ends are listed that it does not cover:
+// the next one waits for the store, but no longer than this.
+constexpr Millis kStoreWait(400);
+constexpr std::size_t kFullList = 500; // a target lists no more ends at once
+
+// Latest moment at which something that the owner before us left on a target
+// can still run, if we cannot ask the target.
+Instant
+InheritedLapse(const FleetState& aState)
+{
+  const auto& options = aState.options_;
+  const auto lease = std::chrono::duration_cast<Millis>(
+    options.targetLease_ * kSlowestClock);
+  return aState.began_ + options.ownerAllowance_ + lease + kLapseSlack;
+}
+
+bool
+HasLapsed(const FleetState& aState, const Target& aTarget)
+{
+  const bool hasInherited = [&] {
+    for (const auto& run : aTarget.runs_) {
+      if (run.isPresumed_) {
+        return true;
+      }
+    }
+    return false;
+  }();
+  if (hasInherited && aState.now_ < InheritedLapse(aState)) {
+    return false;
+  }
+  return ClockOf(aState, aTarget) >=
+         aTarget.leaseUntil_ + kLapseSlack.count();
+}
+
+void
+BeginLife(FleetState& aState, Target& aTarget, std::int64_t aBorn)
+{
+  if (aTarget.born_ != 0) {
+    aState.Log("target_restarted",
+               "",
+               "",
+               aTarget.report_.id_,
+               std::to_string(aTarget.born_) + " -> " + std::to_string(aBorn));
+  }
+  aTarget.born_ = aBorn;
+  aTarget.endsTaken_ = 0;
+  aTarget.endsStored_ = 0;
+  aTarget.endsInBatch_ = 0;
+  aTarget.endsTold_ = 0;
+  aTarget.clockMs_ = 0;
+  aTarget.leaseUntil_ = 0;
+  aTarget.contact_ = Contact::Unseen;
+  aTarget.nextHold_ = aState.now_;
+  aTarget.isGone_ = false;
+  aTarget.isCordoned_ = false;
+  aTarget.leavingUntil_ = aState.now_;
+  aTarget.idleSince_ = aState.now_;
+  aTarget.failuresInRow_ = 0;
+}
+
+void
+ApplyEnd(FleetState& aState, Target& aTarget, const EndedRun& aEnd)
+{
+  auto* run = FindRun(aTarget, aEnd.item_, aEnd.run_);
+  const auto ref = FindItem(aState, aEnd.item_);
+  const bool isOurs = run != nullptr;
+  bool isCurrent = false;
+  if (ref.item_) {
+    // A run that the owner before us started and did not record counts too.
+    isCurrent = isOurs ? ref.item_->phase_ == ItemPhase::Assigned &&
+                           ref.item_->run_ == aEnd.run_ &&
+                           ref.item_->target_ == aTarget.report_.id_
+                       : ref.item_->phase_ == ItemPhase::Waiting &&
+                           aEnd.run_ > ref.item_->run_;
+  }
+  if (isOurs) {
+    if (!aEnd.checkpoint_.empty()) {
+      run->checkpoint_ = aEnd.checkpoint_;
+    }
+    ReleaseRun(aState, aTarget, aEnd.item_, aEnd.run_);
+  } else if (isCurrent && !aEnd.checkpoint_.empty()) {
+    ref.item_->checkpoint_ = aEnd.checkpoint_;
+  }
+  if (!ref.item_) {
+    return;
+  }
+  ref.item_->run_ = std::max(ref.item_->run_, aEnd.run_);
+  if (aEnd.kind_ == EndKind::Done) {
+    aTarget.failuresInRow_ = 0;
+    if (isCurrent) {
+      FinishItem(aState, aEnd.item_, ref);
+    }
+    return;
+  }
+  if (aEnd.kind_ == EndKind::Failed) {
+    ++aTarget.failuresInRow_;
+    ref.item_->avoid_ = aTarget.report_.id_;
+    FailItem(aState, aEnd.item_, ref, aEnd.run_);
+  }
+  static const char* const kNames[] = { "done",   "failed", "stopped",
+                                        "lapsed", "broken", "alone" };
+  aState.Log("run_ended",
+             aEnd.item_.job_,
+             FormatItem(aEnd.item_),
+             aTarget.report_.id_,
+             kNames[static_cast<int>(aEnd.kind_)]);
+}
+
+// A run that the target lists and that we have no record of.
+void
+MeetRun(FleetState& aState, Target& aTarget, const RunningRun& aSeen)
+{
+  const auto ref = FindItem(aState, aSeen.item_);
+  const bool isWanted = ref.item_ && !ref.job_->HasEnded() &&
+                        ref.item_->phase_ == ItemPhase::Waiting &&
+                        aSeen.run_ > ref.item_->run_;
+  Run run;
+  run.item_ = aSeen.item_;
+  run.run_ = aSeen.run_;
+  run.phase_ = RunPhase::Running;
+  run.sentAt_ = aState.now_;
+  run.confirmedAt_ = aState.now_;
+  run.percent_ = aSeen.percent_;
+  run.checkpoint_ = aSeen.checkpoint_;
+  run.usage_ = aSeen.usage_;
+  if (isWanted) {
+    AddRun(aState, aTarget, std::move(run));
+    aState.Log("run_adopted",
+               aSeen.item_.job_,
+               FormatItem(aSeen.item_),
+               aTarget.report_.id_,
+               "run " + std::to_string(aSeen.run_));
+    return;
+  }
+  auto& added = AddRun(aState, aTarget, std::move(run));
+  Stop(aState, aTarget, added, "no longer wanted");
+}
+
+void
+TakeRunning(Target& aTarget, const RunningRun& aSeen, Run& aRun, Instant aNow)
+{
+  aRun.percent_ = aSeen.percent_;
+  aRun.usage_ = aSeen.usage_;
+  aRun.isPresumed_ = false;
+  if (!aSeen.checkpoint_.empty()) {
+    aRun.checkpoint_ = aSeen.checkpoint_;
+  }
+  if (!aRun.confirmedAt_) {
+    aRun.confirmedAt_ = aNow;
+  }
+  if (aRun.phase_ == RunPhase::Starting) {
+    aRun.phase_ = RunPhase::Running;
+  }
+  if (aTarget.failuresInRow_ > 0 && aRun.isLasting_ && aRun.percent_ == 100) {
+    aTarget.failuresInRow_ = 0;
+  }
+}
+
+// Runs that the target must have listed if they were still there.
+void
+ReleaseAbsent(FleetState& aState, Target& aTarget, const HoldAnswered& aAnswer)
+{
+  std::vector<std::pair<ItemName, std::int64_t>> absent;
+  for (const auto& run : aTarget.runs_) {
+    const bool isListed = [&] {
+      for (const auto& seen : aAnswer.running_) {
+        if (seen.run_ == run.run_ && seen.item_ == run.item_) {
+          return true;
+        }
+      }
+      return false;
+    }();
+    const bool wasThere =
+      run.isPresumed_ ||
+      (run.confirmedAt_ && *run.confirmedAt_ <= aAnswer.sentAt_) ||
+      (run.stoppedAt_ && *run.stoppedAt_ <= aAnswer.sentAt_);
+    if (!isListed && wasThere) {
+      absent.emplace_back(run.item_, run.run_);
+    }
+  }
+  for (const auto& [item, run] : absent) {
+    aState.Log("run_lost",
+               item.job_,
+               FormatItem(item),
+               aTarget.report_.id_,
+               "not listed by its target");
+    ++aState.counts_.lost_;
+    ReleaseRun(aState, aTarget, item, run);
+  }
+}
+
+void
+TakeLists(FleetState& aState, Target& aTarget, const HoldAnswered& aAnswer)
+{
+  if (aTarget.born_ != aAnswer.born_) {
+    BeginLife(aState, aTarget, aAnswer.born_);
+    for (auto& run : aTarget.runs_) {
+      run.isPresumed_ = true; // gone unless the new life lists it
+    }
+  }
+  TakeClock(aState, aTarget, aAnswer.clockMs_);
+  if (aTarget.contact_ != Contact::Good) {
+    if (aTarget.contact_ == Contact::Silent) {
+      aState.Log("target_back", "", "", aTarget.report_.id_, "answers again");
+    }
+    aTarget.contact_ = Contact::Good;
+    aState.dirtyPools_.insert(aTarget.report_.pool_);
+  }
+  for (const auto& end : aAnswer.ended_) {
+    if (end.number_ > aTarget.endsTaken_) {
+      aTarget.endsTaken_ = end.number_;
+      ApplyEnd(aState, aTarget, end);
+    }
+  }
+  for (const auto& seen : aAnswer.running_) {
+    auto* run = FindRun(aTarget, seen.item_, seen.run_);
+    if (run) {
+      TakeRunning(aTarget, seen, *run, aState.now_);
+    } else {
+      MeetRun(aState, aTarget, seen);
+    }
+  }
+  if (aAnswer.ended_.size() < kFullList) {
+    ReleaseAbsent(aState, aTarget, aAnswer);
+  }
+}
+
+bool
+NeedsHold(const Target& aTarget)
+{
+  return !aTarget.runs_.empty() ||
+         (aTarget.isListed_ && aTarget.contact_ != Contact::Good) ||
+         aTarget.endsStored_ > aTarget.endsTold_;
+}
+
+bool
+HasStopped(const Target& aTarget)
+{
+  for (const auto& run : aTarget.runs_) {
+    if (run.phase_ == RunPhase::Stopping && run.stoppedAt_) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool
+HasPacing(const Target& aTarget)
+{
+  bool hasServing = false;
+  bool hasFiller = false;
+  for (const auto& run : aTarget.runs_) {
+    hasServing = hasServing || run.targetLatency_.count() > 0;
+    hasFiller = hasFiller || run.isFiller_;
+  }
+  return hasServing && hasFiller;
+}
+
+void
+SendHold(FleetState& aState, Target& aTarget)
+{
+  HoldTarget effect;
+  effect.target_ = aTarget.report_.id_;
+  effect.address_ = aTarget.report_.address_;
+  effect.lastSeen_ = aTarget.contact_ == Contact::Good ? aTarget.endsStored_ : 0;
+  aTarget.endsTold_ = std::max(aTarget.endsTold_, effect.lastSeen_);
+  if (aTarget.contact_ == Contact::Good && !aTarget.runs_.empty()) {
+    effect.wait_ = HasStopped(aTarget)   ? kStopWait
+                   : HasPacing(aTarget) ? aState.options_.pacingWait_
+                                        : aState.options_.holdWait_;
+  }
+  if (aTarget.clockMs_ != 0) {
+    aTarget.leaseUntil_ =
+      std::max(aTarget.leaseUntil_,
+               ClockOf(aState, aTarget) + aState.options_.targetLease_.count());
+    effect.leaseUntil_ = aTarget.leaseUntil_;
+  }
+  aTarget.isHolding_ = true;
+  aState.Emit(std::move(effect));
+}
+
+void
+RetryStops(FleetState& aState, Target& aTarget)
+{
+  for (auto& run : aTarget.runs_) {
+    if (run.phase_ == RunPhase::Stopping && !run.stoppedAt_ &&
+        aState.now_ - run.stopSentAt_ >= aState.options_.stopRetry_) {
+      Stop(aState, aTarget, run, "");
+    }
+  }
+}
+
+} // namespace
+
+void
+TakeTargets(FleetState& aState, const TargetsSeen& aSeen)
+{
+  aState.hasTargets_ = true;
+  for (auto& [id, target] : aState.targets_) {
+    target.isListed_ = false;
+  }
+  for (const auto& report : aSeen.targets_) {
+    auto& target = aState.targets_[report.id_];
+    const bool isNewLife = target.born_ != report.born_;
+    const bool isNewReport =
+      isNewLife || target.report_.sequence_ != report.sequence_;
+    if (isNewLife && report.born_ > target.born_) {
+      BeginLife(aState, target, report.born_);
+      for (auto& run : target.runs_) {
+        run.isPresumed_ = true; // gone unless the new life lists it
+      }
+    }
+    if (!target.report_.isDraining_ && report.isDraining_) {
+      aState.Log("target_draining",
+                 "",
+                 "",
+                 report.id_,
+                 std::to_string(report.remaining_.count()) + " ms left");
+    }
+    if (target.report_.sequence_ != report.sequence_ || isNewLife) {
+      aState.dirtyPools_.insert(report.pool_);
+    }
+    target.report_ = report;
+    target.isListed_ = true;
+    if (isNewReport) {
+      TakeClock(aState, target, report.clockMs_);
+    }
+  }
+  for (auto it = aState.targets_.begin(); it != aState.targets_.end();) {
+    auto& target = it->second;
+    if (!target.isListed_ && target.runs_.empty() && !target.isHolding_) {
+      it = aState.targets_.erase(it);
+    } else {
+      ++it;
+    }
+  }
+}
+
+void
+TakeHold(FleetState& aState, const HoldAnswered& aAnswer)
+{
+  const auto found = aState.targets_.find(aAnswer.target_);
+  if (found == aState.targets_.end()) {
+    return;
+  }
+  auto& target = found->second;
+  target.isHolding_ = false;
+  target.nextHold_ = aState.now_;
+  switch (aAnswer.outcome_) {
+    case HoldOutcome::Answered:
+      TakeLists(aState, target, aAnswer);
+      break;
+    case HoldOutcome::Fenced:
+      aState.Emit(Abdicate{});
+      break;
+    case HoldOutcome::OtherLife:
+    case HoldOutcome::Refused:
+      if (!target.isGone_) {
+        aState.Log("target_gone",
+                   "",
+                   "",
+                   aAnswer.target_,
+                   aAnswer.outcome_ == HoldOutcome::Refused
+                     ? "connection refused"
+                     : "another process at its address");
+      }
+      target.isGone_ = true;
+      target.contact_ = Contact::Silent;
+      target.nextHold_ = aState.now_ + kSilentRetry;
+      ReleaseAll(aState, target, "its target has ended");
+      break;
+    case HoldOutcome::Silent:
+      if (target.contact_ != Contact::Silent) {
+        aState.Log("target_silent", "", "", aAnswer.target_, "no answer");
+      }
+      target.contact_ = Contact::Silent;
+      target.nextHold_ = aState.now_ + kSilentRetry;
+      break;
+  }
+}
+
+void
+KeepContact(FleetState& aState)
+{
+  if (!aState.hasJobs_ || !aState.hasTargets_) {
+    return;
+  }
+  for (auto& [id, target] : aState.targets_) {
+    if (target.contact_ != Contact::Good && !target.runs_.empty() &&
+        HasLapsed(aState, target)) {
+      ReleaseAll(aState, target, "lease lapsed on a silent target");
+    }
+    RetryStops(aState, target);
+    const bool mustWait =
+      target.endsTaken_ > target.endsStored_ &&
+      aState.now_ < target.nextHold_ + kStoreWait;
+    if (!target.isHolding_ && target.nextHold_ <= aState.now_ && !mustWait &&
+        NeedsHold(target) && !target.report_.address_.empty()) {
+      SendHold(aState, target);
+    }
+  }
+}
+
+bool
+HasLooked(const FleetState& aState)
+{
+  if (!aState.hasJobs_ || !aState.hasTargets_) {
+    return false;
+  }
+  for (const auto& [id, target] : aState.targets_) {
+    if (target.isListed_ && target.contact_ == Contact::Unseen) {
+      return false;
+    }
+  }
+  return true;
+}
+
+} // namespace cuminbridge
--- /dev/null
+++ b/packages/fleet/src/vms.cpp
@@ -0,0 +1,475 @@
+// Orders for VMs: moves between pools and upkeep in waves.
+
+#include "vms.h"
+
+#include <algorithm>
+
+#include "dispatch.h"
+#include "moves.h"
+#include "runs.h"
+#include "waves.h"
+
+namespace cuminbridge {
+
+namespace {
+
+// A VM is taken to be back once the platform has listed it as up this long
+// after the order, which covers a list that was read before the order.
+constexpr Millis kListLag(1200);
+// An order without an answer may be carried out until then.
+constexpr Millis kOrderDoubt(3000);
+// A VM that was ordered to move is expected in its pool for this long.
+constexpr Millis kMoveExpected(6000);
+constexpr Millis kBusyPause(500); // after the platform called a VM busy
+// Lasting work leaves a cordoned target even without room elsewhere after this.
+constexpr Millis kEvacuateAnyway(3000);
+constexpr int kAtWork = 100; // percent of a lasting item that is at work
+
+Target*
+TargetOfVm(FleetState& aState, const std::string& aVm)
+{
+  Target* found = nullptr;
+  for (auto& [id, target] : aState.targets_) {
+    if (target.report_.vm_ == aVm && target.isListed_ &&
+        (!found || target.report_.born_ > found->report_.born_)) {
+      found = &target;
+    }
+  }
+  return found;
+}
+
+bool
+HasOpenOrder(const FleetState& aState, const std::string& aVm)
+{
+  return aState.vmOrders_.count(aVm) != 0;
+}
+
+bool
+IsUp(const FleetState& aState, const std::string& aVm)
+{
+  const auto vm = aState.vms_.find(aVm);
+  return vm != aState.vms_.end() && vm->second.state_ == VmState::Up;
+}
+
+int
+CountLasting(const Target& aTarget)
+{
+  return static_cast<int>(
+    std::count_if(aTarget.runs_.begin(),
+                  aTarget.runs_.end(),
+                  [](const Run& aRun) { return aRun.isLasting_; }));
+}
+
+void
+SendOrder(FleetState& aState, const std::string& aVm, VmOrder aOrder)
+{
+  aOrder.sentAt_ = aState.now_;
+  if (auto* target = TargetOfVm(aState, aVm)) {
+    target->leavingUntil_ = aState.now_ + kOrderDoubt;
+  }
+  aState.Log(aOrder.isUpkeep_ ? "vm_upkeep" : "vm_move",
+             "",
+             "",
+             aVm,
+             aOrder.isUpkeep_ ? "wave " + std::to_string(aOrder.wave_)
+                              : "to " + aOrder.pool_);
+  if (aOrder.isUpkeep_) {
+    aState.Emit(UpkeepVm{ aVm, aOrder.wave_ });
+  } else {
+    aState.Emit(MoveVm{ aVm, aOrder.pool_ });
+  }
+  aState.vmOrders_[aVm] = std::move(aOrder);
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Waves
+//-----------------------------------------------------------------------------
+
+// Empties a target before its VM goes down.
+void
+Cordon(FleetState& aState, const std::string& aVm)
+{
+  if (auto* target = TargetOfVm(aState, aVm)) {
+    target->isCordoned_ = true;
+    target->cordonedAt_ = aState.now_;
+    aState.Log("target_cordoned", "", "", target->report_.id_, "wave");
+  }
+}
+
+bool
+IsKnownVm(const FleetState& aState, const std::string& aVm)
+{
+  return aState.vms_.count(aVm) != 0;
+}
+
+WaveView
+MakeWaveView(FleetState& aState, const WaveState& aWave)
+{
+  WaveView view;
+  view.total_ = static_cast<int>(aWave.wave_.vms_.size());
+  view.maxDown_ = aWave.wave_.maxDown_;
+  view.age_ = aState.now_ - aWave.seenAt_;
+  view.duration_ = aWave.wave_.duration_;
+  view.down_ = static_cast<int>(aWave.down_.size());
+  for (const auto& name : aWave.wave_.vms_) {
+    if (aWave.done_.count(name) != 0 || !IsKnownVm(aState, name)) {
+      continue;
+    }
+    WaveVm vm;
+    vm.name_ = name;
+    vm.isUp_ = IsUp(aState, name);
+    vm.isOrdered_ = HasOpenOrder(aState, name);
+    if (const auto* target = TargetOfVm(aState, name)) {
+      vm.isCordoned_ = target->isCordoned_;
+      vm.runs_ = static_cast<int>(target->runs_.size());
+      vm.lastingRuns_ = CountLasting(*target);
+      // What runs there is not known before it has told.
+      vm.isUp_ = vm.isUp_ && target->contact_ == Contact::Good;
+    }
+    view.waiting_.push_back(std::move(vm));
+  }
+  return view;
+}
+
+void
+PlanOneWave(FleetState& aState, WaveState& aWave)
+{
+  for (auto down = aWave.down_.begin(); down != aWave.down_.end();) {
+    const auto order = aState.vmOrders_.find(down->first);
+    const bool isBack =
+      order == aState.vmOrders_.end() && IsUp(aState, down->first) &&
+      aState.vmsSeen_ > down->second + kListLag;
+    const bool isNoMore = order == aState.vmOrders_.end() &&
+                          !IsKnownVm(aState, down->first);
+    down = isBack || isNoMore ? aWave.down_.erase(down) : std::next(down);
+  }
+  const auto view = MakeWaveView(aState, aWave);
+  const auto plan = PlanWave(view);
+  for (const auto& vm : plan.upkeep_) {
+    VmOrder order;
+    order.isUpkeep_ = true;
+    order.wave_ = aWave.wave_.number_;
+    aWave.down_[vm] = aState.now_;
+    SendOrder(aState, vm, std::move(order));
+  }
+  for (const auto& vm : plan.cordon_) {
+    Cordon(aState, vm);
+  }
+  if (view.waiting_.empty()) {
+    aWave.isCompleted_ = true;
+    StoreWave effect;
+    effect.wave_ = aWave.wave_.number_;
+    effect.upkeepDone_.assign(aWave.done_.begin(), aWave.done_.end());
+    effect.isCompleted_ = true;
+    aState.Emit(std::move(effect));
+    aState.Log("wave_completed",
+               "",
+               "",
+               "",
+               std::to_string(effect.wave_) + " after " +
+                 std::to_string(view.age_.count()) + " ms");
+  }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Moves
+//-----------------------------------------------------------------------------
+
+bool
+IsInOpenWave(const FleetState& aState, const std::string& aVm)
+{
+  for (const auto& [number, wave] : aState.waves_) {
+    if (!wave.isCompleted_ && wave.down_.count(aVm) != 0) {
+      return true;
+    }
+  }
+  return false;
+}
+
+bool
+IsMovable(const FleetState& aState, const std::string& aVm)
+{
+  return IsUp(aState, aVm) && !HasOpenOrder(aState, aVm) &&
+         !IsInOpenWave(aState, aVm);
+}
+
+std::vector<PoolView>
+MakePoolViews(FleetState& aState)
+{
+  const auto demands = WaitingDemand(aState);
+  std::map<std::string, PoolView> views;
+  for (const auto& pool : aState.config_.pools_) {
+    auto& view = views[pool.name_];
+    view.name_ = pool.name_;
+    view.isStandby_ = pool.isStandby_;
+    const auto demand = demands.find(pool.name_);
+    if (demand != demands.end()) {
+      view.waitingCpu_ = demand->second.cpu_;
+    }
+  }
+  for (auto& [id, target] : aState.targets_) {
+    const auto view = views.find(target.report_.pool_);
+    if (view == views.end() || view->second.isStandby_ ||
+        !target.IsUsable(aState.now_)) {
+      continue;
+    }
+    ++view->second.size_;
+    if (target.runs_.empty() && IsMovable(aState, target.report_.vm_)) {
+      view->second.idle_.push_back({ target.report_.vm_,
+                                     aState.now_ - target.idleSince_,
+                                     target.report_.capacity_.cpu_ });
+    }
+  }
+  for (const auto& [name, vm] : aState.vms_) {
+    const auto view = views.find(vm.pool_);
+    if (view != views.end() && view->second.isStandby_ &&
+        IsMovable(aState, name)) {
+      ++view->second.size_;
+      view->second.idle_.push_back({ name, Millis(0), vm.capacity_.cpu_ });
+    }
+  }
+  for (const auto& [name, order] : aState.vmOrders_) {
+    const auto view = views.find(order.pool_);
+    if (!order.isUpkeep_ && view != views.end()) {
+      const auto vm = aState.vms_.find(name);
+      view->second.comingCpu_ +=
+        vm == aState.vms_.end() ? 0 : vm->second.capacity_.cpu_;
+    }
+  }
+  std::vector<PoolView> rows;
+  for (auto& [name, view] : views) {
+    rows.push_back(std::move(view));
+  }
+  return rows;
+}
+
+void
+PlanAllMoves(FleetState& aState)
+{
+  for (const auto& move : PlanMoves(MakePoolViews(aState), MoveOptions{})) {
+    VmOrder order;
+    order.pool_ = move.pool_;
+    SendOrder(aState, move.vm_, std::move(order));
+  }
+}
+
+// Orders whose outcome shows in the list, or that were given up.
+void
+CloseOrders(FleetState& aState)
+{
+  for (auto it = aState.vmOrders_.begin(); it != aState.vmOrders_.end();) {
+    const auto& [vm, order] = *it;
+    bool isOver = false;
+    if (order.isAnswered_) {
+      const auto* target = TargetOfVm(aState, vm);
+      const bool hasJoined = target && target->report_.pool_ == order.pool_ &&
+                             target->contact_ == Contact::Good &&
+                             !target->isGone_;
+      const bool isListed = aState.vmsSeen_ > *order.doneAt_ + kListLag &&
+                            IsUp(aState, vm) &&
+                            aState.vms_.at(vm).pool_ == order.pool_;
+      const auto* pool = FindPool(aState.config_, order.pool_);
+      isOver = order.isUpkeep_ || hasJoined ||
+               (pool && pool->isStandby_ && isListed) ||
+               aState.now_ > *order.doneAt_ + kMoveExpected;
+    } else {
+      isOver = aState.now_ > order.sentAt_ + kOrderDoubt;
+    }
+    it = isOver ? aState.vmOrders_.erase(it) : std::next(it);
+  }
+}
+
+bool
+IsAtWork(const FleetState& aState, const JobEntry& aJob, const ItemState& aItem)
+{
+  const auto target = aState.targets_.find(aItem.target_);
+  if (aItem.phase_ != ItemPhase::Assigned || target == aState.targets_.end() ||
+      target->second.contact_ != Contact::Good) {
+    return false;
+  }
+  for (const auto& run : target->second.runs_) {
+    if (run.run_ == aItem.run_ && run.item_.job_ == aJob.job_.id_ &&
+        run.phase_ == RunPhase::Running && run.percent_ == kAtWork) {
+      return true;
+    }
+  }
+  return false;
+}
+
+// Whether stopping one more item of the step keeps its availability.
+bool
+MayStop(const FleetState& aState, const ItemRef& aRef)
+{
+  if (aRef.spec_->maxUnavailable_ == 0) {
+    return true;
+  }
+  int away = 1; // the one that would be stopped
+  for (const auto& item : aRef.step_->items_) {
+    away += IsAtWork(aState, *aRef.job_, item) ? 0 : 1;
+  }
+  return away <= aRef.spec_->maxUnavailable_;
+}
+
+bool
+HasRoomElsewhere(const FleetState& aState,
+                 const Target& aFrom,
+                 const ItemRef& aRef)
+{
+  for (const auto& [id, target] : aState.targets_) {
+    if (id == aFrom.report_.id_ || !target.IsUsable(aState.now_) ||
+        target.report_.pool_ != aFrom.report_.pool_) {
+      continue;
+    }
+    Resources free = target.report_.capacity_;
+    free -= target.used_;
+    int same = 0;
+    for (const auto& run : target.runs_) {
+      const bool isSame =
+        FindItem(const_cast<FleetState&>(aState), run.item_).step_ ==
+        aRef.step_;
+      same += isSame ? 1 : 0;
+    }
+    if (aRef.spec_->needs_.Fits(free) &&
+        (aRef.spec_->maxPerTarget_ == 0 ||
+         same < aRef.spec_->maxPerTarget_)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+} // namespace
+
+void
+TakeVms(FleetState& aState, const VmsSeen& aSeen)
+{
+  aState.vms_.clear();
+  for (const auto& vm : aSeen.vms_) {
+    aState.vms_[vm.name_] = vm;
+  }
+  aState.vmsSeen_ = aState.now_;
+}
+
+void
+TakeWaves(FleetState& aState, const WavesSeen& aSeen)
+{
+  for (const auto& wave : aSeen.waves_) {
+    if (aState.waves_.count(wave.number_) != 0) {
+      continue;
+    }
+    auto& entry = aState.waves_[wave.number_];
+    entry.wave_ = wave;
+    entry.seenAt_ = aState.now_;
+    const auto loaded = aState.loadedUpkeeps_.find(wave.number_);
+    if (loaded != aState.loadedUpkeeps_.end()) {
+      entry.done_.insert(loaded->second.begin(), loaded->second.end());
+      // Some may still be down; the list tells once it is fresh.
+      for (const auto& vm : loaded->second) {
+        entry.down_[vm] = aState.now_;
+      }
+    }
+    StoreWave effect;
+    effect.wave_ = wave.number_;
+    effect.upkeepDone_.assign(entry.done_.begin(), entry.done_.end());
+    aState.Emit(std::move(effect));
+    aState.Log("wave_seen",
+               "",
+               "",
+               "",
+               std::to_string(wave.number_) + ": " +
+                 std::to_string(wave.vms_.size()) + " VMs in " +
+                 std::to_string(wave.duration_.count()) + " ms, " +
+                 std::to_string(wave.maxDown_) + " at once");
+  }
+}
+
+void
+TakeVmOrder(FleetState& aState, const VmOrderAnswered& aAnswer)
+{
+  const auto found = aState.vmOrders_.find(aAnswer.vm_);
+  if (found == aState.vmOrders_.end()) {
+    return;
+  }
+  auto& order = found->second;
+  auto* target = TargetOfVm(aState, aAnswer.vm_);
+  if (aAnswer.outcome_ == VmOrderOutcome::Done) {
+    order.isAnswered_ = true;
+    order.doneAt_ = aState.now_;
+    if (target) {
+      target->isGone_ = true;
+      ReleaseAll(aState, *target, "its VM was taken away");
+    }
+    if (order.isUpkeep_) {
+      ++aState.counts_.upkeeps_;
+      auto& wave = aState.waves_[order.wave_];
+      wave.done_.insert(aAnswer.vm_);
+      wave.down_[aAnswer.vm_] = aState.now_;
+      StoreWave effect;
+      effect.wave_ = order.wave_;
+      effect.upkeepDone_.assign(wave.done_.begin(), wave.done_.end());
+      aState.Emit(std::move(effect));
+    } else {
+      ++aState.counts_.moves_;
+    }
+    return;
+  }
+  if (aAnswer.outcome_ == VmOrderOutcome::Unknown) {
+    return; // it stays open until its outcome must show
+  }
+  aState.Log("vm_order_refused",
+             "",
+             "",
+             aAnswer.vm_,
+             "outcome " + std::to_string(static_cast<int>(aAnswer.outcome_)));
+  if (order.isUpkeep_) {
+    aState.waves_[order.wave_].down_.erase(aAnswer.vm_);
+  }
+  if (target) {
+    target->leavingUntil_ = aState.now_ + kBusyPause;
+  }
+  aState.vmOrders_.erase(found);
+}
+
+void
+PlanVms(FleetState& aState)
+{
+  if (!aState.mayOrderVms_ || aState.isLooking_ ||
+      aState.now_ < aState.began_ + aState.options_.vmOrderDelay_ ||
+      aState.now_ < aState.nextPlan_ ||
+      aState.now_ - aState.vmsSeen_ > kOrderDoubt) {
+    return;
+  }
+  aState.nextPlan_ = aState.now_ + aState.options_.planInterval_;
+  CloseOrders(aState);
+  for (auto& [number, wave] : aState.waves_) {
+    if (!wave.isCompleted_) {
+      PlanOneWave(aState, wave);
+    }
+  }
+  PlanAllMoves(aState);
+}
+
+void
+Evacuate(FleetState& aState)
+{
+  for (auto& [id, target] : aState.targets_) {
+    if (target.contact_ != Contact::Good ||
+        (!target.isCordoned_ && !target.report_.isDraining_)) {
+      continue;
+    }
+    const bool isLate =
+      target.isCordoned_ && aState.now_ - target.cordonedAt_ > kEvacuateAnyway;
+    for (auto& run : target.runs_) {
+      const auto ref = FindItem(aState, run.item_);
+      if (!run.isLasting_ || run.phase_ != RunPhase::Running || !ref.item_) {
+        continue;
+      }
+      const bool mayStop = target.report_.isDraining_ || MayStop(aState, ref);
+      if (mayStop && (isLate || HasRoomElsewhere(aState, target, ref))) {
+        Stop(aState, target, run, "moved off its target");
+      }
+    }
+  }
+}
+
+} // namespace cuminbridge
--- /dev/null
+++ b/packages/web/src/client.cpp
@@ -0,0 +1,202 @@
+// Calls out, over connections that are kept for each address.
+
+#include <charconv>
+
+#include <sys/socket.h>
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/flat_buffer.hpp>
+#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/http.hpp>
+
+#include "cuminbridge/web.h"
+
+namespace cuminbridge {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using boost::beast::tcp_stream;
+using std::chrono::steady_clock;
+
+namespace {
+
+constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
+constexpr int kHttp11 = 11;
+constexpr std::uint64_t kMaxAnswer = 64ULL * 1024 * 1024; // bytes
+
+// False once the other side has closed, or sent what nobody asked for.
+bool
+IsStillOpen(tcp_stream& aStream)
+{
+  char byte = 0;
+  const auto got =
+    recv(aStream.socket().native_handle(), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  return got < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
+} // namespace
+
+asio::ip::tcp::endpoint
+ReadEndpoint(std::string_view aText)
+{
+  const auto colon = aText.rfind(':');
+  if (colon == std::string_view::npos) {
+    return {};
+  }
+  unsigned short port = 0;
+  const char* end = aText.data() + aText.size();
+  const auto parsed = std::from_chars(aText.data() + colon + 1, end, port);
+  boost::system::error_code error;
+  const auto address =
+    asio::ip::make_address(std::string(aText.substr(0, colon)), error);
+  if (error || parsed.ec != std::errc() || parsed.ptr != end) {
+    return {};
+  }
+  return { address, port };
+}
+
+struct HttpClient::Pool
+{
+  struct Idle
+  {
+    std::unique_ptr<tcp_stream> stream_;
+    steady_clock::time_point since_;
+  };
+
+  std::deque<Idle> idle_;
+  std::size_t inUse_ = 0;
+  std::deque<std::shared_ptr<asio::steady_timer>> waiting_;
+};
+
+namespace {
+
+// Wakes one waiting call when a connection is given back.
+template<typename Pool>
+class Turn
+{
+public:
+  explicit Turn(std::shared_ptr<Pool> aPool)
+    : pool_(std::move(aPool))
+  {
+    ++pool_->inUse_;
+  }
+  ~Turn()
+  {
+    --pool_->inUse_;
+    if (!pool_->waiting_.empty()) {
+      pool_->waiting_.front()->cancel();
+      pool_->waiting_.pop_front();
+    }
+  }
+  Turn(const Turn&) = delete;
+  Turn& operator=(const Turn&) = delete;
+
+private:
+  std::shared_ptr<Pool> pool_;
+};
+
+} // namespace
+
+HttpClient::HttpClient(asio::io_context& aIo, HttpClientOptions aOptions)
+  : io_(aIo)
+  , options_(aOptions)
+{
+}
+
+HttpClient::~HttpClient() = default;
+
+void
+HttpClient::Forget(const std::string& aAddress)
+{
+  const auto found = pools_.find(aAddress);
+  if (found != pools_.end()) {
+    found->second->idle_.clear();
+  }
+}
+
+Awaitable<HttpReply>
+HttpClient::Call(std::string aAddress, HttpCall aCall)
+{
+  HttpReply reply;
+  const auto deadline = steady_clock::now() + aCall.limit_;
+  auto& slot = pools_[aAddress];
+  if (!slot) {
+    slot = std::make_shared<Pool>();
+  }
+  const auto pool = slot;
+  while (pool->inUse_ >= options_.maxConnections_) {
+    auto timer = std::make_shared<asio::steady_timer>(io_, deadline);
+    pool->waiting_.push_back(timer);
+    const auto [waitError] = co_await timer->async_wait(kAsTuple);
+    if (!waitError) {
+      std::erase(pool->waiting_, timer);
+      co_return reply; // its time passed before a connection was free
+    }
+  }
+  const Turn<Pool> turn(pool);
+
+  std::unique_ptr<tcp_stream> stream;
+  while (!pool->idle_.empty() && !stream) {
+    auto idle = std::move(pool->idle_.back());
+    pool->idle_.pop_back();
+    if (steady_clock::now() - idle.since_ < options_.idleLimit_ &&
+        IsStillOpen(*idle.stream_)) {
+      stream = std::move(idle.stream_);
+    }
+  }
+  if (!stream) {
+    stream = std::make_unique<tcp_stream>(io_);
+    stream->expires_at(
+      std::min(deadline, steady_clock::now() + options_.connectLimit_));
+    const auto [error] =
+      co_await stream->async_connect(ReadEndpoint(aAddress), kAsTuple);
+    if (error) {
+      reply.outcome_ = error == asio::error::connection_refused
+                         ? CallOutcome::Refused
+                         : CallOutcome::NotSent;
+      co_return reply;
+    }
+    boost::system::error_code ignored; // only a matter of speed
+    stream->socket().set_option(asio::ip::tcp::no_delay(true), ignored);
+  }
+
+  http::request<http::string_body> request;
+  request.version(kHttp11);
+  request.method_string(aCall.method_);
+  request.target(aCall.path_);
+  request.set(http::field::host, aAddress);
+  for (const auto& [name, value] : aCall.headers_) {
+    request.set(name, value);
+  }
+  if (!aCall.body_.empty()) {
+    request.set(http::field::content_type, "application/json");
+    request.body() = std::move(aCall.body_);
+  }
+  request.prepare_payload();
+  reply.outcome_ = CallOutcome::Lost;
+  stream->expires_at(deadline);
+  const auto [writeError, written] =
+    co_await http::async_write(*stream, request, kAsTuple);
+  if (writeError) {
+    co_return reply;
+  }
+  boost::beast::flat_buffer buffer;
+  http::response_parser<http::string_body> parser;
+  parser.body_limit(kMaxAnswer);
+  const auto [readError, got] =
+    co_await http::async_read(*stream, buffer, parser, kAsTuple);
+  if (readError) {
+    co_return reply;
+  }
+  reply.outcome_ = CallOutcome::Answered;
+  reply.status_ = static_cast<int>(parser.get().result_int());
+  reply.body_ = std::move(parser.get().body());
+  if (parser.get().keep_alive()) {
+    stream->expires_never();
+    pool->idle_.push_back({ std::move(stream), steady_clock::now() });
+  }
+  co_return reply;
+}
+
+} // namespace cuminbridge
--- a/testing/fleet.sh
+++ b/testing/fleet.sh
@@ -74,7 +74,7 @@
   local number
   for number in "$@"; do
     write_settings "$number"
-    start "entry-$number" "$BUILD/packages/entry/cuminbridge" \
+    start "entry-$number" "$BUILD/packages/entry/cuminbridge_forwarder" \
       --settings "$WORK/entry-$number.toml"
   done
 }
