--- a/packages/daemon/src/daemon_log.cpp
+++ b/packages/daemon/src/daemon_log.cpp
@@ -60,7 +60,7 @@
                         R"(",%v})",
                       spdlog::pattern_time_type::utc);
   spdlog::set_default_logger(logger);
-  spdlog::flush_every(kFlushInterval);
+  logger->flush_on(spdlog::level::info);
 }
 
 void
--- a/packages/daemon/src/intake.cpp
+++ b/packages/daemon/src/intake.cpp
@@ -96,8 +96,13 @@
     co_return Problem(kBadRequest, "an id has 16 hexadecimal digits");
   }
   if (aRequest.method_ == "POST") {
-    co_return co_await Submit(
-      aRequest, Queue(*queue), account ? account->name_ : "", std::move(id));
+    // g++ 12 miscompiles ?: of class type among the arguments of co_await.
+    std::string name;
+    if (account) {
+      name = account->name_;
+    }
+    const Queue copy = *queue; // the configuration may change meanwhile
+    co_return co_await Submit(aRequest, copy, std::move(name), std::move(id));
   }
   if (aRequest.method_ == "GET") {
     co_return co_await Read(std::move(id));
--- a/packages/fleet/src/vms.cpp
+++ b/packages/fleet/src/vms.cpp
@@ -280,40 +280,36 @@
 }
 
 bool
-IsAtWork(const FleetState& aState, const JobEntry& aJob, const ItemState& aItem)
+IsAtWork(FleetState& aState, const ItemName& aName, const ItemState& aItem)
 {
   const auto target = aState.targets_.find(aItem.target_);
   if (aItem.phase_ != ItemPhase::Assigned || target == aState.targets_.end() ||
       target->second.contact_ != Contact::Good) {
     return false;
   }
-  for (const auto& run : target->second.runs_) {
-    if (run.run_ == aItem.run_ && run.item_.job_ == aJob.job_.id_ &&
-        run.phase_ == RunPhase::Running && run.percent_ == kAtWork) {
-      return true;
-    }
-  }
-  return false;
+  const auto* run = FindRun(target->second, aName, aItem.run_);
+  return run && run->phase_ == RunPhase::Running && run->percent_ == kAtWork;
 }
 
 // Whether stopping one more item of the step keeps its availability.
 bool
-MayStop(const FleetState& aState, const ItemRef& aRef)
+MayStop(FleetState& aState, const ItemName& aName, const ItemRef& aRef)
 {
   if (aRef.spec_->maxUnavailable_ == 0) {
     return true;
   }
   int away = 1; // the one that would be stopped
-  for (const auto& item : aRef.step_->items_) {
-    away += IsAtWork(aState, *aRef.job_, item) ? 0 : 1;
+  auto name = aName;
+  for (name.index_ = 0; name.index_ < aRef.spec_->count_; ++name.index_) {
+    const auto& item = aRef.step_->items_[static_cast<std::size_t>(name.index_)];
+    const bool isOther = name.index_ != aName.index_;
+    away += isOther && !IsAtWork(aState, name, item) ? 1 : 0;
   }
   return away <= aRef.spec_->maxUnavailable_;
 }
 
 bool
-HasRoomElsewhere(const FleetState& aState,
-                 const Target& aFrom,
-                 const ItemRef& aRef)
+HasRoomElsewhere(FleetState& aState, const Target& aFrom, const ItemRef& aRef)
 {
   for (const auto& [id, target] : aState.targets_) {
     if (id == aFrom.report_.id_ || !target.IsUsable(aState.now_) ||
@@ -325,7 +321,7 @@
     int same = 0;
     for (const auto& run : target.runs_) {
       const bool isSame =
-        FindItem(const_cast<FleetState&>(aState), run.item_).step_ ==
+        FindItem(aState, run.item_).step_ ==
         aRef.step_;
       same += isSame ? 1 : 0;
     }
@@ -464,7 +460,7 @@
       if (!run.isLasting_ || run.phase_ != RunPhase::Running || !ref.item_) {
         continue;
       }
-      const bool mayStop = target.report_.isDraining_ || MayStop(aState, ref);
+      const bool mayStop = target.report_.isDraining_ || MayStop(aState, run.item_, ref);
       if (mayStop && (isLate || HasRoomElsewhere(aState, target, ref))) {
         Stop(aState, target, run, "moved off its target");
       }
