A newer run of an item supersedes what the new owner presumed

Cause: an owner cut off from the store goes on starting work it can't record. Change: a run newer than all that is known of its item is adopted, its end counts, and the presumed older run is dropped.

--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -73,6 +73,30 @@
   aTarget.failuresInRow_ = 0;
 }
 
+// A run that the owner before us started and did not record: newer than all
+// that we know of its item. What we presumed of older runs is over then.
+bool
+SupersedesPresumed(FleetState& aState, const ItemRef& aRef, std::int64_t aRun)
+{
+  if (!aRef.item_ || aRef.job_->HasEnded() ||
+      aRef.item_->phase_ == ItemPhase::Done || aRun <= aRef.item_->run_) {
+    return false;
+  }
+  if (aRef.item_->phase_ == ItemPhase::Waiting) {
+    return true;
+  }
+  auto& target = aState.targets_[aRef.item_->target_];
+  for (const auto& run : target.runs_) {
+    if (run.run_ == aRef.item_->run_ && run.isPresumed_ &&
+        FindItem(aState, run.item_).item_ == aRef.item_) {
+      const Run presumed = run;
+      ReleaseRun(aState, target, presumed.item_, presumed.run_);
+      return true;
+    }
+  }
+  return false;
+}
+
 void
 ApplyEnd(FleetState& aState, Target& aTarget, const EndedRun& aEnd)
 {
@@ -80,21 +104,19 @@
   const auto ref = FindItem(aState, aEnd.item_);
   const bool isOurs = run != nullptr;
   bool isCurrent = false;
-  if (ref.item_) {
-    // A run that the owner before us started and did not record counts too.
-    isCurrent = isOurs ? ref.item_->phase_ == ItemPhase::Assigned &&
-                           ref.item_->run_ == aEnd.run_ &&
-                           ref.item_->target_ == aTarget.report_.id_
-                       : ref.item_->phase_ == ItemPhase::Waiting &&
-                           aEnd.run_ > ref.item_->run_;
-  }
   if (isOurs) {
+    isCurrent = ref.item_ && ref.item_->phase_ == ItemPhase::Assigned &&
+                ref.item_->run_ == aEnd.run_ &&
+                ref.item_->target_ == aTarget.report_.id_;
     if (!aEnd.checkpoint_.empty()) {
       run->checkpoint_ = aEnd.checkpoint_;
     }
     ReleaseRun(aState, aTarget, aEnd.item_, aEnd.run_);
-  } else if (isCurrent && !aEnd.checkpoint_.empty()) {
-    ref.item_->checkpoint_ = aEnd.checkpoint_;
+  } else {
+    isCurrent = SupersedesPresumed(aState, ref, aEnd.run_);
+    if (isCurrent && !aEnd.checkpoint_.empty()) {
+      ref.item_->checkpoint_ = aEnd.checkpoint_;
+    }
   }
   if (!ref.item_) {
     return;
@@ -126,9 +148,7 @@
 MeetRun(FleetState& aState, Target& aTarget, const RunningRun& aSeen)
 {
   const auto ref = FindItem(aState, aSeen.item_);
-  const bool isWanted = ref.item_ && !ref.job_->HasEnded() &&
-                        ref.item_->phase_ == ItemPhase::Waiting &&
-                        aSeen.run_ > ref.item_->run_;
+  const bool isWanted = SupersedesPresumed(aState, ref, aSeen.run_);
   Run run;
   run.item_ = aSeen.item_;
   run.run_ = aSeen.run_;
