The next owner knows the targets of the last; silent targets are only asked

Change: the owner records the targets that it uses, before it uses them; the next one asks these too. A silent target gets no renewal, only the question.

--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -187,6 +187,7 @@
   StoreReply intake;
   StoreReply progress;
   StoreReply upkeep;
+  StoreReply targets;
   while (!hasEnded_) {
     intake = co_await parts_.store_.List(kIntakePrefix);
     if (intake.IsDone()) {
@@ -196,7 +197,10 @@
       upkeep = co_await parts_.store_.List(kUpkeepPrefix);
     }
     if (intake.IsDone() && progress.IsDone() && upkeep.IsDone()) {
-      break;
+      targets = co_await parts_.store_.Get(kTargetsKey);
+      if (targets.IsDone() || targets.status_ == StoreStatus::Missing) {
+        break;
+      }
     }
     co_await Sleep(parts_.io_, kRetryPause);
   }
@@ -234,6 +238,15 @@
         names.get<std::vector<std::string>>();
     }
   }
+  if (targets.IsDone()) {
+    const auto rows =
+      nlohmann::json::parse(targets.items_.front().value_, nullptr, false);
+    for (const auto& row : rows) {
+      loaded.targets_.emplace_back(row.at(0).get<std::string>(),
+                                   row.at(1).get<std::string>(),
+                                   row.at(2).get<std::string>());
+    }
+  }
   Handle(Tick{ parts_.clocks_.TimeOfDay(), false });
   Handle(loaded);
   hasLoaded_ = true;
@@ -346,17 +359,25 @@
 void
 Owner::QueueProgress(const StoreProgress& aEffect)
 {
-  for (std::size_t begin = 0; begin < aEffect.jobs_.size();
-       begin += kPutsInWrite) {
+  std::vector<StoreWrite::Put> puts;
+  if (aEffect.hasTargets_) {
+    nlohmann::json rows = nlohmann::json::array();
+    for (const auto& target : aEffect.targets_) {
+      rows.push_back({ target.id_, target.address_, target.pool_ });
+    }
+    puts.push_back({ kTargetsKey, rows.dump(), 0 });
+  }
+  for (const auto& [job, progress] : aEffect.jobs_) {
+    puts.push_back(
+      { KeyOf(kProgressPrefix, job), EncodeProgress(progress), 0 });
+  }
+  for (std::size_t begin = 0; begin < puts.size(); begin += kPutsInWrite) {
     Pending pending;
-    const auto end = std::min(begin + kPutsInWrite, aEffect.jobs_.size());
+    const auto end = std::min(begin + kPutsInWrite, puts.size());
     for (std::size_t row = begin; row < end; ++row) {
-      pending.puts_.push_back(
-        { KeyOf(kProgressPrefix, aEffect.jobs_[row].first),
-          EncodeProgress(aEffect.jobs_[row].second),
-          0 });
+      pending.puts_.push_back(std::move(puts[row]));
     }
-    if (end == aEffect.jobs_.size()) {
+    if (end == puts.size()) {
       const auto batch = aEffect.batch_;
       pending.done_ = [this, batch] { Handle(ProgressStored{ batch }); };
     }
--- a/packages/daemon/src/records.h
+++ b/packages/daemon/src/records.h
@@ -23,6 +23,8 @@
 inline constexpr const char* kProgressPrefix = "progress/";
 // VMs of a wave whose upkeep has begun: "upkeep/N".
 inline constexpr const char* kUpkeepPrefix = "upkeep/";
+// Targets that the owner uses.
+inline constexpr const char* kTargetsKey = "targets";
 // Waiting jobs by queue.
 inline constexpr const char* kLoadKey = "load";
 
--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -77,6 +77,24 @@
 // [SECTION] Events
 //-----------------------------------------------------------------------------
 
+// A target that an owner has used, in the store for the next owner: the list of
+// targets may lack live ones after an outage of the store.
+struct KnownTarget
+{
+  std::string id_;
+  std::string address_;
+  std::string pool_;
+
+  KnownTarget() = default;
+  KnownTarget(std::string aId, std::string aAddress, std::string aPool)
+    : id_(std::move(aId))
+    , address_(std::move(aAddress))
+    , pool_(std::move(aPool))
+  {
+  }
+  bool operator==(const KnownTarget&) const = default;
+};
+
 // All that lay in the store when this owner began. Comes first, once.
 struct JobsLoaded
 {
@@ -84,6 +102,7 @@
   std::map<std::string, Progress> progress_;            // by job
   std::set<std::string> cancelled_;                     // jobs
   std::map<std::int64_t, std::vector<std::string>> upkeepDone_; // by wave
+  std::vector<KnownTarget> targets_; // of the owner before
   int term_ = 1; // counts the owners, from 1
 };
 
@@ -286,6 +305,8 @@
 {
   std::uint64_t batch_ = 0;
   std::vector<std::pair<std::string, Progress>> jobs_;
+  bool hasTargets_ = false; // the list of known targets is written too
+  std::vector<KnownTarget> targets_;
 };
 
 struct StoreWave
--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -363,22 +363,18 @@
   }
 }
 
-// Work of jobs that the owner before us knew may run on a silent target that
-// we could not ask, without a record of it.
+// Work that the owner before us had may run, without a record of it, on a
+// target of its that has not told us yet.
 bool
 MayRunUnseen(const FleetState& aState, const JobEntry& aJob)
 {
-  const auto& options = aState.options_;
-  if (!aJob.wasLoaded_ ||
-      aState.now_ > aState.began_ + options.ownerAllowance_ +
-                      options.targetLease_ + options.holdWait_) {
+  if (!aJob.wasLoaded_ || aState.now_ >= InheritedLapse(aState)) {
     return false;
   }
   const auto& pool = PoolOf(aState, aJob);
   for (const auto& [id, target] : aState.targets_) {
-    if (target.isListed_ && !target.isGone_ &&
-        target.contact_ == Contact::Silent && target.born_ != 0 &&
-        target.report_.pool_ == pool && target.endsTaken_ == 0) {
+    if (target.isInherited_ && !target.isGone_ && !target.wasSeen_ &&
+        target.report_.pool_ == pool) {
       return true;
     }
   }
--- a/packages/fleet/src/jobs.cpp
+++ b/packages/fleet/src/jobs.cpp
@@ -207,6 +207,15 @@
   aState.hasJobs_ = true;
   aState.term_ = aLoaded.term_;
   aState.loadedUpkeeps_ = aLoaded.upkeepDone_;
+  for (const auto& known : aLoaded.targets_) {
+    auto& target = aState.targets_[known.id_];
+    target.isInherited_ = true;
+    if (!target.isListed_) {
+      target.report_.id_ = known.id_;
+      target.report_.address_ = known.address_;
+      target.report_.pool_ = known.pool_;
+    }
+  }
   for (const auto& job : aLoaded.jobs_) {
     auto& entry = InsertJob(aState, job);
     entry.wasLoaded_ = true;
@@ -360,7 +369,8 @@
 void
 StoreChanges(FleetState& aState)
 {
-  if (aState.batch_ != 0 || aState.dirtyJobs_.empty() ||
+  const bool isIdle = aState.dirtyJobs_.empty() && !aState.mustStoreTargets_;
+  if (!aState.hasJobs_ || aState.batch_ != 0 || isIdle ||
       (aState.now_ < aState.nextStore_ && !aState.isUrgent_)) {
     return;
   }
@@ -373,9 +383,17 @@
     aState.batchStates_.emplace_back(id, job.state_);
     effect.jobs_.emplace_back(id, ProgressOf(aState, job));
   }
+  aState.batchTargets_.clear();
+  effect.hasTargets_ = aState.mustStoreTargets_;
   for (auto& [id, target] : aState.targets_) {
     target.endsInBatch_ = target.endsTaken_;
+    if (effect.hasTargets_ && (target.isListed_ || !target.runs_.empty())) {
+      effect.targets_.emplace_back(
+        id, target.report_.address_, target.report_.pool_);
+      aState.batchTargets_.push_back(id);
+    }
   }
+  aState.mustStoreTargets_ = false;
   aState.dirtyJobs_.clear();
   aState.isUrgent_ = false;
   aState.nextStore_ = aState.now_ + aState.options_.storeInterval_;
@@ -398,6 +416,13 @@
   for (auto& [id, target] : aState.targets_) {
     target.endsStored_ = std::max(target.endsStored_, target.endsInBatch_);
   }
+  for (const auto& id : aState.batchTargets_) {
+    const auto target = aState.targets_.find(id);
+    if (target != aState.targets_.end() && !target->second.isRecorded_) {
+      target->second.isRecorded_ = true;
+      aState.dirtyPools_.insert(target->second.report_.pool_);
+    }
+  }
 }
 
 void
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -119,6 +119,9 @@
 {
   TargetReport report_;
   bool isListed_ = false;
+  bool isRecorded_ = false;  // a next owner would find it, listed or not
+  bool isInherited_ = false; // the owner before us used it
+  bool wasSeen_ = false;     // it has told us what runs there
   bool isGone_ = false; // its process has ended
   Contact contact_ = Contact::Unseen;
   std::int64_t born_ = 0;
@@ -147,7 +150,7 @@
 
   bool IsUsable(Instant aNow) const
   {
-    return isListed_ && !isGone_ && contact_ == Contact::Good &&
+    return isListed_ && isRecorded_ && !isGone_ && contact_ == Contact::Good &&
            !report_.isDraining_ && !isCordoned_ && avoidUntil_ <= aNow &&
            leavingUntil_ <= aNow;
   }
@@ -214,6 +217,8 @@
   std::vector<std::pair<std::string, JobState>> batchStates_;
   Instant nextStore_;
   bool isUrgent_ = false; // a job has ended: store at once
+  bool mustStoreTargets_ = false;
+  std::vector<std::string> batchTargets_;
 
   std::set<std::string> dirtyPools_; // something changed that may let work start
   Instant nextSweep_;
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -18,17 +18,6 @@
 constexpr Millis kStoreWait(400);
 constexpr std::size_t kFullList = 500; // a target lists no more ends at once
 
-// Latest moment at which something that the owner before us left on a target
-// can still run, if we cannot ask the target.
-Instant
-InheritedLapse(const FleetState& aState)
-{
-  const auto& options = aState.options_;
-  const auto lease = std::chrono::duration_cast<Millis>(
-    options.targetLease_ * kSlowestClock);
-  return aState.began_ + options.ownerAllowance_ + lease + kLapseSlack;
-}
-
 bool
 HasLapsed(const FleetState& aState, const Target& aTarget)
 {
@@ -234,6 +223,7 @@
     }
   }
   TakeClock(aState, aTarget, aAnswer.clockMs_);
+  aTarget.wasSeen_ = true;
   if (aTarget.contact_ != Contact::Good) {
     if (aTarget.contact_ == Contact::Silent) {
       aState.Log("target_back", "", "", aTarget.report_.id_, "answers again");
@@ -264,7 +254,8 @@
 NeedsHold(const Target& aTarget)
 {
   return !aTarget.runs_.empty() ||
-         (aTarget.isListed_ && aTarget.contact_ != Contact::Good) ||
+         ((aTarget.isListed_ || aTarget.isInherited_) &&
+          aTarget.contact_ != Contact::Good) ||
          aTarget.endsStored_ > aTarget.endsTold_;
 }
 
@@ -304,7 +295,9 @@
                    : HasPacing(aTarget) ? aState.options_.pacingWait_
                                         : aState.options_.holdWait_;
   }
-  if (aTarget.clockMs_ != 0) {
+  // A silent target is only asked: renewing without an answer would put off
+  // the time at which all that ran there has surely lapsed.
+  if (aTarget.clockMs_ != 0 && aTarget.contact_ != Contact::Silent) {
     aTarget.leaseUntil_ =
       std::max(aTarget.leaseUntil_,
                ClockOf(aState, aTarget) + aState.options_.targetLease_.count());
@@ -327,6 +320,15 @@
 
 } // namespace
 
+Instant
+InheritedLapse(const FleetState& aState)
+{
+  const auto& options = aState.options_;
+  const auto lease = std::chrono::duration_cast<Millis>(
+    options.targetLease_ * kSlowestClock);
+  return aState.began_ + options.ownerAllowance_ + lease + kLapseSlack;
+}
+
 void
 TakeTargets(FleetState& aState, const TargetsSeen& aSeen)
 {
@@ -355,6 +357,10 @@
     if (target.report_.sequence_ != report.sequence_ || isNewLife) {
       aState.dirtyPools_.insert(report.pool_);
     }
+    if (!target.isRecorded_ || target.report_.address_ != report.address_) {
+      target.isRecorded_ = false;
+      aState.mustStoreTargets_ = true;
+    }
     target.report_ = report;
     target.isListed_ = true;
     if (isNewReport) {
@@ -363,7 +369,11 @@
   }
   for (auto it = aState.targets_.begin(); it != aState.targets_.end();) {
     auto& target = it->second;
-    if (!target.isListed_ && target.runs_.empty() && !target.isHolding_) {
+    target.isInherited_ = target.isInherited_ && !target.isGone_ &&
+                          aState.now_ < InheritedLapse(aState);
+    if (!target.isListed_ && !target.isInherited_ && target.runs_.empty() &&
+        !target.isHolding_) {
+      aState.mustStoreTargets_ = aState.mustStoreTargets_ || target.isRecorded_;
       it = aState.targets_.erase(it);
     } else {
       ++it;
@@ -443,7 +453,8 @@
     return false;
   }
   for (const auto& [id, target] : aState.targets_) {
-    if (target.isListed_ && target.contact_ == Contact::Unseen) {
+    if ((target.isListed_ || target.isInherited_) &&
+        target.contact_ == Contact::Unseen) {
       return false;
     }
   }
--- a/packages/fleet/src/targets.h
+++ b/packages/fleet/src/targets.h
@@ -13,6 +13,10 @@
 // Sends the renewals that are due, gives up what has surely lapsed.
 void KeepContact(FleetState& aState);
 
+// Latest moment at which something that the owner before us left on a target
+// can still run, if we cannot ask the target.
+Instant InheritedLapse(const FleetState& aState);
+
 // True once every listed target has answered or is known to be silent.
 bool HasLooked(const FleetState& aState);
 
