Learned run times, late work yields, VMs move before work waits

Cause: at the start of a turn the small jobs of a queue waited 1 to 2.5 s until moves that began with the first waiting item arrived; estimates are off by a factor, so work that could no longer make its objective held up what still could. Change: run times learned by queue with the estimate weighed by its error; the order is in time, late, hopeless, then least work left; arriving work, as the cores it would keep busy, calls VMs before anything waits.

--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -45,39 +45,28 @@
          '.' + std::to_string(aWaiting.step_);
 }
 
-Millis
-LongestChain(const Job& aJob)
-{
-  std::vector<Millis> ends(aJob.steps_.size(), Millis(0));
-  Millis longest(0);
-  for (std::size_t step = 0; step < aJob.steps_.size(); ++step) {
-    Millis begin(0);
-    for (const int before : aJob.steps_[step].after_) {
-      begin = std::max(begin, ends[static_cast<std::size_t>(before)]);
-    }
-    ends[step] = begin + aJob.steps_[step].estimate_;
-    longest = std::max(longest, ends[step]);
-  }
-  return longest;
-}
-
 Claim
-MakeClaim(const FleetState& aState, const JobEntry& aJob, const Step& aStep)
+MakeClaim(const FleetState& aState,
+          const JobEntry& aJob,
+          const Occurrence& aOccurrence,
+          const Step& aStep)
 {
   Claim claim;
   claim.priority_ = aJob.job_.priority_;
   claim.isLasting_ = aStep.isLasting_;
-  claim.work_ = aJob.work_;
   claim.arrived_ = aJob.arrived_;
-  if (!aStep.isLasting_ && aJob.job_.repeats_ == 0) {
-    const auto objective =
-      std::chrono::duration_cast<Millis>(
-        std::chrono::duration<double, std::milli>(
-          aJob.job_.stretch_ *
-          static_cast<double>(LongestChain(aJob.job_).count()))) +
-      aJob.job_.allowance_;
-    claim.isHopeless_ =
-      aState.now_ - aJob.arrived_ > kHopelessObjectives * objective;
+  if (aStep.isLasting_) {
+    return claim;
+  }
+  claim.work_ = WorkLeft(aState, aJob, &aOccurrence);
+  if (aJob.job_.repeats_ == 0) {
+    const auto objective = ObjectiveOf(aState, aJob);
+    const auto end = aState.now_ - aJob.arrived_ +
+                     ChainLeft(aState, aJob, &aOccurrence);
+    claim.lateness_ = end <= objective ? Lateness::InTime
+                      : end <= kHopelessObjectives * objective
+                        ? Lateness::Late
+                        : Lateness::Hopeless;
   }
   return claim;
 }
@@ -106,7 +95,7 @@
             { &job,
               number,
               step,
-              MakeClaim(aState, job, job.job_.steps_[step]) });
+              MakeClaim(aState, job, occurrence, job.job_.steps_[step]) });
         }
       }
     }
--- a/packages/fleet/src/jobs.cpp
+++ b/packages/fleet/src/jobs.cpp
@@ -2,21 +2,14 @@
 
 #include "jobs.h"
 
+#include <cmath>
+
 #include "runs.h"
 
 namespace cuminbridge {
 
 namespace {
 
-// Rough work of one item, in core-milliseconds.
-double
-WorkOf(const Step& aStep)
-{
-  constexpr double kThousandths = 1000;
-  return static_cast<double>(aStep.needs_.cpu_) / kThousandths *
-         static_cast<double>(aStep.estimate_.count());
-}
-
 int
 OccurrencesOf(const Job& aJob)
 {
@@ -42,7 +35,6 @@
       const auto& spec = aJob.job_.steps_[step];
       occurrence.steps_[step].items_.resize(
         static_cast<std::size_t>(spec.count_));
-      aJob.work_ += WorkOf(spec) * spec.count_;
       if (spec.count_ == 0) {
         CountStepDone(aJob, occurrence);
       }
@@ -60,7 +52,6 @@
 {
   aItem.phase_ = ItemPhase::Done;
   aItem.checkpoint_.clear();
-  aJob.work_ -= WorkOf(aSpec);
   ++aStep.done_;
   if (aStep.done_ == aSpec.count_) {
     CountStepDone(aJob, aOccurrence);
@@ -121,6 +112,21 @@
   }
 }
 
+// Half of a job's length remembers enough to see a turn of demand begin, and
+// little enough not to take one job for a turn.
+void
+CountOffered(FleetState& aState, const JobEntry& aJob)
+{
+  if (aJob.job_.repeats_ > 0 || aJob.job_.steps_.front().isLasting_) {
+    return;
+  }
+  constexpr Millis kLeastMemory(400);
+  const auto memory =
+    std::max(kLeastMemory, ChainLeft(aState, aJob, nullptr) / 2);
+  aState.offered_[PoolOf(aState, aJob)].Add(
+    WorkLeft(aState, aJob, nullptr), memory, aState.now_);
+}
+
 JobEntry&
 InsertJob(FleetState& aState, const Job& aJob)
 {
@@ -194,6 +200,80 @@
   return ref;
 }
 
+Millis
+ExpectRun(const FleetState& aState, const JobEntry& aJob, const Step& aStep)
+{
+  const auto known = aState.runTimes_.find(aJob.job_.queue_);
+  return known == aState.runTimes_.end() ? aStep.estimate_
+                                         : known->second.Expect(aStep.estimate_);
+}
+
+Millis
+ChainLeft(const FleetState& aState,
+          const JobEntry& aJob,
+          const Occurrence* aOccurrence)
+{
+  const auto& steps = aJob.job_.steps_;
+  std::vector<Millis> ends(steps.size(), Millis(0));
+  Millis longest(0);
+  for (std::size_t step = 0; step < steps.size(); ++step) {
+    Millis begin(0);
+    for (const int before : steps[step].after_) {
+      begin = std::max(begin, ends[static_cast<std::size_t>(before)]);
+    }
+    const bool isDone =
+      aOccurrence && aOccurrence->steps_[step].done_ == steps[step].count_;
+    ends[step] =
+      begin + (isDone ? Millis(0) : ExpectRun(aState, aJob, steps[step]));
+    longest = std::max(longest, ends[step]);
+  }
+  return longest;
+}
+
+double
+WorkLeft(const FleetState& aState,
+         const JobEntry& aJob,
+         const Occurrence* aOccurrence)
+{
+  constexpr double kThousandths = 1000;
+  double work = 0;
+  const auto& steps = aJob.job_.steps_;
+  for (std::size_t step = 0; step < steps.size(); ++step) {
+    const int done = aOccurrence ? aOccurrence->steps_[step].done_ : 0;
+    work += static_cast<double>(steps[step].count_ - done) *
+            static_cast<double>(steps[step].needs_.cpu_) / kThousandths *
+            static_cast<double>(
+              ExpectRun(aState, aJob, steps[step]).count());
+  }
+  return work;
+}
+
+Millis
+ObjectiveOf(const FleetState& aState, const JobEntry& aJob)
+{
+  const auto chain = ChainLeft(aState, aJob, nullptr);
+  return std::chrono::duration_cast<Millis>(
+           std::chrono::duration<double, std::milli>(
+             aJob.job_.stretch_ * static_cast<double>(chain.count()))) +
+         aJob.job_.allowance_;
+}
+
+double
+OfferedLoad::At(Instant aNow, Millis aMemory) const
+{
+  const auto age = static_cast<double>((aNow - seen_).count());
+  return cores_ * std::exp(-age / static_cast<double>(aMemory.count()));
+}
+
+void
+OfferedLoad::Add(double aCoreMillis, Millis aMemory, Instant aNow)
+{
+  memory_ = aMemory;
+  cores_ = At(aNow, aMemory) +
+           aCoreMillis / static_cast<double>(aMemory.count());
+  seen_ = aNow;
+}
+
 const std::string&
 PoolOf(const FleetState& aState, const JobEntry& aJob)
 {
@@ -252,6 +332,7 @@
   auto& entry = InsertJob(aState, aJob);
   aState.active_.insert(aJob.id_);
   OpenOccurrences(aState, entry);
+  CountOffered(aState, entry);
   aState.dirtyPools_.insert(PoolOf(aState, entry));
 }
 
--- a/packages/fleet/src/jobs.h
+++ b/packages/fleet/src/jobs.h
@@ -14,6 +14,20 @@
 // The pool that serves a job now.
 const std::string& PoolOf(const FleetState& aState, const JobEntry& aJob);
 
+// What the learned run times make of a job's estimates. Without an occurrence,
+// of the whole job; with one, of what is not done there.
+Millis ExpectRun(const FleetState& aState,
+                 const JobEntry& aJob,
+                 const Step& aStep);
+Millis ChainLeft(const FleetState& aState,
+                 const JobEntry& aJob,
+                 const Occurrence* aOccurrence);
+double WorkLeft(const FleetState& aState, // in core-milliseconds
+                const JobEntry& aJob,
+                const Occurrence* aOccurrence);
+// Time from its arrival in which a job is to be completed.
+Millis ObjectiveOf(const FleetState& aState, const JobEntry& aJob);
+
 // Creates the occurrences whose time has come. Returns when the next is due.
 void OpenOccurrences(FleetState& aState, JobEntry& aJob);
 
--- a/packages/fleet/src/moves.cpp
+++ b/packages/fleet/src/moves.cpp
@@ -41,7 +41,7 @@
 {
   PoolView* best = nullptr;
   for (auto& pool : aPools) {
-    if (&pool == &aNeedy || pool.waitingCpu_ > 0 ||
+    if (&pool == &aNeedy || MissingCpu(pool, aOptions) > 0 ||
         !Spare(pool, aOptions, aOptions.lendAfter_)) {
       continue;
     }
@@ -58,6 +58,15 @@
 
 } // namespace
 
+std::int64_t
+MissingCpu(const PoolView& aPool, const MoveOptions& aOptions)
+{
+  const auto offered = static_cast<std::int64_t>(
+    static_cast<double>(aPool.offeredCpu_) / aOptions.fullPart_);
+  return std::max(aPool.waitingCpu_, offered - aPool.capacityCpu_) -
+         aPool.comingCpu_;
+}
+
 std::vector<Move>
 PlanMoves(std::vector<PoolView> aPools, const MoveOptions& aOptions)
 {
@@ -67,18 +76,18 @@
   for (auto& pool : aPools) {
     if (pool.isStandby_) {
       standby = &pool;
-    } else if (pool.waitingCpu_ > pool.comingCpu_) {
+    } else if (MissingCpu(pool, aOptions) > 0) {
       needy.push_back(&pool);
     }
   }
   std::sort(needy.begin(),
             needy.end(),
-            [](const PoolView* aLeft, const PoolView* aRight) {
-              return aLeft->waitingCpu_ - aLeft->comingCpu_ >
-                     aRight->waitingCpu_ - aRight->comingCpu_;
+            [&](const PoolView* aLeft, const PoolView* aRight) {
+              return MissingCpu(*aLeft, aOptions) >
+                     MissingCpu(*aRight, aOptions);
             });
   for (auto* pool : needy) {
-    while (pool->waitingCpu_ > pool->comingCpu_ &&
+    while (MissingCpu(*pool, aOptions) > 0 &&
            moves.size() < aOptions.mostAtOnce_) {
       auto* donor = ChooseDonor(aPools, *pool, aOptions);
       if (!donor) {
--- a/packages/fleet/src/moves.h
+++ b/packages/fleet/src/moves.h
@@ -25,6 +25,8 @@
   bool isStandby_ = false;        // its VMs are off and not paid for
   std::int64_t waitingCpu_ = 0;   // of items that wait for room
   std::int64_t comingCpu_ = 0;    // of VMs on their way
+  std::int64_t capacityCpu_ = 0;  // of usable VMs
+  std::int64_t offeredCpu_ = 0;   // that arriving work would keep busy
   int size_ = 0;                  // usable VMs
   std::vector<IdleVm> idle_;      // may be moved
 
@@ -38,6 +40,8 @@
   // An idle VM goes to standby: the price of a move is that of about 1.2
   // seconds in a pool, and it moves twice.
   Millis parkAfter_{ 2500 };
+  // Arriving work may keep this part of a pool busy before it needs more VMs.
+  double fullPart_ = 0.8;
   std::size_t mostAtOnce_ = 8; // moves in one plan
 };
 
@@ -49,6 +53,10 @@
   bool operator==(const Move&) const = default;
 };
 
+// Cores that a pool lacks, in thousandths: for work that waits, or for work that
+// arrives faster than the pool can run it.
+std::int64_t MissingCpu(const PoolView& aPool, const MoveOptions& aOptions);
+
 // Lends standby and idle VMs to pools where work waits for room, and parks what
 // stays idle. Names the load: turns in which one queue asks five times its mean
 // while the others ask a twentieth.
--- a/packages/fleet/src/placing.cpp
+++ b/packages/fleet/src/placing.cpp
@@ -79,7 +79,7 @@
   const auto key = [](const Claim& aClaim) {
     return std::make_tuple(aClaim.priority_,
                            !aClaim.isLasting_,
-                           aClaim.isHopeless_,
+                           aClaim.lateness_,
                            aClaim.work_,
                            aClaim.arrived_);
   };
--- a/packages/fleet/src/placing.h
+++ b/packages/fleet/src/placing.h
@@ -37,12 +37,19 @@
 // First fit: the baseline that ChooseSite is tested against.
 int ChooseFirstSite(const Step& aStep, const std::vector<Site>& aSites);
 
+enum class Lateness
+{
+  InTime,   // it can still make its objective
+  Late,     // it is still worth something
+  Hopeless, // it is only finished
+};
+
 // One step whose items wait.
 struct Claim
 {
   int priority_ = 0;
   bool isLasting_ = false;
-  bool isHopeless_ = false; // too late for its objective
+  Lateness lateness_ = Lateness::InTime;
   double work_ = 0;         // left of its job, in core-milliseconds
   Instant arrived_;
 };
--- /dev/null
+++ b/packages/fleet/src/run_times.cpp
@@ -0,0 +1,61 @@
+// How long work items really run.
+
+#include "run_times.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace cuminbridge {
+
+namespace {
+
+constexpr double kEnough = 12; // run times before the model is used
+
+} // namespace
+
+void
+RunTimes::Moments::Add(double aValue)
+{
+  count_ += 1;
+  const double distance = aValue - mean_;
+  mean_ += distance / count_;
+  squares_ += distance * (aValue - mean_);
+}
+
+double
+RunTimes::Moments::Variance() const
+{
+  return count_ > 1 ? squares_ / (count_ - 1) : 0;
+}
+
+void
+RunTimes::Learn(Millis aEstimate, Millis aTaken)
+{
+  if (aEstimate.count() <= 0 || aTaken.count() <= 0) {
+    return;
+  }
+  const double taken = std::log(static_cast<double>(aTaken.count()));
+  taken_.Add(taken);
+  error_.Add(std::log(static_cast<double>(aEstimate.count())) - taken);
+}
+
+Millis
+RunTimes::Expect(Millis aEstimate) const
+{
+  if (taken_.count_ < kEnough) {
+    return aEstimate;
+  }
+  const double spread = taken_.Variance();
+  const double error = error_.Variance();
+  if (aEstimate.count() <= 0 || spread + error <= 0) {
+    return Millis(static_cast<std::int64_t>(std::exp(taken_.mean_)));
+  }
+  const double weight = spread / (spread + error);
+  const double claimed =
+    std::log(static_cast<double>(aEstimate.count())) - error_.mean_;
+  const double likely = taken_.mean_ + weight * (claimed - taken_.mean_);
+  return Millis(std::max<std::int64_t>(
+    1, static_cast<std::int64_t>(std::exp(likely))));
+}
+
+} // namespace cuminbridge
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -5,6 +5,8 @@
 
 #include "cuminbridge/fleet.h"
 
+#include "run_times.h"
+
 namespace cuminbridge {
 
 //-----------------------------------------------------------------------------
@@ -66,7 +68,6 @@
   int occurrencesDone_ = 0;
   Instant arrived_;
   Instant ended_;
-  double work_ = 0; // estimated, in core-milliseconds, of what is not done
 
   bool HasEnded() const
   {
@@ -180,6 +181,18 @@
   bool isTold_ = false; // its status is written
 };
 
+// Work that arrives in a pool, as cores it would keep busy; older arrivals count
+// less and less.
+struct OfferedLoad
+{
+  double cores_ = 0; // at seen_
+  Instant seen_;
+
+  void Add(double aCoreMillis, Millis aMemory, Instant aNow);
+  double At(Instant aNow, Millis aMemory) const;
+  Millis memory_{ 1 }; // of its last arrival
+};
+
 //-----------------------------------------------------------------------------
 // [SECTION] The fleet
 //-----------------------------------------------------------------------------
@@ -202,7 +215,8 @@
   std::set<std::string> active_; // jobs that have not ended
   std::map<std::string, Target> targets_;
   std::map<std::string, Resources> running_; // by account
-  std::map<std::string, double> runRatio_;   // run time / estimate, by queue
+  std::map<std::string, RunTimes> runTimes_; // by queue
+  std::map<std::string, OfferedLoad> offered_; // by pool
 
   std::map<std::string, Vm> vms_;
   Instant vmsSeen_;
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -94,6 +94,10 @@
   const bool isOurs = run != nullptr;
   bool isCurrent = false;
   if (isOurs) {
+    if (aEnd.kind_ == EndKind::Done && ref.item_) {
+      aState.runTimes_[ref.job_->job_.queue_].Learn(
+        ref.spec_->estimate_, aState.now_ - run->sentAt_);
+    }
     isCurrent = ref.item_ && ref.item_->phase_ == ItemPhase::Assigned &&
                 ref.item_->run_ == aEnd.run_ &&
                 ref.item_->target_ == aTarget.report_.id_;
--- a/packages/fleet/src/vms.cpp
+++ b/packages/fleet/src/vms.cpp
@@ -206,6 +206,13 @@
     if (demand != demands.end()) {
       view.waitingCpu_ = demand->second.cpu_;
     }
+    const auto offered = aState.offered_.find(pool.name_);
+    if (offered != aState.offered_.end()) {
+      constexpr double kThousandths = 1000;
+      view.offeredCpu_ = static_cast<std::int64_t>(
+        kThousandths *
+        offered->second.At(aState.now_, offered->second.memory_));
+    }
   }
   for (auto& [id, target] : aState.targets_) {
     const auto view = views.find(target.report_.pool_);
@@ -214,6 +221,7 @@
       continue;
     }
     ++view->second.size_;
+    view->second.capacityCpu_ += target.report_.capacity_.cpu_;
     if (target.runs_.empty() && IsMovable(aState, target.report_.vm_)) {
       view->second.idle_.push_back({ target.report_.vm_,
                                      aState.now_ - target.idleSince_,
