A new owner orders VMs at once: the orders of the last one are in the store

Cause: an owner sent no order for a VM in its first 3.5 s, so that the orders of two owners never alternate. A new owner also took each wave for new, and VMs were parked before the first turn. Change: an order is in the store before it is sent, and a new owner keeps away only from VMs ordered in the last 3 s; the owner's lease is 1.5 s; a wave's age is stored; pools that had no work yet are not parked; targets that were not asked yet count as silent after 350 ms.

--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -19,7 +19,7 @@
 
 constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
 
-constexpr Millis kRenewInterval(400);  // a fifth of the lease
+constexpr Millis kRenewInterval(300);  // a fifth of the lease
 constexpr Millis kTickInterval(20);
 constexpr Millis kTargetsInterval(400); // a draining target gets no work 2 s on
 constexpr Millis kVmsInterval(400);
@@ -38,6 +38,21 @@
   return aPrefix + aName;
 }
 
+// The key was read, or does not exist.
+bool
+IsKnown(const StoreReply& aReply)
+{
+  return aReply.IsDone() || aReply.status_ == StoreStatus::Missing;
+}
+
+std::string
+WriteWaveRecord(const WaveRecord& aRecord)
+{
+  return nlohmann::json{ { "seen", aRecord.seen_.time_since_epoch().count() },
+                         { "done", aRecord.upkeepDone_ } }
+    .dump();
+}
+
 FleetOptions
 MakeOptions(const PlatformSettings& aSettings)
 {
@@ -45,7 +60,7 @@
   options.targetLease_ =
     std::min(options.targetLease_, aSettings.longestLease_);
   options.moveTime_ = aSettings.moveTime_;
-  options.vmOrderDelay_ = aSettings.vmOrderLease_ + Millis(500);
+  options.vmOrderLease_ = aSettings.vmOrderLease_;
   options.keepEnded_ = aSettings.keepEnded_;
   options.remoteFactor_ = aSettings.remoteFactor_;
   return options;
@@ -188,6 +203,7 @@
   StoreReply progress;
   StoreReply upkeep;
   StoreReply targets;
+  StoreReply orders;
   while (!hasEnded_) {
     intake = co_await parts_.store_.List(kIntakePrefix);
     if (intake.IsDone()) {
@@ -198,7 +214,8 @@
     }
     if (intake.IsDone() && progress.IsDone() && upkeep.IsDone()) {
       targets = co_await parts_.store_.Get(kTargetsKey);
-      if (targets.IsDone() || targets.status_ == StoreStatus::Missing) {
+      orders = co_await parts_.store_.Get(kOrdersKey);
+      if (IsKnown(targets) && IsKnown(orders)) {
         break;
       }
     }
@@ -232,10 +249,21 @@
   for (const auto& item : upkeep.items_) {
     const auto number =
       item.key_.substr(std::string_view(kUpkeepPrefix).size());
-    const auto names = nlohmann::json::parse(item.value_, nullptr, false);
-    if (names.is_array()) {
-      loaded.upkeepDone_[std::atoll(number.c_str())] =
-        names.get<std::vector<std::string>>();
+    const auto record = nlohmann::json::parse(item.value_, nullptr, false);
+    if (record.is_object()) {
+      loaded.waves_[std::atoll(number.c_str())] = {
+        WallTime(Millis(record.at("seen").get<std::int64_t>())),
+        record.at("done").get<std::vector<std::string>>()
+      };
+    }
+  }
+  if (orders.IsDone()) {
+    const auto rows =
+      nlohmann::json::parse(orders.items_.front().value_, nullptr, false);
+    for (const auto& row : rows) {
+      loaded.orders_.push_back(
+        { row.at(0).get<std::string>(),
+          WallTime(Millis(row.at(1).get<std::int64_t>())) });
     }
   }
   if (targets.IsDone()) {
@@ -367,6 +395,13 @@
     }
     puts.push_back({ kTargetsKey, rows.dump(), 0 });
   }
+  if (aEffect.hasOrders_) {
+    nlohmann::json rows = nlohmann::json::array();
+    for (const auto& order : aEffect.orders_) {
+      rows.push_back({ order.vm_, order.at_.time_since_epoch().count() });
+    }
+    puts.push_back({ kOrdersKey, rows.dump(), 0 });
+  }
   for (const auto& [job, progress] : aEffect.jobs_) {
     puts.push_back(
       { KeyOf(kProgressPrefix, job), EncodeProgress(progress), 0 });
@@ -531,8 +566,7 @@
       },
       [&](HoldTarget& aHold) {
         Spawn([self, hold = std::move(aHold)]() -> Awaitable<void> {
-          const FleetOptions options;
-          self->Handle(co_await self->targets_.Hold(hold, options.holdGrace_));
+          self->Handle(co_await self->targets_.Hold(hold));
         });
       },
       [&](PaceRun& aPace) {
@@ -558,7 +592,7 @@
       [&](StoreProgress& aStore) { QueueProgress(aStore); },
       [&](StoreWave& aWave) {
         Queue({ { { kUpkeepPrefix + std::to_string(aWave.wave_),
-                    nlohmann::json(aWave.upkeepDone_).dump(),
+                    WriteWaveRecord(aWave.record_),
                     0 },
                   { WaveStatusKey(aWave.wave_),
                     FormatWaveStatus(aWave.isCompleted_),
--- a/packages/daemon/src/owner.h
+++ b/packages/daemon/src/owner.h
@@ -24,9 +24,9 @@
 // Ends a coroutine's pause; false if the io_context is ending.
 Awaitable<void> Sleep(boost::asio::io_context& aIo, Millis aTime);
 
-// Time that the owner's key outlives its last renewal. Renewals come every 400
+// Time that the owner's key outlives its last renewal. Renewals come every 300
 // ms, and the slowest answer of the store takes 240.
-inline constexpr Millis kOwnerLease(2000);
+inline constexpr Millis kOwnerLease(1500);
 
 struct Ownership
 {
--- a/packages/daemon/src/records.h
+++ b/packages/daemon/src/records.h
@@ -25,6 +25,8 @@
 inline constexpr const char* kUpkeepPrefix = "upkeep/";
 // Targets that the owner uses.
 inline constexpr const char* kTargetsKey = "targets";
+// Recent orders for VMs.
+inline constexpr const char* kOrdersKey = "orders";
 // Waiting jobs by queue.
 inline constexpr const char* kLoadKey = "load";
 
--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -49,7 +49,7 @@
   Millis holdWait_{ 1000 };
   // The same where fillers run beside work that serves, to pace them in time.
   Millis pacingWait_{ 400 };
-  // A target that does not answer a renewal this long after holdWait_ is silent.
+  // A target that does not answer a renewal this long after its wait is silent.
   Millis holdGrace_{ 700 };
   // Longest that an owner goes on after its lease in the store has run out.
   Millis ownerAllowance_{ 5000 };
@@ -62,9 +62,12 @@
   Millis planInterval_{ 200 };
   // A VM has left its pool for this long when it moves, from the settings.
   Millis moveTime_{ 1500 };
-  // No order for a VM in the first moments of an owner, so that the orders of
-  // two owners never alternate; the settings' lease of machine orders.
-  Millis vmOrderDelay_{ 3500 };
+  // Orders of two owners for one VM stay this far apart, from the settings.
+  Millis vmOrderLease_{ 3000 };
+  // Times of day of two entries differ by this at most, outside of clock steps.
+  Millis clockSkew_{ 500 };
+  // A target that was not asked yet answers within this, or is silent.
+  Millis lookLimit_{ 350 };
   // A filler's share is looked at this often; targets act within 100 ms.
   Millis paceInterval_{ 300 };
   // Ended jobs can be asked for this long, from the settings.
@@ -95,13 +98,32 @@
   bool operator==(const KnownTarget&) const = default;
 };
 
+// An order for a VM, in the store before it is sent.
+struct KnownOrder
+{
+  std::string vm_;
+  WallTime at_;
+
+  bool operator==(const KnownOrder&) const = default;
+};
+
+// What is known of a wave, in the store.
+struct WaveRecord
+{
+  WallTime seen_;                     // by the first owner that saw it
+  std::vector<std::string> upkeepDone_; // VMs whose upkeep has begun
+
+  bool operator==(const WaveRecord&) const = default;
+};
+
 // All that lay in the store when this owner began. Comes first, once.
 struct JobsLoaded
 {
   std::vector<Job> jobs_;
   std::map<std::string, Progress> progress_;            // by job
   std::set<std::string> cancelled_;                     // jobs
-  std::map<std::int64_t, std::vector<std::string>> upkeepDone_; // by wave
+  std::map<std::int64_t, WaveRecord> waves_;
+  std::vector<KnownOrder> orders_;       // recent ones of the owner before
   std::vector<KnownTarget> targets_; // of the owner before
   int term_ = 1; // counts the owners, from 1
 };
@@ -272,6 +294,7 @@
   std::int64_t leaseUntil_ = 0; // 0 renews nothing
   std::int64_t lastSeen_ = 0;   // ends up to here are stored
   Millis wait_{ 0 };
+  Millis limit_{ 0 };           // without an answer it is silent then
 };
 
 struct PaceRun
@@ -307,12 +330,14 @@
   std::vector<std::pair<std::string, Progress>> jobs_;
   bool hasTargets_ = false; // the list of known targets is written too
   std::vector<KnownTarget> targets_;
+  bool hasOrders_ = false; // so is that of recent orders
+  std::vector<KnownOrder> orders_;
 };
 
 struct StoreWave
 {
   std::int64_t wave_ = 0;
-  std::vector<std::string> upkeepDone_;
+  WaveRecord record_;
   bool isCompleted_ = false;
 };
 
--- a/packages/fleet/src/jobs.cpp
+++ b/packages/fleet/src/jobs.cpp
@@ -2,9 +2,11 @@
 
 #include "jobs.h"
 
+#include <algorithm>
 #include <cmath>
 
 #include "runs.h"
+#include "vms.h"
 
 namespace cuminbridge {
 
@@ -286,7 +288,14 @@
 {
   aState.hasJobs_ = true;
   aState.term_ = aLoaded.term_;
-  aState.loadedUpkeeps_ = aLoaded.upkeepDone_;
+  aState.loadedWaves_ = aLoaded.waves_;
+  for (const auto& order : aLoaded.orders_) {
+    const auto apart =
+      aState.options_.vmOrderLease_ + aState.options_.clockSkew_;
+    const auto age =
+      std::clamp(aState.TimeOfDay() - order.at_, Millis(0), apart);
+    aState.orderedBefore_[order.vm_] = aState.now_ + (apart - age);
+  }
   for (const auto& known : aLoaded.targets_) {
     auto& target = aState.targets_[known.id_];
     target.isInherited_ = true;
@@ -450,7 +459,8 @@
 void
 StoreChanges(FleetState& aState)
 {
-  const bool isIdle = aState.dirtyJobs_.empty() && !aState.mustStoreTargets_;
+  const bool isIdle = aState.dirtyJobs_.empty() &&
+                      !aState.mustStoreTargets_ && !aState.mustStoreOrders_;
   if (!aState.hasJobs_ || aState.batch_ != 0 || isIdle ||
       (aState.now_ < aState.nextStore_ && !aState.isUrgent_)) {
     return;
@@ -475,6 +485,7 @@
     }
   }
   aState.mustStoreTargets_ = false;
+  AddOrdersToBatch(aState, effect);
   aState.dirtyJobs_.clear();
   aState.isUrgent_ = false;
   aState.nextStore_ = aState.now_ + aState.options_.storeInterval_;
@@ -497,6 +508,7 @@
   for (auto& [id, target] : aState.targets_) {
     target.endsStored_ = std::max(target.endsStored_, target.endsInBatch_);
   }
+  SendStoredOrders(aState);
   for (const auto& id : aState.batchTargets_) {
     const auto target = aState.targets_.find(id);
     if (target != aState.targets_.end() && !target->second.isRecorded_) {
--- a/packages/fleet/src/moves.cpp
+++ b/packages/fleet/src/moves.cpp
@@ -103,7 +103,8 @@
     return moves;
   }
   for (auto& pool : aPools) {
-    while (!pool.isStandby_ && pool.waitingCpu_ == 0 &&
+    // What a pool will be asked for is not known before its first work.
+    while (!pool.isStandby_ && pool.hasWorked_ && pool.waitingCpu_ == 0 &&
            moves.size() < aOptions.mostAtOnce_) {
       const auto* vm = Spare(pool, aOptions, aOptions.parkAfter_);
       if (!vm) {
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -167,6 +167,9 @@
   std::int64_t wave_ = 0;
   std::string pool_; // where it moves to
   Instant sentAt_;
+  WallTime recordedAt_;
+  bool isStored_ = false; // only then it is sent
+  bool isInBatch_ = false;
   std::optional<Instant> doneAt_;
   bool isAnswered_ = false;
 };
@@ -175,6 +178,7 @@
 {
   Wave wave_;
   Instant seenAt_;
+  WallTime seen_;
   std::set<std::string> done_; // upkeep has begun
   std::map<std::string, Instant> down_; // VM and since when
   bool isCompleted_ = false;
@@ -222,7 +226,10 @@
   Instant vmsSeen_;
   std::map<std::string, VmOrder> vmOrders_;
   std::map<std::int64_t, WaveState> waves_;
-  std::map<std::int64_t, std::vector<std::string>> loadedUpkeeps_;
+  std::map<std::int64_t, WaveRecord> loadedWaves_;
+  std::map<std::string, Instant> orderedBefore_; // VM: may be ordered from then
+  std::deque<KnownOrder> recentOrders_;
+  bool mustStoreOrders_ = false;
   Instant nextPlan_;
 
   std::set<std::string> dirtyJobs_;
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -307,6 +307,9 @@
                ClockOf(aState, aTarget) + aState.options_.targetLease_.count());
     effect.leaseUntil_ = aTarget.leaseUntil_;
   }
+  effect.limit_ = aTarget.contact_ == Contact::Good
+                    ? effect.wait_ + aState.options_.holdGrace_
+                    : aState.options_.lookLimit_;
   aTarget.isHolding_ = true;
   aState.Emit(std::move(effect));
 }
--- a/packages/fleet/src/vms.cpp
+++ b/packages/fleet/src/vms.cpp
@@ -67,17 +67,10 @@
   if (auto* target = TargetOfVm(aState, aVm)) {
     target->leavingUntil_ = aState.now_ + kOrderDoubt;
   }
-  aState.Log(aOrder.isUpkeep_ ? "vm_upkeep" : "vm_move",
-             "",
-             "",
-             aVm,
-             aOrder.isUpkeep_ ? "wave " + std::to_string(aOrder.wave_)
-                              : "to " + aOrder.pool_);
-  if (aOrder.isUpkeep_) {
-    aState.Emit(UpkeepVm{ aVm, aOrder.wave_ });
-  } else {
-    aState.Emit(MoveVm{ aVm, aOrder.pool_ });
-  }
+  aOrder.recordedAt_ = aState.TimeOfDay();
+  aState.recentOrders_.push_back({ aVm, aOrder.recordedAt_ });
+  aState.mustStoreOrders_ = true;
+  aState.isUrgent_ = true;
   aState.vmOrders_[aVm] = std::move(aOrder);
 }
 
@@ -102,6 +95,21 @@
   return aState.vms_.count(aVm) != 0;
 }
 
+// Orders of the owner before us for this VM are long enough ago.
+bool
+MayOrder(const FleetState& aState, const std::string& aVm)
+{
+  const auto before = aState.orderedBefore_.find(aVm);
+  return before == aState.orderedBefore_.end() ||
+         before->second <= aState.now_;
+}
+
+WaveRecord
+RecordOf(const WaveState& aWave)
+{
+  return { aWave.seen_, { aWave.done_.begin(), aWave.done_.end() } };
+}
+
 WaveView
 MakeWaveView(FleetState& aState, const WaveState& aWave)
 {
@@ -118,7 +126,8 @@
     WaveVm vm;
     vm.name_ = name;
     vm.isUp_ = IsUp(aState, name);
-    vm.isOrdered_ = HasOpenOrder(aState, name);
+    vm.isOrdered_ =
+      HasOpenOrder(aState, name) || !MayOrder(aState, name);
     if (const auto* target = TargetOfVm(aState, name)) {
       vm.isCordoned_ = target->isCordoned_;
       vm.runs_ = static_cast<int>(target->runs_.size());
@@ -159,7 +168,7 @@
     aWave.isCompleted_ = true;
     StoreWave effect;
     effect.wave_ = aWave.wave_.number_;
-    effect.upkeepDone_.assign(aWave.done_.begin(), aWave.done_.end());
+    effect.record_ = RecordOf(aWave);
     effect.isCompleted_ = true;
     aState.Emit(std::move(effect));
     aState.Log("wave_completed",
@@ -190,6 +199,7 @@
 IsMovable(const FleetState& aState, const std::string& aVm)
 {
   return IsUp(aState, aVm) && !HasOpenOrder(aState, aVm) &&
+         MayOrder(aState, aVm) &&
          !IsInOpenWave(aState, aVm);
 }
 
@@ -222,6 +232,7 @@
     }
     ++view->second.size_;
     view->second.capacityCpu_ += target.report_.capacity_.cpu_;
+    view->second.hasWorked_ = aState.offered_.count(view->first) != 0;
     if (target.runs_.empty() && IsMovable(aState, target.report_.vm_)) {
       view->second.idle_.push_back({ target.report_.vm_,
                                      aState.now_ - target.idleSince_,
@@ -281,7 +292,7 @@
                (pool && pool->isStandby_ && isListed) ||
                aState.now_ > *order.doneAt_ + kMoveExpected;
     } else {
-      isOver = aState.now_ > order.sentAt_ + kOrderDoubt;
+      isOver = order.isStored_ && aState.now_ > order.sentAt_ + kOrderDoubt;
     }
     it = isOver ? aState.vmOrders_.erase(it) : std::next(it);
   }
@@ -364,17 +375,21 @@
     auto& entry = aState.waves_[wave.number_];
     entry.wave_ = wave;
     entry.seenAt_ = aState.now_;
-    const auto loaded = aState.loadedUpkeeps_.find(wave.number_);
-    if (loaded != aState.loadedUpkeeps_.end()) {
-      entry.done_.insert(loaded->second.begin(), loaded->second.end());
+    entry.seen_ = aState.TimeOfDay();
+    const auto loaded = aState.loadedWaves_.find(wave.number_);
+    if (loaded != aState.loadedWaves_.end()) {
+      const auto& record = loaded->second;
+      entry.seen_ = std::min(entry.seen_, record.seen_);
+      entry.seenAt_ = aState.now_ - (aState.TimeOfDay() - entry.seen_);
+      entry.done_.insert(record.upkeepDone_.begin(), record.upkeepDone_.end());
       // Some may still be down; the list tells once it is fresh.
-      for (const auto& vm : loaded->second) {
+      for (const auto& vm : record.upkeepDone_) {
         entry.down_[vm] = aState.now_;
       }
     }
     StoreWave effect;
     effect.wave_ = wave.number_;
-    effect.upkeepDone_.assign(entry.done_.begin(), entry.done_.end());
+    effect.record_ = RecordOf(entry);
     aState.Emit(std::move(effect));
     aState.Log("wave_seen",
                "",
@@ -410,7 +425,7 @@
       wave.down_[aAnswer.vm_] = aState.now_;
       StoreWave effect;
       effect.wave_ = order.wave_;
-      effect.upkeepDone_.assign(wave.done_.begin(), wave.done_.end());
+      effect.record_ = RecordOf(wave);
       aState.Emit(std::move(effect));
     } else {
       ++aState.counts_.moves_;
@@ -434,11 +449,65 @@
   aState.vmOrders_.erase(found);
 }
 
+void
+AddOrdersToBatch(FleetState& aState, StoreProgress& aBatch)
+{
+  if (!aState.mustStoreOrders_) {
+    return;
+  }
+  aState.mustStoreOrders_ = false;
+  aBatch.hasOrders_ = true;
+  const auto apart =
+    aState.options_.vmOrderLease_ + aState.options_.clockSkew_;
+  while (!aState.recentOrders_.empty() &&
+         aState.TimeOfDay() - aState.recentOrders_.front().at_ > apart) {
+    aState.recentOrders_.pop_front();
+  }
+  aBatch.orders_.assign(aState.recentOrders_.begin(),
+                        aState.recentOrders_.end());
+  for (auto& [vm, order] : aState.vmOrders_) {
+    order.isInBatch_ = true;
+  }
+}
+
+void
+SendStoredOrders(FleetState& aState)
+{
+  for (auto it = aState.vmOrders_.begin(); it != aState.vmOrders_.end();) {
+    auto& [vm, order] = *it;
+    if (order.isStored_ || !order.isInBatch_) {
+      ++it;
+      continue;
+    }
+    if (!aState.mayOrderVms_) {
+      // The lease may run out before the order arrives.
+      if (order.isUpkeep_) {
+        aState.waves_[order.wave_].down_.erase(vm);
+      }
+      it = aState.vmOrders_.erase(it);
+      continue;
+    }
+    order.isStored_ = true;
+    order.sentAt_ = aState.now_;
+    aState.Log(order.isUpkeep_ ? "vm_upkeep" : "vm_move",
+               "",
+               "",
+               vm,
+               order.isUpkeep_ ? "wave " + std::to_string(order.wave_)
+                               : "to " + order.pool_);
+    if (order.isUpkeep_) {
+      aState.Emit(UpkeepVm{ vm, order.wave_ });
+    } else {
+      aState.Emit(MoveVm{ vm, order.pool_ });
+    }
+    ++it;
+  }
+}
+
 void
 PlanVms(FleetState& aState)
 {
   if (!aState.mayOrderVms_ || aState.isLooking_ ||
-      aState.now_ < aState.began_ + aState.options_.vmOrderDelay_ ||
       aState.now_ < aState.nextPlan_ ||
       aState.now_ - aState.vmsSeen_ > kOrderDoubt) {
     return;
--- a/packages/fleet/src/vms.h
+++ b/packages/fleet/src/vms.h
@@ -11,6 +11,10 @@
 void TakeWaves(FleetState& aState, const WavesSeen& aSeen);
 void TakeVmOrder(FleetState& aState, const VmOrderAnswered& aAnswer);
 
+// Orders go out once the store has them, so that the next owner knows them.
+void AddOrdersToBatch(FleetState& aState, StoreProgress& aBatch);
+void SendStoredOrders(FleetState& aState);
+
 // Plans waves and moves, if it is time.
 void PlanVms(FleetState& aState);
 
--- a/packages/fleet/src/waves.cpp
+++ b/packages/fleet/src/waves.cpp
@@ -10,7 +10,7 @@
 
 // The pace is set for this part of the duration, so that the last VMs have time
 // to become empty: a late tenth costs as much as some thirty small jobs.
-constexpr double kUsedPart = 0.6;
+constexpr double kUsedPart = 0.5;
 
 bool
 IsBehind(const WaveView& aWave)
