The next owner learns whether the last one has ended

Change: an owner that shuts down records all it did and says so; the next one otherwise asks the last one's process. Ended: one lease of a target is waited for.

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -50,6 +50,7 @@
   Awaitable<void> ShutDown();
   void WaitForSignals();
   Awaitable<HttpAnswer> TellReady(const HttpRequest& aRequest);
+  Awaitable<HttpAnswer> TellPeer(const HttpRequest& aRequest);
   bool IsReady() const;
   void Note(const char* aEvent, std::string aDetail);
 
@@ -63,6 +64,7 @@
   Intake intake_{ parts_ };
   HttpServer callers_;
   HttpServer readiness_;
+  HttpServer peers_;
   std::shared_ptr<Owner> owner_;
   Instant storeSeen_;
   std::int64_t configRevision_ = 0;
@@ -89,6 +91,9 @@
                [this](const HttpRequest& aRequest) {
                  return TellReady(aRequest);
                })
+  , peers_(io_, MakeServerOptions(), [this](const HttpRequest& aRequest) {
+    return TellPeer(aRequest);
+  })
 {
 }
 
@@ -119,6 +124,22 @@
   co_return answer;
 }
 
+// The term in which this process owns the fleet, or 0.
+Awaitable<HttpAnswer>
+Daemon::TellPeer(const HttpRequest& aRequest)
+{
+  constexpr int kNotFound = 404;
+  HttpAnswer answer;
+  answer.type_ = "text/plain";
+  if (aRequest.path_ != kOwnerPath) {
+    answer.status_ = kNotFound;
+    co_return answer;
+  }
+  const bool isOwner = owner_ && !owner_->HasEnded();
+  answer.body_ = std::to_string(isOwner ? owner_->Term() : 0);
+  co_return answer;
+}
+
 Awaitable<void>
 Daemon::PollConfig()
 {
@@ -160,6 +181,10 @@
   if (!term.IsDone() && term.status_ != StoreStatus::Missing) {
     co_return false;
   }
+  const auto last = co_await store_.Get(kLastOwnerKey);
+  if (!last.IsDone() && last.status_ != StoreStatus::Missing) {
+    co_return false;
+  }
   const int number =
     term.IsDone() ? std::atoi(term.items_.front().value_.c_str()) + 1 : 1;
   StoreWrite write;
@@ -169,6 +194,8 @@
   write.puts_.push_back({ kOwnerKey, settings_.name_, aLease });
   write.puts_.push_back({ kTermKey, std::to_string(number), 0 });
   write.puts_.push_back({ kChainKey, "0", 0 });
+  LastOwner self{ number, PeerAddress(settings_), false };
+  write.puts_.push_back({ kLastOwnerKey, WriteLastOwner(self), 0 });
   const auto reply = co_await store_.Write(write);
   if (!reply.IsDone() || isStopping_) {
     co_return false;
@@ -177,6 +204,9 @@
   ownership.token_ = reply.revision_;
   ownership.lease_ = aLease;
   ownership.term_ = number;
+  if (last.IsDone()) {
+    ownership.former_ = last.items_.front().value_;
+  }
   ownership.validUntil_ = aLeaseSent + kOwnerLease;
   owner_ = std::make_shared<Owner>(parts_, ownership, intake_.Config());
   intake_.SetOwner(owner_);
@@ -268,7 +298,8 @@
   Note("started", settings_.dataCentre_);
   for (const auto& [server, address] :
        { std::pair(&callers_, settings_.callerAddress_),
-         std::pair(&readiness_, settings_.readyAddress_) }) {
+         std::pair(&readiness_, settings_.readyAddress_),
+         std::pair(&peers_, PeerAddress(settings_)) }) {
     const auto error = server->Open(address);
     if (!error.empty()) {
       std::cerr << error << "\n";
--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -2,6 +2,8 @@
 
 #include "owner.h"
 
+#include <sstream>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -137,11 +139,26 @@
 Awaitable<void>
 Owner::HandOver()
 {
+  const auto self = shared_from_this();
+  isHandingOver_ = true;
   const auto limit = parts_.clocks_.Now() + kHandOverLimit;
   while (!hasEnded_ && parts_.clocks_.Now() < limit &&
-         (isWriting_ || !writes_.empty())) {
+         (isWriting_ || !writes_.empty() || fleet_.HasUnstored())) {
     co_await Sleep(parts_.io_, kTickInterval);
   }
+  if (!hasEnded_ && !isWriting_ && !fleet_.HasUnstored()) {
+    bool isWritten = false;
+    LastOwner last{ ownership_.term_, PeerAddress(parts_.settings_), true };
+    Queue({ { { kLastOwnerKey, WriteLastOwner(last), 0 } },
+            {},
+            [&isWritten] { isWritten = true; } });
+    while (!hasEnded_ && !isWritten && parts_.clocks_.Now() < limit) {
+      co_await Sleep(parts_.io_, kTickInterval);
+    }
+    if (!isWritten) {
+      writes_.clear(); // its end refers to this call
+    }
+  }
   End("handed over");
   co_await parts_.store_.EndLease(ownership_.lease_);
 }
@@ -195,6 +212,51 @@
   return true;
 }
 
+std::string
+PeerAddress(const PlatformSettings& aSettings)
+{
+  return aSettings.ip_ + ':' + std::to_string(aSettings.firstInternalPort_);
+}
+
+std::string
+WriteLastOwner(const LastOwner& aOwner)
+{
+  return std::to_string(aOwner.term_) + ' ' + aOwner.address_ +
+         (aOwner.hasHandedOver_ ? " handed-over" : "");
+}
+
+LastOwner
+ReadLastOwner(const std::string& aText)
+{
+  LastOwner owner;
+  std::string mark;
+  std::istringstream text(aText);
+  text >> owner.term_ >> owner.address_ >> mark;
+  owner.hasHandedOver_ = mark == "handed-over";
+  return owner;
+}
+
+Awaitable<FormerOwner>
+Owner::AskFormer()
+{
+  const auto self = shared_from_this();
+  const auto former = ReadLastOwner(ownership_.former_);
+  if (former.hasHandedOver_ || former.address_.empty()) {
+    co_return FormerOwner::HandedOver;
+  }
+  constexpr Millis kLimit(250); // a peer answers within a few milliseconds
+  HttpCall call;
+  call.path_ = kOwnerPath;
+  call.limit_ = kLimit;
+  const auto reply =
+    co_await parts_.http_.Call(former.address_, std::move(call));
+  const bool isStill =
+    reply.IsAnswered() && reply.body_ == std::to_string(former.term_);
+  const bool isEnded =
+    reply.outcome_ == CallOutcome::Refused || (reply.IsAnswered() && !isStill);
+  co_return isEnded ? FormerOwner::Ended : FormerOwner::Unknown;
+}
+
 Awaitable<void>
 Owner::Load()
 {
@@ -275,9 +337,19 @@
                                    row.at(2).get<std::string>());
     }
   }
+  loaded.former_ = co_await AskFormer();
+  if (hasEnded_) {
+    co_return;
+  }
+  WriteLine({ "former_owner",
+              "",
+              "",
+              "",
+              ownership_.former_ + " state " +
+                std::to_string(static_cast<int>(loaded.former_)) },
+            parts_.clocks_.Now());
   Handle(Tick{ parts_.clocks_.TimeOfDay(), false });
   Handle(loaded);
-  hasLoaded_ = true;
   const auto revision = intake.revision_;
   Spawn([self, revision] { return self->WatchIntake(revision); });
   Spawn([self] { return self->PollVms(); });
@@ -555,6 +627,9 @@
   std::visit(
     Overloaded{
       [&](StartRun& aStart) {
+        if (isHandingOver_) {
+          return;
+        }
         Spawn([self, start = std::move(aStart)]() -> Awaitable<void> {
           self->Handle(co_await self->targets_.Start(start));
         });
@@ -580,11 +655,17 @@
         });
       },
       [&](MoveVm& aMove) {
+        if (isHandingOver_) {
+          return;
+        }
         Spawn([self, move = std::move(aMove)]() -> Awaitable<void> {
           self->Handle(co_await self->vms_.Move(move));
         });
       },
       [&](UpkeepVm& aUpkeep) {
+        if (isHandingOver_) {
+          return;
+        }
         Spawn([self, upkeep = std::move(aUpkeep)]() -> Awaitable<void> {
           self->Handle(co_await self->vms_.Upkeep(upkeep));
         });
--- a/packages/daemon/src/owner.h
+++ b/packages/daemon/src/owner.h
@@ -33,6 +33,7 @@
   std::int64_t token_ = 0; // revision at which the owner's key was created
   std::int64_t lease_ = 0;
   int term_ = 1;
+  std::string former_; // what lay under kLastOwnerKey
   Instant validUntil_; // the lease in the store surely lives until then
 };
 
@@ -49,6 +50,7 @@
   bool HasEnded() const { return hasEnded_; }
   // True while no other owner can have taken over.
   bool IsSure() const;
+  int Term() const { return ownership_.term_; }
 
   void Handle(const Event& aEvent);
   const Fleet& GetFleet() const { return fleet_; }
@@ -62,6 +64,7 @@
   };
 
   Awaitable<void> Load();
+  Awaitable<FormerOwner> AskFormer();
   Awaitable<void> Renew();
   Awaitable<void> WatchIntake(std::int64_t aRevision);
   Awaitable<void> PollTargets();
@@ -91,9 +94,24 @@
   std::uint64_t chainNumber_ = 0;
   bool isWriting_ = false;
   bool hasEnded_ = false;
-  bool hasLoaded_ = false;
+  bool isHandingOver_ = false; // nothing new is started
 };
 
+// What a last-owner record says.
+struct LastOwner
+{
+  int term_ = 0;
+  std::string address_;
+  bool hasHandedOver_ = false;
+};
+
+LastOwner ReadLastOwner(const std::string& aText);
+std::string WriteLastOwner(const LastOwner& aOwner);
+
+// Where a daemon answers its peers.
+std::string PeerAddress(const PlatformSettings& aSettings);
+inline constexpr const char* kOwnerPath = "/owner";
+
 } // namespace cuminbridge
 
 #endif // cuminbridge_daemon_owner_h
--- a/packages/daemon/src/records.h
+++ b/packages/daemon/src/records.h
@@ -12,6 +12,9 @@
 inline constexpr const char* kOwnerKey = "owner";
 // Counts the owners.
 inline constexpr const char* kTermKey = "term";
+// The last owner, for the next one: "TERM ADDRESS" and, once it has handed over,
+// " handed-over".
+inline constexpr const char* kLastOwnerKey = "last-owner";
 // Changed by each write of the owner, which makes the writes a chain: one that
 // is carried out late finds another revision and does nothing.
 inline constexpr const char* kChainKey = "chain";
--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -116,6 +116,14 @@
   bool operator==(const WaveRecord&) const = default;
 };
 
+// What is known of the owner before.
+enum class FormerOwner
+{
+  Unknown,    // it may still renew leases on targets for a while
+  Ended,      // its process has ended, or says that it is no owner
+  HandedOver, // it has also recorded all that it did
+};
+
 // All that lay in the store when this owner began. Comes first, once.
 struct JobsLoaded
 {
@@ -125,6 +133,7 @@
   std::map<std::int64_t, WaveRecord> waves_;
   std::vector<KnownOrder> orders_;       // recent ones of the owner before
   std::vector<KnownTarget> targets_; // of the owner before
+  FormerOwner former_ = FormerOwner::Unknown;
   int term_ = 1; // counts the owners, from 1
 };
 
@@ -413,6 +422,7 @@
   // What the store is known to hold about a job; nothing if it is unknown here.
   std::optional<JobState> StoredState(const std::string& aJob) const;
   std::vector<QueueLoad> Loads() const;
+  bool HasUnstored() const; // something changed that the store does not hold
   const FleetCounts& Counts() const;
   const FleetState& State() const { return *state_; } // for tests
 
--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -357,7 +357,8 @@
 bool
 MayRunUnseen(const FleetState& aState, const JobEntry& aJob)
 {
-  if (!aJob.wasLoaded_ || aState.now_ >= InheritedLapse(aState)) {
+  if (!aJob.wasLoaded_ || aState.former_ == FormerOwner::HandedOver ||
+      aState.now_ >= InheritedLapse(aState)) {
     return false;
   }
   const auto& pool = PoolOf(aState, aJob);
--- a/packages/fleet/src/jobs.cpp
+++ b/packages/fleet/src/jobs.cpp
@@ -288,6 +288,7 @@
 {
   aState.hasJobs_ = true;
   aState.term_ = aLoaded.term_;
+  aState.former_ = aLoaded.former_;
   aState.loadedWaves_ = aLoaded.waves_;
   for (const auto& order : aLoaded.orders_) {
     const auto apart =
--- a/packages/fleet/src/reducer.cpp
+++ b/packages/fleet/src/reducer.cpp
@@ -163,6 +163,13 @@
   return rows;
 }
 
+bool
+Fleet::HasUnstored() const
+{
+  return state_->batch_ != 0 || !state_->dirtyJobs_.empty() ||
+         state_->mustStoreTargets_ || state_->mustStoreOrders_;
+}
+
 const FleetCounts&
 Fleet::Counts() const
 {
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -213,6 +213,7 @@
   bool hasTargets_ = false; // TargetsSeen has come
   bool isLooking_ = true;   // some listed target has not been asked yet
   int term_ = 1;
+  FormerOwner former_ = FormerOwner::Unknown;
 
   FleetConfig config_;
   std::unordered_map<std::string, std::unique_ptr<JobEntry>> jobs_;
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -333,7 +333,10 @@
   const auto& options = aState.options_;
   const auto lease = std::chrono::duration_cast<Millis>(
     options.targetLease_ * kSlowestClock);
-  return aState.began_ + options.ownerAllowance_ + lease + kLapseSlack;
+  const auto allowance = aState.former_ == FormerOwner::Unknown
+                           ? options.ownerAllowance_
+                           : Millis(0);
+  return aState.began_ + allowance + lease + kLapseSlack;
 }
 
 void
