--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -33,7 +33,7 @@
 // Connections between requests are closed this long after SIGTERM: callers
 // have been told to close them with each answer until then.
 constexpr Millis kCloseIdleAfter(2500);
-constexpr Millis kExitMargin(800); // before SIGKILL
+constexpr Millis kExitMargin(800);             // before SIGKILL
 constexpr std::uint64_t kMaxBody = 256 * 1024; // until a configuration tells
 
 class Daemon
@@ -81,16 +81,14 @@
 
 Daemon::Daemon(PlatformSettings aSettings)
   : settings_(std::move(aSettings))
-  , callers_(io_,
-             MakeServerOptions(),
-             [this](const HttpRequest& aRequest) {
-               return intake_.Answer(aRequest);
-             })
-  , readiness_(io_,
-               MakeServerOptions(),
-               [this](const HttpRequest& aRequest) {
-                 return TellReady(aRequest);
-               })
+  , callers_(
+      io_,
+      MakeServerOptions(),
+      [this](const HttpRequest& aRequest) { return intake_.Answer(aRequest); })
+  , readiness_(
+      io_,
+      MakeServerOptions(),
+      [this](const HttpRequest& aRequest) { return TellReady(aRequest); })
   , peers_(io_, MakeServerOptions(), [this](const HttpRequest& aRequest) {
     return TellPeer(aRequest);
   })
--- a/packages/daemon/src/daemon_log.cpp
+++ b/packages/daemon/src/daemon_log.cpp
@@ -33,8 +33,8 @@
   constexpr double kMillis = 1000;
   const auto elapsed = static_cast<double>((aNow - aBudget.filled_).count());
   aBudget.filled_ = aNow;
-  aBudget.tokens_ = std::min(
-    kLineBurst, aBudget.tokens_ + elapsed / kMillis * kLinesPerSecond);
+  aBudget.tokens_ =
+    std::min(kLineBurst, aBudget.tokens_ + elapsed / kMillis * kLinesPerSecond);
   if (aBudget.tokens_ < 1) {
     ++aBudget.leftOut_;
     return false;
@@ -82,11 +82,9 @@
     sBudget.leftOut_ = 0;
   }
   // Only details can hold text from outside, which needs escaping.
-  const auto detail = nlohmann::json(aLine.detail_)
-                        .dump(-1,
-                              ' ',
-                              false,
-                              nlohmann::json::error_handler_t::replace);
+  const auto detail =
+    nlohmann::json(aLine.detail_)
+      .dump(-1, ' ', false, nlohmann::json::error_handler_t::replace);
   logger->info(
     R"("event":"{}","job":"{}","item":"{}","target":"{}","detail":{})",
     aLine.event_,
--- a/packages/daemon/src/intake.cpp
+++ b/packages/daemon/src/intake.cpp
@@ -82,8 +82,7 @@
     co_return Problem(kNotFound, "no such queue");
   }
   const auto key = CallerKey(aRequest);
-  const auto* account =
-    key.empty() ? nullptr : FindAccountByKey(config_, key);
+  const auto* account = key.empty() ? nullptr : FindAccountByKey(config_, key);
   if (!account && !queue->isOpen_) {
     ++counts_.unauthorized_;
     co_return Problem(kUnauthorized, "no client account has this key");
@@ -147,8 +146,9 @@
                   job.id_,
                   "",
                   "",
-                  reply.IsDone() ? "stored at " + std::to_string(reply.revision_)
-                                 : "it was stored before" },
+                  reply.IsDone()
+                    ? "stored at " + std::to_string(reply.revision_)
+                    : "it was stored before" },
                 parts_.clocks_.Now());
       if (reply.IsDone() && owner_) {
         owner_->Handle(JobArrived{ std::move(job) });
@@ -192,8 +192,7 @@
   if (progress.IsDone()) {
     const auto record = DecodeProgress(progress.items_.front().value_);
     HttpAnswer answer;
-    answer.body_ =
-      FormatJobState(record ? record->state_ : JobState::Serving);
+    answer.body_ = FormatJobState(record ? record->state_ : JobState::Serving);
     co_return answer;
   }
   if (progress.status_ == StoreStatus::Missing) {
--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -21,7 +21,7 @@
 
 constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
 
-constexpr Millis kRenewInterval(300);  // a fifth of the lease
+constexpr Millis kRenewInterval(300); // a fifth of the lease
 constexpr Millis kTickInterval(20);
 constexpr Millis kTargetsInterval(400); // a draining target gets no work 2 s on
 constexpr Millis kVmsInterval(400);
@@ -50,9 +50,10 @@
 std::string
 WriteWaveRecord(const WaveRecord& aRecord)
 {
-  return nlohmann::json{ { "seen", aRecord.seen_.time_since_epoch().count() },
-                         { "done", aRecord.upkeepDone_ } }
-    .dump();
+  return nlohmann::json{
+    { "seen", aRecord.seen_.time_since_epoch().count() },
+    { "done", aRecord.upkeepDone_ }
+  }.dump();
 }
 
 FleetOptions
@@ -149,9 +150,9 @@
   if (!hasEnded_ && !isWriting_ && !fleet_.HasUnstored()) {
     bool isWritten = false;
     LastOwner last{ ownership_.term_, PeerAddress(parts_.settings_), true };
-    Queue({ { { kLastOwnerKey, WriteLastOwner(last), 0 } },
-            {},
-            [&isWritten] { isWritten = true; } });
+    Queue({ { { kLastOwnerKey, WriteLastOwner(last), 0 } }, {}, [&isWritten] {
+             isWritten = true;
+           } });
     while (!hasEnded_ && !isWritten && parts_.clocks_.Now() < limit) {
       co_await Sleep(parts_.io_, kTickInterval);
     }
@@ -535,10 +536,10 @@
     isWriting_ = true;
     StoreWrite write;
     std::vector<std::function<void()>> done;
-    while (!writes_.empty() &&
-           write.puts_.size() + write.removes_.size() +
-               writes_.front().puts_.size() + writes_.front().removes_.size() <=
-             kPutsInWrite) {
+    while (!writes_.empty() && write.puts_.size() + write.removes_.size() +
+                                   writes_.front().puts_.size() +
+                                   writes_.front().removes_.size() <=
+                                 kPutsInWrite) {
       auto& front = writes_.front();
       for (auto& put : front.puts_) {
         write.puts_.push_back(std::move(put));
@@ -587,9 +588,9 @@
 {
   const auto self = shared_from_this();
   while (!hasEnded_) {
-    Handle(Tick{ parts_.clocks_.TimeOfDay(),
-                 parts_.clocks_.Now() + kOrderMargin <
-                   ownership_.validUntil_ });
+    Handle(
+      Tick{ parts_.clocks_.TimeOfDay(),
+            parts_.clocks_.Now() + kOrderMargin < ownership_.validUntil_ });
     co_await Sleep(parts_.io_, kTickInterval);
   }
 }
@@ -625,77 +626,77 @@
   // has no effects that call out.
   const auto self = weak_from_this().lock();
   std::visit(
-    Overloaded{
-      [&](StartRun& aStart) {
-        if (isHandingOver_) {
-          return;
-        }
-        Spawn([self, start = std::move(aStart)]() -> Awaitable<void> {
-          self->Handle(co_await self->targets_.Start(start));
-        });
-      },
-      [&](StopRun& aStop) {
-        Spawn([self, stop = std::move(aStop)]() -> Awaitable<void> {
-          self->Handle(co_await self->targets_.Stop(stop));
-        });
-      },
-      [&](HoldTarget& aHold) {
-        Spawn([self, hold = std::move(aHold)]() -> Awaitable<void> {
-          self->Handle(co_await self->targets_.Hold(hold));
-        });
-      },
-      [&](PaceRun& aPace) {
-        Spawn([self, pace = std::move(aPace)]() -> Awaitable<void> {
-          co_await self->targets_.Pace(pace);
-        });
-      },
-      [&](AskAdvice& aAsk) {
-        Spawn([self, ask = std::move(aAsk)]() -> Awaitable<void> {
-          self->Handle(co_await self->advice_.Ask(ask));
-        });
-      },
-      [&](MoveVm& aMove) {
-        if (isHandingOver_) {
-          return;
-        }
-        Spawn([self, move = std::move(aMove)]() -> Awaitable<void> {
-          self->Handle(co_await self->vms_.Move(move));
-        });
-      },
-      [&](UpkeepVm& aUpkeep) {
-        if (isHandingOver_) {
-          return;
-        }
-        Spawn([self, upkeep = std::move(aUpkeep)]() -> Awaitable<void> {
-          self->Handle(co_await self->vms_.Upkeep(upkeep));
-        });
-      },
-      [&](StoreProgress& aStore) { QueueProgress(aStore); },
-      [&](StoreWave& aWave) {
-        Queue({ { { kUpkeepPrefix + std::to_string(aWave.wave_),
-                    WriteWaveRecord(aWave.record_),
-                    0 },
-                  { WaveStatusKey(aWave.wave_),
-                    FormatWaveStatus(aWave.isCompleted_),
-                    0 } },
-                {},
-                nullptr });
-      },
-      [&](ForgetJobs& aForget) {
-        Pending pending;
-        for (const auto& job : aForget.jobs_) {
-          pending.removes_.push_back(KeyOf(kJobPrefix, job));
-          pending.removes_.push_back(KeyOf(kCancelPrefix, job));
-        }
-        Queue(std::move(pending));
-        Pending progress;
-        for (const auto& job : aForget.jobs_) {
-          progress.removes_.push_back(KeyOf(kProgressPrefix, job));
-        }
-        Queue(std::move(progress));
-      },
-      [&](LogLine& aLine) { WriteLine(aLine, parts_.clocks_.Now()); },
-      [&](Abdicate&) { End("a target has seen a newer owner"); } },
+    Overloaded{ [&](StartRun& aStart) {
+                 if (isHandingOver_) {
+                   return;
+                 }
+                 Spawn([self, start = std::move(aStart)]() -> Awaitable<void> {
+                   self->Handle(co_await self->targets_.Start(start));
+                 });
+               },
+                [&](StopRun& aStop) {
+                  Spawn([self, stop = std::move(aStop)]() -> Awaitable<void> {
+                    self->Handle(co_await self->targets_.Stop(stop));
+                  });
+                },
+                [&](HoldTarget& aHold) {
+                  Spawn([self, hold = std::move(aHold)]() -> Awaitable<void> {
+                    self->Handle(co_await self->targets_.Hold(hold));
+                  });
+                },
+                [&](PaceRun& aPace) {
+                  Spawn([self, pace = std::move(aPace)]() -> Awaitable<void> {
+                    co_await self->targets_.Pace(pace);
+                  });
+                },
+                [&](AskAdvice& aAsk) {
+                  Spawn([self, ask = std::move(aAsk)]() -> Awaitable<void> {
+                    self->Handle(co_await self->advice_.Ask(ask));
+                  });
+                },
+                [&](MoveVm& aMove) {
+                  if (isHandingOver_) {
+                    return;
+                  }
+                  Spawn([self, move = std::move(aMove)]() -> Awaitable<void> {
+                    self->Handle(co_await self->vms_.Move(move));
+                  });
+                },
+                [&](UpkeepVm& aUpkeep) {
+                  if (isHandingOver_) {
+                    return;
+                  }
+                  Spawn(
+                    [self, upkeep = std::move(aUpkeep)]() -> Awaitable<void> {
+                      self->Handle(co_await self->vms_.Upkeep(upkeep));
+                    });
+                },
+                [&](StoreProgress& aStore) { QueueProgress(aStore); },
+                [&](StoreWave& aWave) {
+                  Queue({ { { kUpkeepPrefix + std::to_string(aWave.wave_),
+                              WriteWaveRecord(aWave.record_),
+                              0 },
+                            { WaveStatusKey(aWave.wave_),
+                              FormatWaveStatus(aWave.isCompleted_),
+                              0 } },
+                          {},
+                          nullptr });
+                },
+                [&](ForgetJobs& aForget) {
+                  Pending pending;
+                  for (const auto& job : aForget.jobs_) {
+                    pending.removes_.push_back(KeyOf(kJobPrefix, job));
+                    pending.removes_.push_back(KeyOf(kCancelPrefix, job));
+                  }
+                  Queue(std::move(pending));
+                  Pending progress;
+                  for (const auto& job : aForget.jobs_) {
+                    progress.removes_.push_back(KeyOf(kProgressPrefix, job));
+                  }
+                  Queue(std::move(progress));
+                },
+                [&](LogLine& aLine) { WriteLine(aLine, parts_.clocks_.Now()); },
+                [&](Abdicate&) { End("a target has seen a newer owner"); } },
     aEffect);
 }
 
--- a/packages/daemon/src/records.h
+++ b/packages/daemon/src/records.h
@@ -12,13 +12,14 @@
 inline constexpr const char* kOwnerKey = "owner";
 // Counts the owners.
 inline constexpr const char* kTermKey = "term";
-// The last owner, for the next one: "TERM ADDRESS" and, once it has handed over,
-// " handed-over".
+// The last owner, for the next one: "TERM ADDRESS" and, once it has handed
+// over, " handed-over".
 inline constexpr const char* kLastOwnerKey = "last-owner";
 // Changed by each write of the owner, which makes the writes a chain: one that
 // is carried out late finds another revision and does nothing.
 inline constexpr const char* kChainKey = "chain";
-// Jobs and cancellations as callers handed them in: "in/job/ID", "in/cancel/ID".
+// Jobs and cancellations as callers handed them in: "in/job/ID",
+// "in/cancel/ID".
 inline constexpr const char* kIntakePrefix = "in/";
 inline constexpr const char* kJobPrefix = "in/job/";
 inline constexpr const char* kCancelPrefix = "in/cancel/";
--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -1,4 +1,5 @@
-// cuminbridge fleet: every decision about jobs, targets and VMs, as one reducer.
+// cuminbridge fleet: every decision about jobs, targets and VMs, as one
+// reducer.
 //
 //   Fleet fleet(options, token);
 //   fleet.Handle(JobsLoaded{ ... }, now);      // what lies in the store
@@ -110,7 +111,7 @@
 // What is known of a wave, in the store.
 struct WaveRecord
 {
-  WallTime seen_;                     // by the first owner that saw it
+  WallTime seen_;                       // by the first owner that saw it
   std::vector<std::string> upkeepDone_; // VMs whose upkeep has begun
 
   bool operator==(const WaveRecord&) const = default;
@@ -128,10 +129,10 @@
 struct JobsLoaded
 {
   std::vector<Job> jobs_;
-  std::map<std::string, Progress> progress_;            // by job
-  std::set<std::string> cancelled_;                     // jobs
+  std::map<std::string, Progress> progress_; // by job
+  std::set<std::string> cancelled_;          // jobs
   std::map<std::int64_t, WaveRecord> waves_;
-  std::vector<KnownOrder> orders_;       // recent ones of the owner before
+  std::vector<KnownOrder> orders_;   // recent ones of the owner before
   std::vector<KnownTarget> targets_; // of the owner before
   FormerOwner former_ = FormerOwner::Unknown;
   int term_ = 1; // counts the owners, from 1
@@ -303,7 +304,7 @@
   std::int64_t leaseUntil_ = 0; // 0 renews nothing
   std::int64_t lastSeen_ = 0;   // ends up to here are stored
   Millis wait_{ 0 };
-  Millis limit_{ 0 };           // without an answer it is silent then
+  Millis limit_{ 0 }; // without an answer it is silent then
 };
 
 struct PaceRun
@@ -359,8 +360,8 @@
 // A line for the log: a decision that touches a job, or a changed belief.
 struct LogLine
 {
-  std::string event_;  // as "run_started"
-  std::string job_;    // empty if it is about no job
+  std::string event_; // as "run_started"
+  std::string job_;   // empty if it is about no job
   std::string item_;
   std::string target_;
   std::string detail_; // what decided it
@@ -368,8 +369,7 @@
 
 // A newer owner exists: this one must end.
 struct Abdicate
-{
-};
+{};
 
 using Effect = std::variant<StartRun,
                             StopRun,
@@ -392,8 +392,8 @@
 struct QueueLoad
 {
   std::string queue_;
-  int waiting_ = 0;       // jobs without times that have not begun
-  Millis backlog_{ 0 };   // time that the work ahead of a new job takes
+  int waiting_ = 0;     // jobs without times that have not begun
+  Millis backlog_{ 0 }; // time that the work ahead of a new job takes
 };
 
 struct FleetCounts
--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -17,8 +17,10 @@
 constexpr int kHopelessObjectives = 3;
 constexpr std::size_t kMostAdvised = 30; // targets in one question for advice
 constexpr Millis kAdviceRetry(150);      // after a question without an answer
-constexpr int kDoubtfulFailures = 2; // failed runs in a row that make a target doubtful
-constexpr Millis kAdviceMargin(500); // a ticket is used no later than this before its end
+constexpr int kDoubtfulFailures =
+  2; // failed runs in a row that make a target doubtful
+constexpr Millis kAdviceMargin(
+  500); // a ticket is used no later than this before its end
 
 struct Waiting
 {
@@ -61,8 +63,8 @@
   claim.work_ = WorkLeft(aState, aJob, &aOccurrence);
   if (aJob.job_.repeats_ == 0) {
     const auto objective = ObjectiveOf(aState, aJob);
-    const auto end = aState.now_ - aJob.arrived_ +
-                     ChainLeft(aState, aJob, &aOccurrence);
+    const auto end =
+      aState.now_ - aJob.arrived_ + ChainLeft(aState, aJob, &aOccurrence);
     claim.lateness_ = end <= objective ? Lateness::InTime
                       : end <= kHopelessObjectives * objective
                         ? Lateness::Late
@@ -74,8 +76,7 @@
 bool
 HasWaiting(const StepState& aStep)
 {
-  return aStep.done_ + aStep.assigned_ <
-         static_cast<int>(aStep.items_.size());
+  return aStep.done_ + aStep.assigned_ < static_cast<int>(aStep.items_.size());
 }
 
 std::vector<Waiting>
@@ -202,8 +203,8 @@
   for (std::size_t index = 0; index < aTargets.size(); ++index) {
     const auto& id = aTargets[index]->report_.id_;
     const auto ticket = step.tickets_.find(id);
-    const bool isKnown = ticket != step.tickets_.end() &&
-                         ticket->second.validUntil_ > aState.now_;
+    const bool isKnown =
+      ticket != step.tickets_.end() && ticket->second.validUntil_ > aState.now_;
     if (!isKnown && unknown.size() < kMostAdvised && aSites[index].hasLabel_) {
       unknown.push_back(id);
     }
@@ -271,15 +272,15 @@
         aTarget,
         aRun,
         TicketFor(aWaiting, aTarget.report_.id_));
-  aState.Log("run_placed",
-             name.job_,
-             FormatItem(name),
-             aTarget.report_.id_,
-             "room " + std::to_string(aTarget.report_.capacity_.cpu_ -
-                                      aTarget.used_.cpu_) +
-               " waited " +
-               std::to_string((aState.now_ - aWaiting.job_->arrived_).count()) +
-               " ms");
+  aState.Log(
+    "run_placed",
+    name.job_,
+    FormatItem(name),
+    aTarget.report_.id_,
+    "room " +
+      std::to_string(aTarget.report_.capacity_.cpu_ - aTarget.used_.cpu_) +
+      " waited " +
+      std::to_string((aState.now_ - aWaiting.job_->arrived_).count()) + " ms");
 }
 
 // All members of a gang, or none. False if they do not all find room.
@@ -333,14 +334,13 @@
     if (item.phase_ != ItemPhase::Waiting || item.notBefore_ > aState.now_) {
       continue;
     }
-    if (!IsWithinLimit(
-          aState, aWaiting.job_->job_.account_, spec.needs_)) {
+    if (!IsWithinLimit(aState, aWaiting.job_->job_.account_, spec.needs_)) {
       return;
     }
     auto view = aSites;
     for (std::size_t site = 0; site < view.size(); ++site) {
-      view[site].isAvoided_ = view[site].isAvoided_ ||
-                              aTargets[site]->report_.id_ == item.avoid_;
+      view[site].isAvoided_ =
+        view[site].isAvoided_ || aTargets[site]->report_.id_ == item.avoid_;
     }
     const int chosen = ChooseSite(spec, view);
     if (chosen == kNoSite) {
--- a/packages/fleet/src/dispatch.h
+++ b/packages/fleet/src/dispatch.h
@@ -10,7 +10,7 @@
 // An item of a step that waits for room, or for its account's limit.
 struct Demand
 {
-  std::int64_t cpu_ = 0; // waiting, in thousandths of a core
+  std::int64_t cpu_ = 0;    // waiting, in thousandths of a core
   std::int64_t widest_ = 0; // of one item
   int items_ = 0;
   int urgent_ = 0; // items of priority 0 among them
--- a/packages/fleet/src/jobs.cpp
+++ b/packages/fleet/src/jobs.cpp
@@ -64,8 +64,8 @@
 void
 RestoreItem(FleetState& aState, JobEntry& aJob, const ItemProgress& aFrom)
 {
-  if (aFrom.occurrence_ < 0 ||
-      aFrom.occurrence_ >= OccurrencesOf(aJob.job_) || aFrom.step_ < 0 ||
+  if (aFrom.occurrence_ < 0 || aFrom.occurrence_ >= OccurrencesOf(aJob.job_) ||
+      aFrom.step_ < 0 ||
       static_cast<std::size_t>(aFrom.step_) >= aJob.job_.steps_.size()) {
     return;
   }
@@ -206,8 +206,9 @@
 ExpectRun(const FleetState& aState, const JobEntry& aJob, const Step& aStep)
 {
   const auto known = aState.runTimes_.find(aJob.job_.queue_);
-  return known == aState.runTimes_.end() ? aStep.estimate_
-                                         : known->second.Expect(aStep.estimate_);
+  return known == aState.runTimes_.end()
+           ? aStep.estimate_
+           : known->second.Expect(aStep.estimate_);
 }
 
 Millis
@@ -244,8 +245,7 @@
     const int done = aOccurrence ? aOccurrence->steps_[step].done_ : 0;
     work += static_cast<double>(steps[step].count_ - done) *
             static_cast<double>(steps[step].needs_.cpu_) / kThousandths *
-            static_cast<double>(
-              ExpectRun(aState, aJob, steps[step]).count());
+            static_cast<double>(ExpectRun(aState, aJob, steps[step]).count());
   }
   return work;
 }
@@ -271,8 +271,8 @@
 OfferedLoad::Add(double aCoreMillis, Millis aMemory, Instant aNow)
 {
   memory_ = aMemory;
-  cores_ = At(aNow, aMemory) +
-           aCoreMillis / static_cast<double>(aMemory.count());
+  cores_ =
+    At(aNow, aMemory) + aCoreMillis / static_cast<double>(aMemory.count());
   seen_ = aNow;
 }
 
@@ -460,8 +460,8 @@
 void
 StoreChanges(FleetState& aState)
 {
-  const bool isIdle = aState.dirtyJobs_.empty() &&
-                      !aState.mustStoreTargets_ && !aState.mustStoreOrders_;
+  const bool isIdle = aState.dirtyJobs_.empty() && !aState.mustStoreTargets_ &&
+                      !aState.mustStoreOrders_;
   if (!aState.hasJobs_ || aState.batch_ != 0 || isIdle ||
       (aState.now_ < aState.nextStore_ && !aState.isUrgent_)) {
     return;
--- a/packages/fleet/src/moves.cpp
+++ b/packages/fleet/src/moves.cpp
@@ -17,12 +17,12 @@
   if (aPool.idle_.empty() || isTight) {
     return nullptr;
   }
-  auto longest = std::max_element(
-    aPool.idle_.begin(),
-    aPool.idle_.end(),
-    [](const IdleVm& aLeft, const IdleVm& aRight) {
-      return aLeft.idle_ < aRight.idle_;
-    });
+  auto longest =
+    std::max_element(aPool.idle_.begin(),
+                     aPool.idle_.end(),
+                     [](const IdleVm& aLeft, const IdleVm& aRight) {
+                       return aLeft.idle_ < aRight.idle_;
+                     });
   return aPool.isStandby_ || longest->idle_ >= aIdle ? &*longest : nullptr;
 }
 
@@ -45,10 +45,9 @@
         !Spare(pool, aOptions, aOptions.lendAfter_)) {
       continue;
     }
-    const bool isBetter =
-      !best || (pool.isStandby_ && !best->isStandby_) ||
-      (pool.isStandby_ == best->isStandby_ &&
-       pool.idle_.size() > best->idle_.size());
+    const bool isBetter = !best || (pool.isStandby_ && !best->isStandby_) ||
+                          (pool.isStandby_ == best->isStandby_ &&
+                           pool.idle_.size() > best->idle_.size());
     if (isBetter) {
       best = &pool;
     }
--- a/packages/fleet/src/moves.h
+++ b/packages/fleet/src/moves.h
@@ -13,7 +13,7 @@
 struct IdleVm
 {
   std::string name_;
-  Millis idle_{ 0 };    // nothing has run there for this long
+  Millis idle_{ 0 }; // nothing has run there for this long
   std::int64_t cpu_ = 0;
 
   bool operator==(const IdleVm&) const = default;
@@ -22,22 +22,22 @@
 struct PoolView
 {
   std::string name_;
-  bool isStandby_ = false;        // its VMs are off and not paid for
-  std::int64_t waitingCpu_ = 0;   // of items that wait for room
-  std::int64_t comingCpu_ = 0;    // of VMs on their way
-  std::int64_t capacityCpu_ = 0;  // of usable VMs
-  std::int64_t offeredCpu_ = 0;   // that arriving work would keep busy
-  int size_ = 0;                  // usable VMs
-  bool hasWorked_ = false; // batch work has come since the owner began
-  std::vector<IdleVm> idle_;      // may be moved
+  bool isStandby_ = false;       // its VMs are off and not paid for
+  std::int64_t waitingCpu_ = 0;  // of items that wait for room
+  std::int64_t comingCpu_ = 0;   // of VMs on their way
+  std::int64_t capacityCpu_ = 0; // of usable VMs
+  std::int64_t offeredCpu_ = 0;  // that arriving work would keep busy
+  int size_ = 0;                 // usable VMs
+  bool hasWorked_ = false;       // batch work has come since the owner began
+  std::vector<IdleVm> idle_;     // may be moved
 
   bool operator==(const PoolView&) const = default;
 };
 
 struct MoveOptions
 {
-  int leastInPool_ = 2;      // VMs that a pool keeps for its next job
-  Millis lendAfter_{ 200 };  // an idle VM is lent to a pool that waits
+  int leastInPool_ = 2;     // VMs that a pool keeps for its next job
+  Millis lendAfter_{ 200 }; // an idle VM is lent to a pool that waits
   // An idle VM goes to standby: the price of a move is that of about 1.2
   // seconds in a pool, and it moves twice.
   Millis parkAfter_{ 2500 };
@@ -54,8 +54,8 @@
   bool operator==(const Move&) const = default;
 };
 
-// Cores that a pool lacks, in thousandths: for work that waits, or for work that
-// arrives faster than the pool can run it.
+// Cores that a pool lacks, in thousandths: for work that waits, or for work
+// that arrives faster than the pool can run it.
 std::int64_t MissingCpu(const PoolView& aPool, const MoveOptions& aOptions);
 
 // Lends standby and idle VMs to pools where work waits for room, and parks what
--- a/packages/fleet/src/placing.h
+++ b/packages/fleet/src/placing.h
@@ -19,8 +19,8 @@
   std::int64_t capacityCpu_ = 0;
   std::int64_t servingRuns_ = 0; // runs that serve users of their own
   std::int64_t fillerRuns_ = 0;
-  int sameStep_ = 0;     // runs of the same step and occurrence
-  int rackMates_ = 0;    // runs of the same step on its rack
+  int sameStep_ = 0;  // runs of the same step and occurrence
+  int rackMates_ = 0; // runs of the same step on its rack
   bool isDataRack_ = true;
   bool isAvoided_ = false; // the item failed there last, or others do now
   bool isDueSoon_ = false; // a wave wants it empty soon
@@ -50,7 +50,7 @@
   int priority_ = 0;
   bool isLasting_ = false;
   Lateness lateness_ = Lateness::InTime;
-  double work_ = 0;         // left of its job, in core-milliseconds
+  double work_ = 0; // left of its job, in core-milliseconds
   Instant arrived_;
 };
 
--- a/packages/fleet/src/reducer.cpp
+++ b/packages/fleet/src/reducer.cpp
@@ -27,9 +27,10 @@
   if (!ref.step_) {
     return;
   }
-  constexpr Millis kMargin(500);  // a ticket is used before its last moments
-  constexpr Millis kRetry(150);   // after a question without an answer
-  constexpr Millis kRefusal(60000); // which targets may run a step never changes
+  constexpr Millis kMargin(500); // a ticket is used before its last moments
+  constexpr Millis kRetry(150);  // after a question without an answer
+  constexpr Millis kRefusal(
+    60000); // which targets may run a step never changes
   ref.step_->isAsking_ = false;
   if (!aAnswer.isAnswered_) {
     ref.step_->askAfter_ = aState.now_ + kRetry;
--- a/packages/fleet/src/run_times.cpp
+++ b/packages/fleet/src/run_times.cpp
@@ -54,8 +54,8 @@
   const double claimed =
     std::log(static_cast<double>(aEstimate.count())) - error_.mean_;
   const double likely = taken_.mean_ + weight * (claimed - taken_.mean_);
-  return Millis(std::max<std::int64_t>(
-    1, static_cast<std::int64_t>(std::exp(likely))));
+  return Millis(
+    std::max<std::int64_t>(1, static_cast<std::int64_t>(std::exp(likely))));
 }
 
 } // namespace cuminbridge
--- a/packages/fleet/src/run_times.h
+++ b/packages/fleet/src/run_times.h
@@ -16,8 +16,8 @@
 public:
   void Learn(Millis aEstimate, Millis aTaken);
 
-  // The likely run time of an item with this estimate. The estimate itself until
-  // enough has been seen.
+  // The likely run time of an item with this estimate. The estimate itself
+  // until enough has been seen.
   Millis Expect(Millis aEstimate) const;
 
 private:
--- a/packages/fleet/src/runs.cpp
+++ b/packages/fleet/src/runs.cpp
@@ -205,10 +205,9 @@
           continue;
         }
         auto& target = aState.targets_[items[index].target_];
-        const ItemName name{ aJob.job_.id_,
-                             number,
-                             static_cast<int>(step),
-                             static_cast<int>(index) };
+        const ItemName name{
+          aJob.job_.id_, number, static_cast<int>(step), static_cast<int>(index)
+        };
         auto* run = FindRun(target, name, items[index].run_);
         if (run && run->phase_ != RunPhase::Stopping) {
           Stop(aState, target, *run, aWhy);
@@ -239,9 +238,9 @@
     return;
   }
   ++aState.counts_.startsRefused_;
-  static const char* const kNames[] = { "started",    "fenced",     "old run",
-                                        "too late",   "no room",    "bad ticket",
-                                        "rejected",   "other life", "not sent",
+  static const char* const kNames[] = { "started",  "fenced",     "old run",
+                                        "too late", "no room",    "bad ticket",
+                                        "rejected", "other life", "not sent",
                                         "no answer" };
   aState.Log("start_not_taken",
              aAnswer.item_.job_,
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -26,9 +26,9 @@
   int failures_ = 0;
   std::int64_t run_ = 0; // highest given out
   std::string checkpoint_;
-  std::string target_;             // while Assigned
-  std::string avoid_;              // target where it failed last
-  Instant notBefore_;              // its next start
+  std::string target_; // while Assigned
+  std::string avoid_;  // target where it failed last
+  Instant notBefore_;  // its next start
 };
 
 struct Ticket
@@ -123,7 +123,7 @@
   bool isRecorded_ = false;  // a next owner would find it, listed or not
   bool isInherited_ = false; // the owner before us used it
   bool wasSeen_ = false;     // it has told us what runs there
-  bool isGone_ = false; // its process has ended
+  bool isGone_ = false;      // its process has ended
   Contact contact_ = Contact::Unseen;
   std::int64_t born_ = 0;
 
@@ -144,7 +144,7 @@
 
   Instant avoidUntil_;
   Instant idleSince_;
-  Instant leavingUntil_;  // an order for its VM is on its way
+  Instant leavingUntil_;    // an order for its VM is on its way
   bool isCordoned_ = false; // a wave wants it empty
   Instant cordonedAt_;
   int failuresInRow_ = 0; // runs that failed there, with no success between
@@ -179,14 +179,14 @@
   Wave wave_;
   Instant seenAt_;
   WallTime seen_;
-  std::set<std::string> done_; // upkeep has begun
+  std::set<std::string> done_;          // upkeep has begun
   std::map<std::string, Instant> down_; // VM and since when
   bool isCompleted_ = false;
   bool isTold_ = false; // its status is written
 };
 
-// Work that arrives in a pool, as cores it would keep busy; older arrivals count
-// less and less.
+// Work that arrives in a pool, as cores it would keep busy; older arrivals
+// count less and less.
 struct OfferedLoad
 {
   double cores_ = 0; // at seen_
@@ -219,8 +219,8 @@
   std::unordered_map<std::string, std::unique_ptr<JobEntry>> jobs_;
   std::set<std::string> active_; // jobs that have not ended
   std::map<std::string, Target> targets_;
-  std::map<std::string, Resources> running_; // by account
-  std::map<std::string, RunTimes> runTimes_; // by queue
+  std::map<std::string, Resources> running_;   // by account
+  std::map<std::string, RunTimes> runTimes_;   // by queue
   std::map<std::string, OfferedLoad> offered_; // by pool
 
   std::map<std::string, Vm> vms_;
@@ -242,7 +242,8 @@
   bool mustStoreTargets_ = false;
   std::vector<std::string> batchTargets_;
 
-  std::set<std::string> dirtyPools_; // something changed that may let work start
+  std::set<std::string>
+    dirtyPools_; // something changed that may let work start
   Instant nextSweep_;
 
   FleetCounts counts_;
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -32,8 +32,7 @@
   if (hasInherited && aState.now_ < InheritedLapse(aState)) {
     return false;
   }
-  return ClockOf(aState, aTarget) >=
-         aTarget.leaseUntil_ + kLapseSlack.count();
+  return ClockOf(aState, aTarget) >= aTarget.leaseUntil_ + kLapseSlack.count();
 }
 
 void
@@ -95,8 +94,8 @@
   bool isCurrent = false;
   if (isOurs) {
     if (aEnd.kind_ == EndKind::Done && ref.item_) {
-      aState.runTimes_[ref.job_->job_.queue_].Learn(
-        ref.spec_->estimate_, aState.now_ - run->sentAt_);
+      aState.runTimes_[ref.job_->job_.queue_].Learn(ref.spec_->estimate_,
+                                                    aState.now_ - run->sentAt_);
     }
     isCurrent = ref.item_ && ref.item_->phase_ == ItemPhase::Assigned &&
                 ref.item_->run_ == aEnd.run_ &&
@@ -292,10 +291,11 @@
   HoldTarget effect;
   effect.target_ = aTarget.report_.id_;
   effect.address_ = aTarget.report_.address_;
-  effect.lastSeen_ = aTarget.contact_ == Contact::Good ? aTarget.endsStored_ : 0;
+  effect.lastSeen_ =
+    aTarget.contact_ == Contact::Good ? aTarget.endsStored_ : 0;
   aTarget.endsTold_ = std::max(aTarget.endsTold_, effect.lastSeen_);
   if (aTarget.contact_ == Contact::Good && !aTarget.runs_.empty()) {
-    effect.wait_ = HasStopped(aTarget)   ? kStopWait
+    effect.wait_ = HasStopped(aTarget)  ? kStopWait
                    : HasPacing(aTarget) ? aState.options_.pacingWait_
                                         : aState.options_.holdWait_;
   }
@@ -331,8 +331,8 @@
 InheritedLapse(const FleetState& aState)
 {
   const auto& options = aState.options_;
-  const auto lease = std::chrono::duration_cast<Millis>(
-    options.targetLease_ * kSlowestClock);
+  const auto lease =
+    std::chrono::duration_cast<Millis>(options.targetLease_ * kSlowestClock);
   const auto allowance = aState.former_ == FormerOwner::Unknown
                            ? options.ownerAllowance_
                            : Millis(0);
@@ -446,9 +446,8 @@
       ReleaseAll(aState, target, "lease lapsed on a silent target");
     }
     RetryStops(aState, target);
-    const bool mustWait =
-      target.endsTaken_ > target.endsStored_ &&
-      aState.now_ < target.nextHold_ + kStoreWait;
+    const bool mustWait = target.endsTaken_ > target.endsStored_ &&
+                          aState.now_ < target.nextHold_ + kStoreWait;
     if (!target.isHolding_ && target.nextHold_ <= aState.now_ && !mustWait &&
         NeedsHold(target) && !target.report_.address_.empty()) {
       SendHold(aState, target);
--- a/packages/fleet/src/vms.cpp
+++ b/packages/fleet/src/vms.cpp
@@ -54,10 +54,10 @@
 int
 CountLasting(const Target& aTarget)
 {
-  return static_cast<int>(
-    std::count_if(aTarget.runs_.begin(),
-                  aTarget.runs_.end(),
-                  [](const Run& aRun) { return aRun.isLasting_; }));
+  return static_cast<int>(std::count_if(
+    aTarget.runs_.begin(), aTarget.runs_.end(), [](const Run& aRun) {
+      return aRun.isLasting_;
+    }));
 }
 
 void
@@ -100,8 +100,7 @@
 MayOrder(const FleetState& aState, const std::string& aVm)
 {
   const auto before = aState.orderedBefore_.find(aVm);
-  return before == aState.orderedBefore_.end() ||
-         before->second <= aState.now_;
+  return before == aState.orderedBefore_.end() || before->second <= aState.now_;
 }
 
 WaveRecord
@@ -126,8 +125,7 @@
     WaveVm vm;
     vm.name_ = name;
     vm.isUp_ = IsUp(aState, name);
-    vm.isOrdered_ =
-      HasOpenOrder(aState, name) || !MayOrder(aState, name);
+    vm.isOrdered_ = HasOpenOrder(aState, name) || !MayOrder(aState, name);
     if (const auto* target = TargetOfVm(aState, name)) {
       vm.isCordoned_ = target->isCordoned_;
       vm.runs_ = static_cast<int>(target->runs_.size());
@@ -145,11 +143,11 @@
 {
   for (auto down = aWave.down_.begin(); down != aWave.down_.end();) {
     const auto order = aState.vmOrders_.find(down->first);
-    const bool isBack =
-      order == aState.vmOrders_.end() && IsUp(aState, down->first) &&
-      aState.vmsSeen_ > down->second + kListLag;
-    const bool isNoMore = order == aState.vmOrders_.end() &&
-                          !IsKnownVm(aState, down->first);
+    const bool isBack = order == aState.vmOrders_.end() &&
+                        IsUp(aState, down->first) &&
+                        aState.vmsSeen_ > down->second + kListLag;
+    const bool isNoMore =
+      order == aState.vmOrders_.end() && !IsKnownVm(aState, down->first);
     down = isBack || isNoMore ? aWave.down_.erase(down) : std::next(down);
   }
   const auto view = MakeWaveView(aState, aWave);
@@ -199,8 +197,7 @@
 IsMovable(const FleetState& aState, const std::string& aVm)
 {
   return IsUp(aState, aVm) && !HasOpenOrder(aState, aVm) &&
-         MayOrder(aState, aVm) &&
-         !IsInOpenWave(aState, aVm);
+         MayOrder(aState, aVm) && !IsInOpenWave(aState, aVm);
 }
 
 std::vector<PoolView>
@@ -320,7 +317,8 @@
   int away = 1; // the one that would be stopped
   auto name = aName;
   for (name.index_ = 0; name.index_ < aRef.spec_->count_; ++name.index_) {
-    const auto& item = aRef.step_->items_[static_cast<std::size_t>(name.index_)];
+    const auto& item =
+      aRef.step_->items_[static_cast<std::size_t>(name.index_)];
     const bool isOther = name.index_ != aName.index_;
     away += isOther && !IsAtWork(aState, name, item) ? 1 : 0;
   }
@@ -339,14 +337,11 @@
     free -= target.used_;
     int same = 0;
     for (const auto& run : target.runs_) {
-      const bool isSame =
-        FindItem(aState, run.item_).step_ ==
-        aRef.step_;
+      const bool isSame = FindItem(aState, run.item_).step_ == aRef.step_;
       same += isSame ? 1 : 0;
     }
     if (aRef.spec_->needs_.Fits(free) &&
-        (aRef.spec_->maxPerTarget_ == 0 ||
-         same < aRef.spec_->maxPerTarget_)) {
+        (aRef.spec_->maxPerTarget_ == 0 || same < aRef.spec_->maxPerTarget_)) {
       return true;
     }
   }
@@ -457,8 +452,7 @@
   }
   aState.mustStoreOrders_ = false;
   aBatch.hasOrders_ = true;
-  const auto apart =
-    aState.options_.vmOrderLease_ + aState.options_.clockSkew_;
+  const auto apart = aState.options_.vmOrderLease_ + aState.options_.clockSkew_;
   while (!aState.recentOrders_.empty() &&
          aState.TimeOfDay() - aState.recentOrders_.front().at_ > apart) {
     aState.recentOrders_.pop_front();
@@ -537,7 +531,8 @@
       if (!run.isLasting_ || run.phase_ != RunPhase::Running || !ref.item_) {
         continue;
       }
-      const bool mayStop = target.report_.isDraining_ || MayStop(aState, run.item_, ref);
+      const bool mayStop =
+        target.report_.isDraining_ || MayStop(aState, run.item_, ref);
       if (mayStop && (isLate || HasRoomElsewhere(aState, target, ref))) {
         Stop(aState, target, run, "moved off its target");
       }
--- a/packages/fleet/src/waves.cpp
+++ b/packages/fleet/src/waves.cpp
@@ -15,12 +15,13 @@
 bool
 IsBehind(const WaveView& aWave)
 {
-  const double part = static_cast<double>(aWave.age_.count()) /
-                      (kUsedPart * static_cast<double>(std::max<std::int64_t>(
-                                     1, aWave.duration_.count())));
+  const double part =
+    static_cast<double>(aWave.age_.count()) /
+    (kUsedPart *
+     static_cast<double>(std::max<std::int64_t>(1, aWave.duration_.count())));
   const double begun =
-    static_cast<double>(aWave.total_ -
-                        static_cast<int>(aWave.waiting_.size()) + 1) /
+    static_cast<double>(aWave.total_ - static_cast<int>(aWave.waiting_.size()) +
+                        1) /
     std::max(1, aWave.total_);
   return begun <= part + 1.0 / std::max(1, aWave.total_);
 }
--- a/packages/fleet/src/waves.h
+++ b/packages/fleet/src/waves.h
@@ -27,7 +27,7 @@
 {
   std::vector<WaveVm> waiting_; // upkeep has not begun
   int total_ = 0;
-  int down_ = 0;    // for this wave, orders on their way included
+  int down_ = 0; // for this wave, orders on their way included
   int maxDown_ = 1;
   Millis age_{ 0 }; // since it was seen
   Millis duration_{ 0 };
--- /dev/null
+++ b/packages/fleet/tests/decisions_test.cpp
@@ -0,0 +1,267 @@
+// The decisions, each on the load that it answers, against its baseline.
+
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+
+#include "moves.h"
+#include "pacing.h"
+#include "placing.h"
+#include "run_times.h"
+#include "waves.h"
+
+using namespace cuminbridge;
+
+namespace {
+
+Site
+MakeSite(std::int64_t aCpu)
+{
+  Site site;
+  site.free_ = { aCpu, 100000, 8 };
+  site.capacityCpu_ = 16000;
+  return site;
+}
+
+using Chooser = int (*)(const Step&, const std::vector<Site>&);
+
+// How many of the items find room, placed one after the other.
+int
+CountPlaced(Chooser aChoose, std::vector<std::int64_t> aNeeds)
+{
+  std::vector<Site> sites(4, MakeSite(16000));
+  int placed = 0;
+  for (const auto cpu : aNeeds) {
+    Step step;
+    step.needs_.cpu_ = cpu;
+    const int chosen = aChoose(step, sites);
+    if (chosen != kNoSite) {
+      sites[static_cast<std::size_t>(chosen)].free_.cpu_ -= cpu;
+      ++placed;
+    }
+  }
+  return placed;
+}
+
+PoolView
+MakePool(const std::string& aName, int aIdle, Millis aIdleFor)
+{
+  PoolView pool;
+  pool.name_ = aName;
+  pool.hasWorked_ = true;
+  pool.size_ = aIdle + 2;
+  pool.capacityCpu_ = pool.size_ * 16000;
+  for (int number = 0; number < aIdle; ++number) {
+    pool.idle_.push_back(
+      { aName + "-" + std::to_string(number), aIdleFor, 16000 });
+  }
+  return pool;
+}
+
+} // namespace
+
+TEST_CASE("packing leaves room for wide items where first fit does not")
+{
+  // Small and wide items mixed, as in a turn of a queue with uneven steps.
+  const std::vector<std::int64_t> needs = { 9000,  10000, 5000, 6000,
+                                            11000, 12000, 7000, 4000 };
+  CHECK(CountPlaced(ChooseSite, needs) >= CountPlaced(ChooseFirstSite, needs));
+  std::vector<Site> sites = { MakeSite(16000), MakeSite(6000) };
+  Step step;
+  step.needs_.cpu_ = 5000;
+  CHECK(ChooseSite(step, sites) == 1);
+  CHECK(ChooseFirstSite(step, sites) == 0);
+}
+
+TEST_CASE("placing keeps to labels, room and the number on one target")
+{
+  std::vector<Site> sites = { MakeSite(1000),
+                              MakeSite(16000),
+                              MakeSite(16000) };
+  sites[1].hasLabel_ = false;
+  sites[2].sameStep_ = 1;
+  Step step;
+  step.needs_.cpu_ = 2000;
+  step.maxPerTarget_ = 1;
+  CHECK(ChooseSite(step, sites) == kNoSite);
+  step.maxPerTarget_ = 2;
+  CHECK(ChooseSite(step, sites) == 2);
+}
+
+TEST_CASE("a target where the item failed comes last")
+{
+  std::vector<Site> sites = { MakeSite(3000), MakeSite(16000) };
+  sites[0].isAvoided_ = true;
+  Step step;
+  step.needs_.cpu_ = 2000;
+  CHECK(ChooseSite(step, sites) == 1);
+}
+
+TEST_CASE("least work first serves more in time than first come first served")
+{
+  // One target; a queue at five times its mean: one wide job, then many small.
+  struct Waiting
+  {
+    Claim claim_;
+    double time_;
+    double objective_;
+  };
+  std::vector<Waiting> load;
+  for (int number = 0; number < 12; ++number) {
+    Waiting job;
+    job.time_ = number == 0 ? 4000 : 400;
+    job.objective_ = 1.6 * job.time_ + 600;
+    job.claim_.work_ = job.time_;
+    job.claim_.arrived_ = Instant(Millis(number));
+    load.push_back(job);
+  }
+  const auto countInTime = [](const std::vector<Waiting>& aOrder) {
+    double now = 0;
+    int inTime = 0;
+    for (const auto& job : aOrder) {
+      now += job.time_;
+      inTime += now <= job.objective_ ? 1 : 0;
+    }
+    return inTime;
+  };
+  auto ordered = load;
+  std::sort(ordered.begin(),
+            ordered.end(),
+            [](const Waiting& aLeft, const Waiting& aRight) {
+              return GoesBefore(aLeft.claim_, aRight.claim_);
+            });
+  CHECK(countInTime(ordered) > countInTime(load));
+}
+
+TEST_CASE("urgent work goes first, hopeless work last")
+{
+  Claim urgent;
+  urgent.work_ = 100;
+  Claim later = urgent;
+  later.priority_ = 1;
+  later.work_ = 1;
+  CHECK(GoesBefore(urgent, later));
+  Claim late = urgent;
+  late.lateness_ = Lateness::Late;
+  late.work_ = 1;
+  CHECK(GoesBefore(urgent, late));
+  Claim hopeless = late;
+  hopeless.lateness_ = Lateness::Hopeless;
+  CHECK(GoesBefore(late, hopeless));
+}
+
+TEST_CASE("standby VMs come first to a pool whose work waits")
+{
+  auto needy = MakePool("needy", 0, Millis(0));
+  needy.waitingCpu_ = 40000;
+  auto other = MakePool("other", 5, Millis(1000));
+  auto standby = MakePool("standby", 2, Millis(0));
+  standby.isStandby_ = true;
+  const auto moves = PlanMoves({ needy, other, standby }, MoveOptions{});
+  REQUIRE(moves.size() == 3);
+  CHECK(moves[0] == Move{ "standby-0", "needy" });
+  CHECK(moves[1] == Move{ "standby-1", "needy" });
+  CHECK(moves[2].vm_.substr(0, 5) == "other");
+}
+
+TEST_CASE("arriving work calls VMs before anything waits")
+{
+  auto rising = MakePool("rising", 0, Millis(0));
+  rising.offeredCpu_ = 60000; // of 32000 that it has
+  auto standby = MakePool("standby", 8, Millis(0));
+  standby.isStandby_ = true;
+  const auto moves = PlanMoves({ rising, standby }, MoveOptions{});
+  CHECK(moves.size() == 3); // 60000 / 0.8 - 32000 = 43000
+}
+
+TEST_CASE("VMs on their way are counted, and a pool keeps its last ones")
+{
+  auto needy = MakePool("needy", 0, Millis(0));
+  needy.waitingCpu_ = 16000;
+  needy.comingCpu_ = 16000;
+  auto other = MakePool("other", 5, Millis(1000));
+  CHECK(PlanMoves({ needy, other }, MoveOptions{}).empty());
+  needy.comingCpu_ = 0;
+  other.size_ = 2;
+  CHECK(PlanMoves({ needy, other }, MoveOptions{}).empty());
+}
+
+TEST_CASE("what stays idle is parked, but not before its pool had work")
+{
+  auto idle = MakePool("idle", 4, Millis(9000));
+  auto standby = MakePool("standby", 0, Millis(0));
+  standby.isStandby_ = true;
+  CHECK(PlanMoves({ idle, standby }, MoveOptions{}).size() == 4);
+  idle.hasWorked_ = false;
+  CHECK(PlanMoves({ idle, standby }, MoveOptions{}).empty());
+}
+
+TEST_CASE("a wave takes idle VMs at once and empties others when it is behind")
+{
+  WaveView wave;
+  wave.total_ = 4;
+  wave.maxDown_ = 2;
+  wave.duration_ = Millis(20000);
+  for (int number = 0; number < 4; ++number) {
+    WaveVm vm;
+    vm.name_ = std::to_string(number);
+    vm.isUp_ = true;
+    vm.runs_ = number;
+    wave.waiting_.push_back(vm);
+  }
+  const auto plan = PlanWave(wave);
+  CHECK(plan.upkeep_ == std::vector<std::string>{ "0" });
+  wave.age_ = Millis(15000);
+  const auto late = PlanWave(wave);
+  CHECK(late.cordon_.size() == 3);
+  CHECK(late.cordon_.front() == "1");
+}
+
+TEST_CASE("a wave never has more VMs down than it may")
+{
+  WaveView wave;
+  wave.total_ = 3;
+  wave.maxDown_ = 1;
+  wave.down_ = 1;
+  for (int number = 0; number < 3; ++number) {
+    WaveVm vm;
+    vm.name_ = std::to_string(number);
+    vm.isUp_ = true;
+    wave.waiting_.push_back(vm);
+  }
+  CHECK(PlanWave(wave).upkeep_.empty());
+  wave.down_ = 0;
+  CHECK(PlanWave(wave).upkeep_.size() == 1);
+}
+
+TEST_CASE("fillers slow down at once and speed up slowly")
+{
+  CHECK(NextPace(100, 0.9) < 50);
+  CHECK(NextPace(10, 2.0) == 0);
+  CHECK(NextPace(0, 0.3) > 0);
+  CHECK(NextPace(0, 0.3) <= 10);
+  CHECK(NextPace(50, 0.7) == 50);
+}
+
+TEST_CASE("learned run times come nearer than the callers' estimates")
+{
+  RunTimes times;
+  double claimed = 0;
+  double learned = 0;
+  // Estimates that are off by a factor of up to four, either way.
+  const std::vector<double> factors = { 0.25, 4, 0.5, 2, 1, 3, 0.4 };
+  for (int round = 0; round < 20; ++round) {
+    for (std::size_t index = 0; index < factors.size(); ++index) {
+      const Millis taken(600 + static_cast<std::int64_t>(index) * 30);
+      const Millis estimate(static_cast<std::int64_t>(
+        static_cast<double>(taken.count()) * factors[index]));
+      if (round > 5) {
+        claimed += static_cast<double>(std::abs((estimate - taken).count()));
+        learned += static_cast<double>(
+          std::abs((times.Expect(estimate) - taken).count()));
+      }
+      times.Learn(estimate, taken);
+    }
+  }
+  CHECK(learned < claimed / 3);
+}
--- a/packages/jobs/include/cuminbridge/jobs.h
+++ b/packages/jobs/include/cuminbridge/jobs.h
@@ -41,7 +41,7 @@
 {
 public:
   virtual ~Clocks() = default;
-  virtual Instant Now() const = 0;       // counts while the VM is suspended too
+  virtual Instant Now() const = 0; // counts while the VM is suspended too
   virtual WallTime TimeOfDay() const = 0; // may differ between VMs
 };
 
@@ -100,12 +100,12 @@
   std::string spec_;    // handed to the targets as it is
   int priority_ = 0;    // 0 goes first
   int attempts_ = 1;    // failed runs of one item after which the job fails
-  double stretch_ = 1;  // objective: stretch times the longest chain of work ...
+  double stretch_ = 1; // objective: stretch times the longest chain of work ...
   Millis allowance_{ 0 }; // ... and this much more
   WallTime accepted_;
-  WallTime firstRun_;      // of occurrence 0, if it repeats
-  Millis interval_{ 0 };   // between occurrences
-  int repeats_ = 0;        // occurrences; 0 runs once, at once
+  WallTime firstRun_;    // of occurrence 0, if it repeats
+  Millis interval_{ 0 }; // between occurrences
+  int repeats_ = 0;      // occurrences; 0 runs once, at once
   std::vector<Step> steps_;
 
   bool operator==(const Job&) const = default;
@@ -211,8 +211,8 @@
   std::vector<std::string> labels_;
   Resources capacity_;
   bool isDraining_ = false;
-  Millis remaining_{ 0 };  // least time left while it drains
-  std::int64_t born_ = 0;  // Unix milliseconds of its start
+  Millis remaining_{ 0 };    // least time left while it drains
+  std::int64_t born_ = 0;    // Unix milliseconds of its start
   std::int64_t clockMs_ = 0; // its steady clock when it reported
   std::int64_t sequence_ = 0;
 
@@ -256,8 +256,9 @@
   ItemName item_;
   std::int64_t run_ = 0;
   std::string checkpoint_;
-  int percent_ = 0;        // of its work; 100 is at work for lasting items
-  std::int64_t usage_ = 0; // tail in ms if it serves, else thousandths of a core
+  int percent_ = 0; // of its work; 100 is at work for lasting items
+  std::int64_t usage_ =
+    0; // tail in ms if it serves, else thousandths of a core
 
   bool operator==(const RunningRun&) const = default;
 };
--- a/packages/jobs/src/records.cpp
+++ b/packages/jobs/src/records.cpp
@@ -152,10 +152,11 @@
                       item.checkpoint_,
                       item.target_ });
   }
-  return json{ { "state", static_cast<int>(aProgress.state_) },
-               { "changed", aProgress.changed_.time_since_epoch().count() },
-               { "items", std::move(items) } }
-    .dump();
+  return json{
+    { "state", static_cast<int>(aProgress.state_) },
+    { "changed", aProgress.changed_.time_since_epoch().count() },
+    { "items", std::move(items) }
+  }.dump();
 }
 
 std::optional<Progress>
--- a/packages/jobs/src/values.cpp
+++ b/packages/jobs/src/values.cpp
@@ -109,8 +109,9 @@
 {
   const Queue* found = nullptr;
   for (const auto& queue : aConfig.queues_) {
-    if (queue.host_ == aHost && aPath.substr(0, queue.prefix_.size()) ==
-                                  std::string_view(queue.prefix_) &&
+    if (queue.host_ == aHost &&
+        aPath.substr(0, queue.prefix_.size()) ==
+          std::string_view(queue.prefix_) &&
         (!found || queue.prefix_.size() > found->prefix_.size())) {
       found = &queue;
     }
--- a/packages/web/src/server.cpp
+++ b/packages/web/src/server.cpp
@@ -21,7 +21,7 @@
 namespace {
 
 constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
-constexpr int kBacklog = 1024;      // connections that wait to be accepted
+constexpr int kBacklog = 1024; // connections that wait to be accepted
 constexpr int kTooLarge = 413;
 constexpr std::chrono::milliseconds kAcceptPause(50); // after a failed accept
 
