--- a/packages/fleet/src/runs.cpp
+++ b/packages/fleet/src/runs.cpp
@@ -129,9 +129,9 @@
            const ItemName& aItem,
            std::int64_t aRun)
 {
-  const auto found =
-    std::find_if(aTarget.runs_.begin(), aTarget.runs_.end(), [&](const Run& r) {
-      return r.run_ == aRun && r.item_ == aItem;
+  const auto found = std::find_if(
+    aTarget.runs_.begin(), aTarget.runs_.end(), [&](const Run& aThis) {
+      return aThis.run_ == aRun && aThis.item_ == aItem;
     });
   if (found == aTarget.runs_.end()) {
     return;
--- a/packages/fleet/src/vms.cpp
+++ b/packages/fleet/src/vms.cpp
@@ -164,16 +164,13 @@
   }
   if (view.waiting_.empty()) {
     aWave.isCompleted_ = true;
-    StoreWave effect;
-    effect.wave_ = aWave.wave_.number_;
-    effect.record_ = RecordOf(aWave);
-    effect.isCompleted_ = true;
-    aState.Emit(std::move(effect));
+    const auto number = aWave.wave_.number_;
+    aState.Emit(StoreWave{ number, RecordOf(aWave), true });
     aState.Log("wave_completed",
                "",
                "",
                "",
-               std::to_string(effect.wave_) + " after " +
+               std::to_string(number) + " after " +
                  std::to_string(view.age_.count()) + " ms");
   }
 }
@@ -253,6 +250,7 @@
     }
   }
   std::vector<PoolView> rows;
+  rows.reserve(views.size());
   for (auto& [name, view] : views) {
     rows.push_back(std::move(view));
   }
--- a/packages/jobs/include/cuminbridge/jobs.h
+++ b/packages/jobs/include/cuminbridge/jobs.h
@@ -127,7 +127,8 @@
   int step_ = 0;
   int index_ = 0;
 
-  auto operator<=>(const ItemName&) const = default;
+  bool operator==(const ItemName&) const = default;
+  bool operator<(const ItemName& aOther) const;
 };
 
 std::string FormatItem(const ItemName& aName);
--- a/packages/jobs/src/values.cpp
+++ b/packages/jobs/src/values.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <charconv>
 #include <ctime>
+#include <tuple>
 
 #include "cuminbridge/jobs.h"
 
@@ -77,6 +78,13 @@
   return cpu_ <= aRoom.cpu_ && memMb_ <= aRoom.memMb_ && gpu_ <= aRoom.gpu_;
 }
 
+bool
+ItemName::operator<(const ItemName& aOther) const
+{
+  return std::tie(job_, occurrence_, step_, index_) <
+         std::tie(aOther.job_, aOther.occurrence_, aOther.step_, aOther.index_);
+}
+
 std::string
 FormatItem(const ItemName& aName)
 {
--- /dev/null
+++ b/testing/jobs_test.sh
@@ -0,0 +1,105 @@
+#!/usr/bin/env bash
+# Three entries as processes: jobs through any of them, a killed owner, a
+# graceful shutdown, bad input. No verdict depends on how fast the machine is.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+. testing/jobs_fleet.sh
+trap stop_all EXIT
+failures=0
+
+expect() { # WHAT WANTED GOT
+  if [ "$2" = "$3" ]; then
+    echo "good: $1"
+  else
+    echo "FAILED: $1: wanted '$2', got '$3'"
+    failures=$((failures + 1))
+  fi
+}
+
+expect_state() { # ENTRY QUEUE ID STATE
+  if wait_for 200 is_state "$@"; then
+    echo "good: $3 is $4 at entry $1"
+  else
+    echo "FAILED: $3 at entry $1: $(state "$1" "$2" "$3")"
+    failures=$((failures + 1))
+  fi
+}
+
+SMALL='{"spec":"takes=200","steps":[{"count":3,"cpu":1000,"estimate_ms":200},{"count":2,"cpu":2000,"estimate_ms":200,"after":[0]}]}'
+LONG='{"spec":"takes=1500","steps":[{"count":12,"cpu":4000,"estimate_ms":1500}]}'
+LASTS='{"spec":"lasts","steps":[{"count":2,"cpu":1000,"long_running":true,"max_unavailable":1}]}'
+
+start_standin
+for number in 1 2 3; do start_entry $number; done
+wait_ready 1 2 3
+wait_for 100 has_owner
+
+expect "a job is accepted" 200 "$(submit 1 quotes 00000000000000a1 "$SMALL")"
+expect "handed in again, it is the same job" 200 \
+  "$(submit 2 quotes 00000000000000a1 "$SMALL")"
+expect_state 1 quotes 00000000000000a1 completed
+expect_state 3 quotes 00000000000000a1 completed
+
+expect "a job on a queue with advice" 200 \
+  "$(submit 2 payouts 00000000000000a2 "$SMALL")"
+expect_state 2 payouts 00000000000000a2 completed
+
+expect "lasting work" 200 "$(submit 3 rounds 00000000000000a3 "$LASTS")"
+expect_state 3 rounds 00000000000000a3 serving
+expect "it is cancelled" 200 \
+  "$(ask 1 DELETE /rounds/00000000000000a3 -o /dev/null -w '%{http_code}')"
+expect_state 2 rounds 00000000000000a3 cancelled
+
+expect "no such job" 410 \
+  "$(ask 1 GET /rounds/00000000000000ff -o /dev/null -w '%{http_code}')"
+expect "no such queue" 404 "$(submit 1 nowhere 00000000000000a4 "$SMALL")"
+expect "a body that is no JSON" 400 "$(submit 1 quotes 00000000000000a4 'x')"
+expect "a step that waits for itself" 400 \
+  "$(submit 1 quotes 00000000000000a4 '{"spec":"","steps":[{"count":1,"after":[0]}]}')"
+expect "a wrong key" 401 "$(KEY=stolen submit 1 quotes 00000000000000a4 "$SMALL")"
+expect "nothing of these was kept" 410 \
+  "$(ask 1 GET /quotes/00000000000000a4 -o /dev/null -w '%{http_code}')"
+
+# The owner is killed while work runs: another one finishes it, once.
+expect "a long job" 200 "$(submit 1 rounds 00000000000000b1 "$LONG")"
+wait_for 100 is_state 2 rounds 00000000000000b1 serving
+killed=$(owner)
+end "$killed" KILL
+unset "PIDS[$killed]"
+left=1
+[ "$killed" = entry-1 ] && left=2
+expect_state $left rounds 00000000000000b1 completed
+
+# The next owner shuts down gracefully: its work goes on.
+wait_for 100 has_owner
+expect "another long job" 200 "$(submit $left rounds 00000000000000b2 "$LONG")"
+stopped=$(owner)
+end "$stopped" TERM
+wait "${PIDS[$stopped]}" && code=0 || code=$?
+expect "a graceful shutdown ends with 0" 0 "$code"
+unset "PIDS[$stopped]"
+for number in 1 2 3; do
+  [ -n "${PIDS[entry-$number]:-}" ] && left=$number
+done
+expect_state "$left" rounds 00000000000000b2 completed
+
+# A wave of maintenance over two VMs.
+curl -s -d '{"key":"op/wave/1","value":{"wave":1,"machines":["vm-1","vm-4"],"duration_s":20,"max_count":1}}' \
+  "http://$NET.1:7400/operator"
+wave_is_over() {
+  curl -s "http://$NET.1:7400/kv-key?key=status/wave/1" |
+    grep -q "$(printf '{"state":"completed"}' | base64 -w 0)"
+}
+if wait_for 300 wave_is_over; then
+  echo "good: the wave is completed"
+else
+  echo "FAILED: the wave is not completed"
+  failures=$((failures + 1))
+fi
+
+expect "no item ran twice at once" 0 \
+  "$(grep -c 'DOUBLE RUN' "$WORK/standin.log" || true)"
+if [ "$failures" -gt 0 ]; then
+  tail -n 20 "$WORK"/*.log
+  exit 1
+fi
