Fewer steps per event, the strongest entry owns, VM lists count from their question

Cause: on the grown sites the owner spent its share of a core on looking at every target and job at each event, lost its lease and passed the fleet on; and a slow list of VMs was taken for a fresh one, so that a wave had 73 of 72 VMs down. Change: pools are dispatched at most every 4 ms, steps without room are skipped at once, targets are kept up by ticks and their own answers, waves mark targets when planned, entries with less of a core wait for stronger ones.

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -47,6 +47,8 @@
   Awaitable<void> PollConfig();
   Awaitable<void> Elect();
   Awaitable<bool> TakeOwnership(std::int64_t aLease, Instant aLeaseSent);
+  Awaitable<void> Register();
+  Awaitable<Millis> WaitForStronger();
   Awaitable<void> ShutDown();
   void WaitForSignals();
   Awaitable<HttpAnswer> TellReady(const HttpRequest& aRequest);
@@ -212,6 +214,37 @@
   co_return true;
 }
 
+// Tells the other entries how strong this one is.
+Awaitable<void>
+Daemon::Register()
+{
+  StoreWrite write;
+  write.puts_.push_back({ kEntriesPrefix + settings_.name_,
+                          std::to_string(settings_.cpuShare_),
+                          0 });
+  while (!isStopping_) {
+    const auto reply = co_await store_.Write(write);
+    if (reply.IsDone()) {
+      co_return;
+    }
+    co_await Sleep(io_, kRetryPause);
+  }
+}
+
+// How long to leave the fleet to entries with more of a core than this one.
+Awaitable<Millis>
+Daemon::WaitForStronger()
+{
+  constexpr double kLongest = 300; // ms; a stronger one begins within 50
+  const auto reply = co_await store_.List(kEntriesPrefix);
+  double strongest = settings_.cpuShare_;
+  for (const auto& item : reply.items_) {
+    strongest = std::max(strongest, std::atof(item.value_.c_str()));
+  }
+  co_return Millis(static_cast<std::int64_t>(
+    kLongest * (1 - settings_.cpuShare_ / std::max(strongest, 0.01))));
+}
+
 Awaitable<void>
 Daemon::Elect()
 {
@@ -234,6 +267,13 @@
       co_await Sleep(io_, kRetryPause);
       continue;
     }
+    if (const auto pause = co_await WaitForStronger(); pause.count() > 0) {
+      co_await Sleep(io_, pause);
+      const auto again = co_await store_.Get(kOwnerKey);
+      if (again.status_ != StoreStatus::Missing) {
+        continue;
+      }
+    }
     const auto sent = clocks_.Now();
     const auto lease = co_await store_.OpenLease(kOwnerLease);
     if (!lease.IsDone()) {
@@ -307,6 +347,7 @@
   }
   WaitForSignals();
   asio::co_spawn(io_, PollConfig(), asio::detached);
+  asio::co_spawn(io_, Register(), asio::detached);
   asio::co_spawn(io_, Elect(), asio::detached);
   io_.run();
   StopDaemonLog();
--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -22,7 +22,7 @@
 constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
 
 constexpr Millis kRenewInterval(300); // a fifth of the lease
-constexpr Millis kTickInterval(20);
+constexpr Millis kTickInterval(10);
 constexpr Millis kTargetsInterval(400); // a draining target gets no work 2 s on
 constexpr Millis kVmsInterval(400);
 constexpr Millis kWavesInterval(1000);
@@ -419,9 +419,10 @@
 {
   const auto self = shared_from_this();
   while (!hasEnded_ && !parts_.settings_.vmsAddress_.empty()) {
+    const auto asked = parts_.clocks_.Now();
     auto vms = co_await vms_.List();
     if (vms && !hasEnded_) {
-      Handle(VmsSeen{ std::move(*vms) });
+      Handle(VmsSeen{ std::move(*vms), asked });
     }
     co_await Sleep(parts_.io_, kVmsInterval);
   }
--- a/packages/daemon/src/records.h
+++ b/packages/daemon/src/records.h
@@ -15,6 +15,8 @@
 // The last owner, for the next one: "TERM ADDRESS" and, once it has handed
 // over, " handed-over".
 inline constexpr const char* kLastOwnerKey = "last-owner";
+// What each entry has of a core: "entries/NAME". The strongest are to own.
+inline constexpr const char* kEntriesPrefix = "entries/";
 // Changed by each write of the owner, which makes the writes a chain: one that
 // is carried out late finds another revision and does nothing.
 inline constexpr const char* kChainKey = "chain";
--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -162,6 +162,7 @@
 struct VmsSeen
 {
   std::vector<Vm> vms_;
+  Instant askedAt_; // the list is no older
 };
 
 struct WavesSeen
--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -16,11 +16,9 @@
 // Objectives beyond which a job is worth nothing to its caller.
 constexpr int kHopelessObjectives = 3;
 constexpr std::size_t kMostAdvised = 30; // targets in one question for advice
-constexpr Millis kAdviceRetry(150);      // after a question without an answer
 constexpr int kDoubtfulFailures =
   2; // failed runs in a row that make a target doubtful
-constexpr Millis kAdviceMargin(
-  500); // a ticket is used no later than this before its end
+constexpr Millis kDispatchInterval(4); // between two looks at one pool
 
 struct Waiting
 {
@@ -85,7 +83,7 @@
   std::vector<Waiting> waiting;
   for (const auto& id : aState.active_) {
     auto& job = *aState.jobs_[id];
-    if (PoolOf(aState, job) != aPool) {
+    if (job.unassigned_ == 0 || PoolOf(aState, job) != aPool) {
       continue;
     }
     for (auto& [number, occurrence] : job.occurrences_) {
@@ -135,29 +133,12 @@
   return count;
 }
 
-bool
-IsDueSoon(const FleetState& aState, const Target& aTarget)
-{
-  for (const auto& [number, wave] : aState.waves_) {
-    if (!wave.isCompleted_ && wave.done_.count(aTarget.report_.vm_) == 0 &&
-        std::find(wave.wave_.vms_.begin(),
-                  wave.wave_.vms_.end(),
-                  aTarget.report_.vm_) != wave.wave_.vms_.end()) {
-      return true;
-    }
-  }
-  return false;
-}
-
+// The targets as any step sees them.
 std::vector<Site>
-MakeSites(const FleetState& aState,
-          const Targets& aTargets,
-          const Waiting& aWaiting)
+MakeBaseSites(const Targets& aTargets)
 {
-  const auto& step = aWaiting.job_->job_.steps_[aWaiting.step_];
   std::vector<Site> sites;
   sites.reserve(aTargets.size());
-  std::map<std::string, int> byRack;
   for (const auto* target : aTargets) {
     Site site;
     site.free_ = target->report_.capacity_;
@@ -167,21 +148,53 @@
       site.servingRuns_ += run.targetLatency_.count() > 0 ? 1 : 0;
       site.fillerRuns_ += run.isFiller_ ? 1 : 0;
     }
-    site.sameStep_ = CountSameStep(*target, aWaiting);
-    byRack[target->report_.rack_] += site.sameStep_;
-    site.isDataRack_ =
-      step.dataRack_.empty() || target->report_.rack_ == step.dataRack_;
     site.isAvoided_ = target->failuresInRow_ >= kDoubtfulFailures;
-    site.hasLabel_ = HasLabel(*target, step.label_);
-    site.isDueSoon_ = IsDueSoon(aState, *target);
+    site.isDueSoon_ = target->isDueSoon_;
     sites.push_back(site);
   }
+  return sites;
+}
+
+// The same, with what only this step sees.
+std::vector<Site>
+MakeSites(const std::vector<Site>& aBase,
+          const Targets& aTargets,
+          const Waiting& aWaiting)
+{
+  const auto& step = aWaiting.job_->job_.steps_[aWaiting.step_];
+  auto sites = aBase;
+  const bool looksAtMates =
+    step.maxPerTarget_ > 0 || step.isSameRack_ || step.isLasting_;
+  std::map<std::string, int> byRack;
   for (std::size_t index = 0; index < sites.size(); ++index) {
+    const auto& report = aTargets[index]->report_;
+    if (looksAtMates) {
+      sites[index].sameStep_ = CountSameStep(*aTargets[index], aWaiting);
+      byRack[report.rack_] += sites[index].sameStep_;
+    }
+    sites[index].isDataRack_ =
+      step.dataRack_.empty() || report.rack_ == step.dataRack_;
+    sites[index].hasLabel_ = HasLabel(*aTargets[index], step.label_);
+  }
+  for (std::size_t index = 0; looksAtMates && index < sites.size(); ++index) {
     sites[index].rackMates_ = byRack[aTargets[index]->report_.rack_];
   }
   return sites;
 }
 
+// Whether any target has room for one item of the step.
+bool
+HasRoom(const std::vector<Site>& aSites, const Step& aStep)
+{
+  Resources needs = aStep.needs_;
+  if (aStep.isFiller_) {
+    needs.cpu_ = 0;
+  }
+  return std::any_of(aSites.begin(), aSites.end(), [&](const Site& aSite) {
+    return needs.Fits(aSite.free_);
+  });
+}
+
 bool
 NeedsAdvice(const FleetState& aState, const JobEntry& aJob)
 {
@@ -320,6 +333,24 @@
   return true;
 }
 
+// The best site, with one target only if there is no other.
+int
+ChooseSiteAvoiding(const Step& aStep,
+                   const Targets& aTargets,
+                   const std::vector<Site>& aSites,
+                   const std::string& aAvoid)
+{
+  if (aAvoid.empty()) {
+    return ChooseSite(aStep, aSites);
+  }
+  auto view = aSites;
+  for (std::size_t site = 0; site < view.size(); ++site) {
+    view[site].isAvoided_ =
+      view[site].isAvoided_ || aTargets[site]->report_.id_ == aAvoid;
+  }
+  return ChooseSite(aStep, view);
+}
+
 void
 PlaceItems(FleetState& aState,
            const Waiting& aWaiting,
@@ -337,12 +368,7 @@
     if (!IsWithinLimit(aState, aWaiting.job_->job_.account_, spec.needs_)) {
       return;
     }
-    auto view = aSites;
-    for (std::size_t site = 0; site < view.size(); ++site) {
-      view[site].isAvoided_ =
-        view[site].isAvoided_ || aTargets[site]->report_.id_ == item.avoid_;
-    }
-    const int chosen = ChooseSite(spec, view);
+    const int chosen = ChooseSiteAvoiding(spec, aTargets, aSites, item.avoid_);
     if (chosen == kNoSite) {
       return;
     }
@@ -378,19 +404,28 @@
   if (targets.empty()) {
     return;
   }
+  auto base = MakeBaseSites(targets);
   for (const auto& waiting : CollectWaiting(aState, aPool)) {
     if (MayRunUnseen(aState, *waiting.job_)) {
       continue;
     }
-    auto sites = MakeSites(aState, targets, waiting);
+    const auto& step = waiting.job_->job_.steps_[waiting.step_];
+    if (!HasRoom(base, step)) {
+      continue;
+    }
+    auto sites = MakeSites(base, targets, waiting);
     if (NeedsAdvice(aState, *waiting.job_)) {
       ApplyAdvice(aState, targets, waiting, sites);
     }
-    if (waiting.job_->job_.steps_[waiting.step_].isGang_) {
+    const auto before = aState.counts_.starts_;
+    if (step.isGang_) {
       PlaceGang(aState, waiting, targets, std::move(sites));
     } else {
       PlaceItems(aState, waiting, targets, std::move(sites));
     }
+    if (aState.counts_.starts_ != before) {
+      base = MakeBaseSites(targets);
+    }
   }
 }
 
@@ -435,6 +470,9 @@
   std::map<std::string, Demand> demands;
   for (const auto& id : aState.active_) {
     const auto& job = *aState.jobs_.at(id);
+    if (job.unassigned_ == 0) {
+      continue;
+    }
     auto& demand = demands[PoolOf(aState, job)];
     for (const auto& [number, occurrence] : job.occurrences_) {
       for (std::size_t index = 0; index < occurrence.steps_.size(); ++index) {
@@ -469,12 +507,19 @@
       aState.dirtyPools_.insert(pool.name_);
     }
   }
-  const auto pools = std::move(aState.dirtyPools_);
-  aState.dirtyPools_.clear();
-  for (const auto& pool : pools) {
+  // Changes that come close together are looked at together.
+  std::vector<std::string> due;
+  for (const auto& pool : aState.dirtyPools_) {
+    auto& last = aState.dispatched_[pool];
+    if (aState.now_ - last >= kDispatchInterval) {
+      last = aState.now_;
+      due.push_back(pool);
+    }
+  }
+  for (const auto& pool : due) {
+    aState.dirtyPools_.erase(pool);
     DispatchPool(aState, pool);
   }
-  aState.dirtyPools_.clear();
 }
 
 } // namespace cuminbridge
--- a/packages/fleet/src/jobs.cpp
+++ b/packages/fleet/src/jobs.cpp
@@ -37,6 +37,7 @@
       const auto& spec = aJob.job_.steps_[step];
       occurrence.steps_[step].items_.resize(
         static_cast<std::size_t>(spec.count_));
+      aJob.unassigned_ += spec.count_;
       if (spec.count_ == 0) {
         CountStepDone(aJob, occurrence);
       }
@@ -52,6 +53,9 @@
              const Step& aSpec,
              ItemState& aItem)
 {
+  if (aItem.phase_ == ItemPhase::Waiting) {
+    --aJob.unassigned_;
+  }
   aItem.phase_ = ItemPhase::Done;
   aItem.checkpoint_.clear();
   ++aStep.done_;
--- a/packages/fleet/src/reducer.cpp
+++ b/packages/fleet/src/reducer.cpp
@@ -91,7 +91,14 @@
   void operator()(const WavesSeen& aEvent) { TakeWaves(state_, aEvent); }
   void operator()(const StartAnswered& aEvent) { TakeStart(state_, aEvent); }
   void operator()(const StopAnswered& aEvent) { TakeStop(state_, aEvent); }
-  void operator()(const HoldAnswered& aEvent) { TakeHold(state_, aEvent); }
+  void operator()(const HoldAnswered& aEvent)
+  {
+    TakeHold(state_, aEvent);
+    const auto target = state_.targets_.find(aEvent.target_);
+    if (target != state_.targets_.end()) {
+      KeepTarget(state_, target->second);
+    }
+  }
   void operator()(const AdviceAnswered& aEvent) { TakeAdvice(state_, aEvent); }
   void operator()(const VmOrderAnswered& aEvent)
   {
@@ -101,7 +108,11 @@
   {
     TakeStored(state_, aEvent.batch_);
   }
-  void operator()(const Tick& aEvent) { TakeTick(state_, aEvent); }
+  void operator()(const Tick& aEvent)
+  {
+    TakeTick(state_, aEvent);
+    KeepContact(state_);
+  }
 };
 
 } // namespace
@@ -122,7 +133,6 @@
   state_->now_ = std::max(state_->now_, aNow);
   std::visit(Reducer{ *state_ }, aEvent);
   Dispatch(*state_);
-  KeepContact(*state_);
   StoreChanges(*state_);
 }
 
--- a/packages/fleet/src/runs.cpp
+++ b/packages/fleet/src/runs.cpp
@@ -32,6 +32,7 @@
     return;
   }
   ref.item_->phase_ = ItemPhase::Assigned;
+  --ref.job_->unassigned_;
   ref.item_->run_ = aRun.run_;
   ref.item_->target_ = aTarget.report_.id_;
   ++ref.step_->assigned_;
@@ -151,6 +152,7 @@
   if (ref.item_->phase_ == ItemPhase::Assigned && ref.item_->run_ == aRun &&
       ref.item_->target_ == aTarget.report_.id_) {
     ref.item_->phase_ = ItemPhase::Waiting;
+    ++ref.job_->unassigned_;
     ref.item_->target_.clear();
     --ref.step_->assigned_;
     if (!run.checkpoint_.empty()) {
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -66,6 +66,7 @@
   std::map<int, Occurrence> occurrences_;
   int nextOccurrence_ = 0; // first that is not open yet
   int occurrencesDone_ = 0;
+  int unassigned_ = 0; // items that wait, their step's turn come or not
   Instant arrived_;
   Instant ended_;
 
@@ -145,7 +146,8 @@
   Instant avoidUntil_;
   Instant idleSince_;
   Instant leavingUntil_;    // an order for its VM is on its way
-  bool isCordoned_ = false; // a wave wants it empty
+  bool isDueSoon_ = false;  // an open wave has its VM
+  bool isCordoned_ = false; // a wave wants it empty now
   Instant cordonedAt_;
   int failuresInRow_ = 0; // runs that failed there, with no success between
 
@@ -242,8 +244,8 @@
   bool mustStoreTargets_ = false;
   std::vector<std::string> batchTargets_;
 
-  std::set<std::string>
-    dirtyPools_; // something changed that may let work start
+  std::map<std::string, Instant> dispatched_; // by pool
+  std::set<std::string> dirtyPools_; // something changed that may let work start
   Instant nextSweep_;
 
   FleetCounts counts_;
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -434,6 +434,22 @@
   }
 }
 
+void
+KeepTarget(FleetState& aState, Target& aTarget)
+{
+  if (aTarget.contact_ != Contact::Good && !aTarget.runs_.empty() &&
+      HasLapsed(aState, aTarget)) {
+    ReleaseAll(aState, aTarget, "lease lapsed on a silent target");
+  }
+  RetryStops(aState, aTarget);
+  const bool mustWait = aTarget.endsTaken_ > aTarget.endsStored_ &&
+                        aState.now_ < aTarget.nextHold_ + kStoreWait;
+  if (!aTarget.isHolding_ && aTarget.nextHold_ <= aState.now_ && !mustWait &&
+      NeedsHold(aTarget) && !aTarget.report_.address_.empty()) {
+    SendHold(aState, aTarget);
+  }
+}
+
 void
 KeepContact(FleetState& aState)
 {
@@ -441,17 +457,7 @@
     return;
   }
   for (auto& [id, target] : aState.targets_) {
-    if (target.contact_ != Contact::Good && !target.runs_.empty() &&
-        HasLapsed(aState, target)) {
-      ReleaseAll(aState, target, "lease lapsed on a silent target");
-    }
-    RetryStops(aState, target);
-    const bool mustWait = target.endsTaken_ > target.endsStored_ &&
-                          aState.now_ < target.nextHold_ + kStoreWait;
-    if (!target.isHolding_ && target.nextHold_ <= aState.now_ && !mustWait &&
-        NeedsHold(target) && !target.report_.address_.empty()) {
-      SendHold(aState, target);
-    }
+    KeepTarget(aState, target);
   }
 }
 
--- a/packages/fleet/src/targets.h
+++ b/packages/fleet/src/targets.h
@@ -12,6 +12,7 @@
 
 // Sends the renewals that are due, gives up what has surely lapsed.
 void KeepContact(FleetState& aState);
+void KeepTarget(FleetState& aState, Target& aTarget); // the same for one
 
 // Latest moment at which something that the owner before us left on a target
 // can still run, if we cannot ask the target.
--- a/packages/fleet/src/vms.cpp
+++ b/packages/fleet/src/vms.cpp
@@ -355,7 +355,7 @@
   for (const auto& vm : aSeen.vms_) {
     aState.vms_[vm.name_] = vm;
   }
-  aState.vmsSeen_ = aState.now_;
+  aState.vmsSeen_ = aSeen.askedAt_;
 }
 
 void
@@ -496,6 +496,25 @@
   }
 }
 
+void
+MarkDue(FleetState& aState)
+{
+  std::set<std::string> due;
+  for (const auto& [number, wave] : aState.waves_) {
+    if (wave.isCompleted_) {
+      continue;
+    }
+    for (const auto& vm : wave.wave_.vms_) {
+      if (wave.done_.count(vm) == 0) {
+        due.insert(vm);
+      }
+    }
+  }
+  for (auto& [id, target] : aState.targets_) {
+    target.isDueSoon_ = due.count(target.report_.vm_) != 0;
+  }
+}
+
 void
 PlanVms(FleetState& aState)
 {
@@ -506,6 +525,7 @@
   }
   aState.nextPlan_ = aState.now_ + aState.options_.planInterval_;
   CloseOrders(aState);
+  MarkDue(aState);
   for (auto& [number, wave] : aState.waves_) {
     if (!wave.isCompleted_) {
       PlanOneWave(aState, wave);
--- a/packages/fleet/tests/world.cpp
+++ b/packages/fleet/tests/world.cpp
@@ -51,7 +51,7 @@
   std::int64_t sequence_ = 0;
 };
 
-struct World::VirtualOwner
+struct World::VirtualOwner : std::enable_shared_from_this<VirtualOwner>
 {
   VirtualOwner(std::int64_t aToken, Instant aNow)
     : fleet_(FleetOptions{}, aNow)
@@ -298,11 +298,7 @@
             Carry aCarry,
             Reply aReply)
 {
-  auto owner = owner_.get() == &aOwner ? owner_ : nullptr;
-  if (!owner) {
-    // The owner before: kept alive by its own ticks.
-    owner = std::shared_ptr<VirtualOwner>(&aOwner, [](VirtualOwner*) {});
-  }
+  const auto owner = aOwner.shared_from_this();
   const bool isLate = Draw() < faults_.late_;
   const bool isLost = Draw() < faults_.lostRequest_;
   const bool isMute = Draw() < faults_.lostAnswer_;
@@ -341,11 +337,10 @@
 void
 World::Store(VirtualOwner& aOwner, StoreProgress aStore)
 {
-  auto* owner = &aOwner;
-  const auto keep = owner_.get() == owner ? owner_ : nullptr;
+  const auto keep = aOwner.shared_from_this();
   At(kStoreTime, [this, keep, aStore = std::move(aStore)] {
     // Each write is conditional on the owner's key.
-    if (!keep || keep->cutOffAt_ || keep->hasEnded_) {
+    if (keep->cutOffAt_ || keep->hasEnded_) {
       return;
     }
     for (const auto& [job, progress] : aStore.jobs_) {
