Metrics; entries tell the owner what they stored; a watch that hears nothing misses nothing

Change: the owner goes on from the last change that it was told, and entries tell it each stored job and cancellation by a call of their own. /metrics for each process.

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/signal_set.hpp>
 
 #include "daemon_log.h"
+#include "daemon_metrics.h"
 #include "intake.h"
 #include "owner.h"
 #include "records.h"
@@ -34,6 +35,7 @@
 // have been told to close them with each answer until then.
 constexpr Millis kCloseIdleAfter(2500);
 constexpr Millis kExitMargin(800);             // before SIGKILL
+constexpr const char* kMetricsPath = "/metrics";
 constexpr std::uint64_t kMaxBody = 256 * 1024; // until a configuration tells
 
 class Daemon
@@ -52,6 +54,9 @@
   Awaitable<void> ShutDown();
   void WaitForSignals();
   Awaitable<HttpAnswer> TellReady(const HttpRequest& aRequest);
+  Awaitable<HttpAnswer> AnswerCaller(const HttpRequest& aRequest);
+  Awaitable<HttpAnswer> TellMetrics(const HttpRequest& aRequest);
+  void TakeTold(const HttpRequest& aRequest);
   Awaitable<HttpAnswer> TellPeer(const HttpRequest& aRequest);
   bool IsReady() const;
   void Note(const char* aEvent, std::string aDetail);
@@ -67,12 +72,21 @@
   HttpServer callers_;
   HttpServer readiness_;
   HttpServer peers_;
+  HttpServer metricsServer_;
+  DaemonMetrics metrics_;
   std::shared_ptr<Owner> owner_;
   Instant storeSeen_;
   std::int64_t configRevision_ = 0;
   bool isStopping_ = false;
 };
 
+// The second of the internal ports; deploy/system.toml names it too.
+std::string
+MetricsAddress(const PlatformSettings& aSettings)
+{
+  return aSettings.ip_ + ':' + std::to_string(aSettings.firstInternalPort_ + 1);
+}
+
 HttpServerOptions
 MakeServerOptions()
 {
@@ -86,7 +100,9 @@
   , callers_(
       io_,
       MakeServerOptions(),
-      [this](const HttpRequest& aRequest) { return intake_.Answer(aRequest); })
+      [this](const HttpRequest& aRequest) {
+               return AnswerCaller(aRequest);
+             })
   , readiness_(
       io_,
       MakeServerOptions(),
@@ -94,6 +110,11 @@
   , peers_(io_, MakeServerOptions(), [this](const HttpRequest& aRequest) {
     return TellPeer(aRequest);
   })
+  , metricsServer_(io_,
+                   MakeServerOptions(),
+                   [this](const HttpRequest& aRequest) {
+                     return TellMetrics(aRequest);
+                   })
 {
 }
 
@@ -124,6 +145,47 @@
   co_return answer;
 }
 
+Awaitable<HttpAnswer>
+Daemon::AnswerCaller(const HttpRequest& aRequest)
+{
+  const auto began = clocks_.Now();
+  auto answer = co_await intake_.Answer(aRequest);
+  metrics_.answers_.Add(clocks_.Now() - began);
+  co_return answer;
+}
+
+Awaitable<HttpAnswer>
+Daemon::TellMetrics(const HttpRequest& aRequest)
+{
+  constexpr int kNotFound = 404;
+  HttpAnswer answer;
+  answer.type_ = "text/plain; version=0.0.4";
+  if (aRequest.path_ != kMetricsPath) {
+    answer.status_ = kNotFound;
+    co_return answer;
+  }
+  const bool isOwner = owner_ && !owner_->HasEnded();
+  answer.body_ = FormatMetrics(metrics_,
+                               intake_,
+                               store_.Calls(),
+                               isOwner ? owner_.get() : nullptr,
+                               clocks_.Now() - storeSeen_);
+  co_return answer;
+}
+
+// Another entry has stored a job or a cancellation.
+void
+Daemon::TakeTold(const HttpRequest& aRequest)
+{
+  if (aRequest.path_ == kTellCancelPath) {
+    owner_->Handle(JobCancelled{ aRequest.body_ });
+  } else if (auto job = DecodeJob(aRequest.body_)) {
+    owner_->Handle(JobArrived{ std::move(*job) });
+  } else {
+    Note("record_unreadable", "a job told by a peer");
+  }
+}
+
 // The term in which this process owns the fleet, or 0.
 Awaitable<HttpAnswer>
 Daemon::TellPeer(const HttpRequest& aRequest)
@@ -131,11 +193,17 @@
   constexpr int kNotFound = 404;
   HttpAnswer answer;
   answer.type_ = "text/plain";
+  const bool isOwner = owner_ && !owner_->HasEnded();
+  if (aRequest.path_ == kTellJobPath || aRequest.path_ == kTellCancelPath) {
+    if (isOwner) {
+      TakeTold(aRequest);
+    }
+    co_return answer;
+  }
   if (aRequest.path_ != kOwnerPath) {
     answer.status_ = kNotFound;
     co_return answer;
   }
-  const bool isOwner = owner_ && !owner_->HasEnded();
   answer.body_ = std::to_string(isOwner ? owner_->Term() : 0);
   co_return answer;
 }
@@ -191,7 +259,7 @@
   write.conditions_.push_back({ kOwnerKey, 0 });
   write.conditions_.push_back(
     { kTermKey, term.IsDone() ? term.items_.front().revision_ : 0 });
-  write.puts_.push_back({ kOwnerKey, settings_.name_, aLease });
+  write.puts_.push_back({ kOwnerKey, PeerAddress(settings_), aLease });
   write.puts_.push_back({ kTermKey, std::to_string(number), 0 });
   write.puts_.push_back({ kChainKey, "0", 0 });
   LastOwner self{ number, PeerAddress(settings_), false };
@@ -259,6 +327,7 @@
     }
     const auto current = co_await store_.Get(kOwnerKey);
     if (current.IsDone()) {
+      intake_.SetOwnerAddress(current.items_.front().value_);
       co_await store_.Watch(kOwnerKey, current.revision_, kElectionWait);
       continue;
     }
@@ -337,7 +406,8 @@
   for (const auto& [server, address] :
        { std::pair(&callers_, settings_.callerAddress_),
          std::pair(&readiness_, settings_.readyAddress_),
-         std::pair(&peers_, PeerAddress(settings_)) }) {
+         std::pair(&peers_, PeerAddress(settings_)),
+         std::pair(&metricsServer_, MetricsAddress(settings_)) }) {
     const auto error = server->Open(address);
     if (!error.empty()) {
       std::cerr << error << "\n";
--- a/packages/daemon/src/daemon_log.cpp
+++ b/packages/daemon/src/daemon_log.cpp
@@ -24,9 +24,12 @@
 {
   double tokens_ = kLineBurst;
   Instant filled_;
-  std::uint64_t leftOut_ = 0;
+  std::uint64_t leftOut_ = 0;      // since the last line
+  std::uint64_t leftOutInAll_ = 0;
 };
 
+Budget sBudget;
+
 bool
 Take(Budget& aBudget, Instant aNow)
 {
@@ -37,6 +40,7 @@
     std::min(kLineBurst, aBudget.tokens_ + elapsed / kMillis * kLinesPerSecond);
   if (aBudget.tokens_ < 1) {
     ++aBudget.leftOut_;
+    ++aBudget.leftOutInAll_;
     return false;
   }
   aBudget.tokens_ -= 1;
@@ -69,10 +73,15 @@
   spdlog::shutdown();
 }
 
+std::uint64_t
+LinesLeftOut()
+{
+  return sBudget.leftOutInAll_;
+}
+
 void
 WriteLine(const LogLine& aLine, Instant aNow)
 {
-  static Budget sBudget;
   if (!Take(sBudget, aNow)) {
     return;
   }
--- a/packages/daemon/src/daemon_log.h
+++ b/packages/daemon/src/daemon_log.h
@@ -18,6 +18,9 @@
 // left out are counted in the next one.
 void WriteLine(const LogLine& aLine, Instant aNow);
 
+// All lines left out since the start.
+std::uint64_t LinesLeftOut();
+
 } // namespace cuminbridge
 
 #endif // cuminbridge_daemon_log_h
--- /dev/null
+++ b/packages/daemon/src/daemon_metrics.cpp
@@ -0,0 +1,140 @@
+// The metrics of a daemon.
+
+#include "daemon_metrics.h"
+
+#include <array>
+#include <sstream>
+
+#include "daemon_log.h"
+
+namespace cuminbridge {
+
+namespace accumulators = boost::accumulators;
+
+namespace {
+
+constexpr std::array<double, 3> kQuantiles = { 0.5, 0.9, 0.99 };
+constexpr double kMillis = 1000;
+
+void
+AddCounter(std::ostream& aOut,
+           const char* aName,
+           const char* aHelp,
+           std::uint64_t aValue)
+{
+  aOut << "# HELP cuminbridge_" << aName << ' ' << aHelp
+       << "\n# TYPE cuminbridge_" << aName << " counter\ncuminbridge_" << aName
+       << ' ' << aValue << '\n';
+}
+
+void
+AddGauge(std::ostream& aOut,
+         const char* aName,
+         const char* aHelp,
+         double aValue)
+{
+  aOut << "# HELP cuminbridge_" << aName << ' ' << aHelp
+       << "\n# TYPE cuminbridge_" << aName << " gauge\ncuminbridge_" << aName
+       << ' ' << aValue << '\n';
+}
+
+void
+AddFleet(std::ostream& aOut, const Owner& aOwner)
+{
+  const auto& counts = aOwner.GetFleet().Counts();
+  AddCounter(aOut, "runs_started_total", "starts sent", counts.starts_);
+  AddCounter(aOut,
+             "starts_not_taken_total",
+             "starts refused or without an answer",
+             counts.startsRefused_);
+  AddCounter(aOut, "runs_done_total", "work items done", counts.done_);
+  AddCounter(aOut, "runs_failed_total", "runs that failed", counts.failed_);
+  AddCounter(aOut,
+             "runs_lost_total",
+             "runs that lapsed or went with their target",
+             counts.lost_);
+  AddCounter(aOut, "vm_moves_total", "VMs moved", counts.moves_);
+  AddCounter(aOut, "vm_upkeeps_total", "upkeeps begun", counts.upkeeps_);
+  AddCounter(aOut, "jobs_ended_total", "jobs ended", counts.jobsEnded_);
+  aOut << "# HELP cuminbridge_jobs_waiting jobs that have not begun\n"
+          "# TYPE cuminbridge_jobs_waiting gauge\n";
+  for (const auto& load : aOwner.GetFleet().Loads()) {
+    aOut << "cuminbridge_jobs_waiting{queue=\"" << load.queue_ << "\"} "
+         << load.waiting_ << '\n';
+  }
+}
+
+} // namespace
+
+Quantiles::Quantiles()
+  : times_(accumulators::tag::extended_p_square::probabilities = kQuantiles)
+{
+}
+
+void
+Quantiles::Add(Millis aTime)
+{
+  times_(static_cast<double>(aTime.count()) / kMillis);
+}
+
+std::string
+Quantiles::Format(const std::string& aName) const
+{
+  std::ostringstream out;
+  out << "# TYPE " << aName << " summary\n";
+  for (std::size_t index = 0; index < kQuantiles.size(); ++index) {
+    out << aName << "{quantile=\"" << kQuantiles[index] << "\"} "
+        << accumulators::extended_p_square(times_)[index] << '\n';
+  }
+  out << aName << "_sum " << accumulators::sum(times_) << '\n'
+      << aName << "_count " << accumulators::count(times_) << '\n';
+  return out.str();
+}
+
+std::string
+FormatMetrics(const DaemonMetrics& aMetrics,
+              const Intake& aIntake,
+              const StoreCalls& aStore,
+              const Owner* aOwner,
+              Millis aStoreAge)
+{
+  std::ostringstream out;
+  const auto& intake = aIntake.Counts();
+  AddCounter(out, "jobs_accepted_total", "jobs stored", intake.accepted_);
+  AddCounter(out, "jobs_refused_total", "answered 503", intake.refused_);
+  AddCounter(out, "jobs_unknown_total", "answered 504", intake.unknown_);
+  AddCounter(
+    out, "requests_unauthorized_total", "answered 401", intake.unauthorized_);
+  AddCounter(out, "state_reads_total", "states asked for", intake.reads_);
+  AddCounter(out, "cancels_total", "cancels asked for", intake.cancels_);
+  AddCounter(out, "store_reads_total", "keys and lists read", aStore.reads_);
+  AddCounter(out, "store_writes_total", "writes and leases", aStore.writes_);
+  AddCounter(out, "store_renewals_total", "leases renewed", aStore.renewals_);
+  AddCounter(out, "store_watches_total", "watches", aStore.watches_);
+  AddCounter(out, "store_refused_total", "calls refused", aStore.refused_);
+  AddCounter(
+    out, "store_unanswered_total", "calls without answer", aStore.unanswered_);
+  AddCounter(out,
+             "log_lines_left_out_total",
+             "lines beyond the log's limit",
+             LinesLeftOut());
+  AddGauge(out,
+           "config_version",
+           "version of the configuration in force",
+           static_cast<double>(aIntake.Config().version_));
+  AddGauge(out,
+           "store_age_seconds",
+           "since the store last answered",
+           static_cast<double>(aStoreAge.count()) / kMillis);
+  AddGauge(out,
+           "is_owner",
+           "1 if this process owns the fleet",
+           aOwner != nullptr ? 1 : 0);
+  out << aMetrics.answers_.Format("cuminbridge_answer_seconds");
+  if (aOwner) {
+    AddFleet(out, *aOwner);
+  }
+  return out.str();
+}
+
+} // namespace cuminbridge
--- /dev/null
+++ b/packages/daemon/src/daemon_metrics.h
@@ -0,0 +1,47 @@
+// Internal: the metrics of a daemon, in the Prometheus text format.
+
+#ifndef cuminbridge_daemon_metrics_h
+#define cuminbridge_daemon_metrics_h
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/count.hpp>
+#include <boost/accumulators/statistics/extended_p_square.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <boost/accumulators/statistics/sum.hpp>
+
+#include "intake.h"
+
+namespace cuminbridge {
+
+// Times as running quantiles: 0.5, 0.9 and 0.99.
+class Quantiles
+{
+public:
+  Quantiles();
+  void Add(Millis aTime);
+  // Prometheus lines of a summary in seconds.
+  std::string Format(const std::string& aName) const;
+
+private:
+  using Tags =
+    boost::accumulators::stats<boost::accumulators::tag::count,
+                               boost::accumulators::tag::sum,
+                               boost::accumulators::tag::extended_p_square>;
+  boost::accumulators::accumulator_set<double, Tags> times_;
+};
+
+struct DaemonMetrics
+{
+  Quantiles answers_; // from a caller's request to its answer
+};
+
+// aOwner is null in a process that does not own the fleet.
+std::string FormatMetrics(const DaemonMetrics& aMetrics,
+                          const Intake& aIntake,
+                          const StoreCalls& aStore,
+                          const Owner* aOwner,
+                          Millis aStoreAge);
+
+} // namespace cuminbridge
+
+#endif // cuminbridge_daemon_metrics_h
--- a/packages/daemon/src/intake.cpp
+++ b/packages/daemon/src/intake.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
 #include "daemon_log.h"
@@ -112,6 +114,24 @@
   co_return Problem(kNotAllowed, "POST, GET or DELETE");
 }
 
+// Without waiting, and without a second try: the owner also watches the store.
+void
+Intake::TellOwner(const char* aPath, std::string aBody)
+{
+  if (ownerAddress_.empty()) {
+    return;
+  }
+  constexpr Millis kLimit(300); // later the owner has seen it in the store
+  HttpCall call;
+  call.method_ = "POST";
+  call.path_ = aPath;
+  call.body_ = std::move(aBody);
+  call.limit_ = kLimit;
+  boost::asio::co_spawn(parts_.io_,
+                        parts_.http_.Call(ownerAddress_, std::move(call)),
+                        boost::asio::detached);
+}
+
 Awaitable<HttpAnswer>
 Intake::Submit(const HttpRequest& aRequest,
                const Queue& aQueue,
@@ -152,6 +172,8 @@
                 parts_.clocks_.Now());
       if (reply.IsDone() && owner_) {
         owner_->Handle(JobArrived{ std::move(job) });
+      } else if (reply.IsDone()) {
+        TellOwner(kTellJobPath, std::move(write.puts_.front().value_));
       }
       co_return HttpAnswer{};
     }
@@ -230,6 +252,8 @@
                   parts_.clocks_.Now());
         if (owner_) {
           owner_->Handle(JobCancelled{ aId });
+        } else {
+          TellOwner(kTellCancelPath, aId);
         }
         co_return HttpAnswer{};
       }
--- a/packages/daemon/src/intake.h
+++ b/packages/daemon/src/intake.h
@@ -28,6 +28,11 @@
 
   // The owner in this process, or null.
   void SetOwner(std::shared_ptr<Owner> aOwner) { owner_ = std::move(aOwner); }
+  // Where the owner answers its peers, if it is another process.
+  void SetOwnerAddress(std::string aAddress)
+  {
+    ownerAddress_ = std::move(aAddress);
+  }
 
   Awaitable<HttpAnswer> Answer(const HttpRequest& aRequest);
 
@@ -42,7 +47,10 @@
   Awaitable<HttpAnswer> Cancel(std::string aId);
   Awaitable<HttpAnswer> TellWaiting(std::string aQueue);
 
+  void TellOwner(const char* aPath, std::string aBody);
+
   DaemonParts parts_;
+  std::string ownerAddress_;
   FleetConfig config_;
   std::shared_ptr<Owner> owner_;
   std::map<std::string, int> waiting_; // by queue, as the owner told last
--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -382,7 +382,12 @@
                     parts_.clocks_.Now());
         }
       }
-      after = std::max(after, reply.revision_);
+      // Not to the store's own revision: while a watch hears nothing, the store
+      // goes on, and what it passed over would never be told.
+      for (const auto& item : reply.items_) {
+        after = std::max(after, item.revision_);
+      }
+      after = mustList ? std::max(after, reply.revision_) : after;
       mustList = false;
       continue;
     }
--- a/packages/daemon/src/owner.h
+++ b/packages/daemon/src/owner.h
@@ -111,6 +111,10 @@
 // Where a daemon answers its peers.
 std::string PeerAddress(const PlatformSettings& aSettings);
 inline constexpr const char* kOwnerPath = "/owner";
+// An entry tells the owner at once what it has stored; the owner's watch is the
+// fallback. The body is a stored job, or the id of a cancelled one.
+inline constexpr const char* kTellJobPath = "/job";
+inline constexpr const char* kTellCancelPath = "/cancel";
 
 } // namespace cuminbridge
 
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -199,8 +199,8 @@
     }();
     const bool wasThere =
       run.isPresumed_ ||
-      (run.confirmedAt_ && *run.confirmedAt_ <= aAnswer.sentAt_) ||
-      (run.stoppedAt_ && *run.stoppedAt_ <= aAnswer.sentAt_);
+      (run.confirmedAt_ && *run.confirmedAt_ < aAnswer.sentAt_) ||
+      (run.stoppedAt_ && *run.stoppedAt_ < aAnswer.sentAt_);
     if (!isListed && wasThere) {
       absent.emplace_back(run.item_, run.run_);
     }
--- a/packages/fleet/tests/fleet_test.cpp
+++ b/packages/fleet/tests/fleet_test.cpp
@@ -259,3 +259,50 @@
     CheckNothingBroken(world);
   }
 }
+
+TEST_CASE("a list that was asked for in the moment of a start does not end it")
+{
+  // crue fresh-5eb7: the question left in the millisecond in which the start was
+  // answered, and was answered without the run; it was started again.
+  const Instant begin(Millis(1000000));
+  Fleet fleet(FleetOptions{}, begin);
+  FleetConfig config;
+  config.version_ = 1;
+  config.pools_.push_back({ "a", true, false });
+  fleet.Handle(ConfigSeen{ config }, begin);
+  fleet.Handle(JobsLoaded{}, begin);
+  TargetReport report;
+  report.id_ = report.address_ = "t";
+  report.pool_ = "a";
+  report.capacity_ = { 8000, 32000, 0 };
+  report.born_ = 5;
+  report.clockMs_ = 100;
+  fleet.Handle(TargetsSeen{ { report } }, begin);
+  HoldAnswered hold;
+  hold.target_ = "t";
+  hold.outcome_ = HoldOutcome::Answered;
+  hold.born_ = 5;
+  hold.clockMs_ = 100;
+  hold.sentAt_ = begin;
+  fleet.Handle(Tick{}, begin + Millis(10));
+  fleet.Handle(hold, begin + Millis(20));
+  fleet.Handle(ProgressStored{ 1 }, begin + Millis(30));
+  fleet.Handle(JobArrived{ MakeJob(IdOf(1), "a", { 1 }) }, begin + Millis(40));
+  std::optional<StartRun> start;
+  for (const auto& effect : fleet.TakeEffects()) {
+    if (const auto* found = std::get_if<StartRun>(&effect)) {
+      start = *found;
+    }
+  }
+  REQUIRE(start);
+  const auto answeredAt = begin + Millis(50);
+  fleet.Handle(
+    StartAnswered{ "t", start->item_, start->run_, StartOutcome::Started, 150 },
+    answeredAt);
+  hold.sentAt_ = answeredAt;
+  fleet.Handle(hold, answeredAt + Millis(5));
+  fleet.Handle(Tick{}, answeredAt + Millis(200));
+  for (const auto& effect : fleet.TakeEffects()) {
+    CHECK(!std::holds_alternative<StartRun>(effect));
+  }
+}
