A run of a job that is not known yet waits for its job

Cause: entries tell the owner what they store. Change: runs of unknown jobs are kept for 2.5 s and adopted when their job comes; an owner that may have a successor takes no jobs by call. Jobs wait since they were accepted, also for a new owner.

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -195,7 +195,8 @@
   answer.type_ = "text/plain";
   const bool isOwner = owner_ && !owner_->HasEnded();
   if (aRequest.path_ == kTellJobPath || aRequest.path_ == kTellCancelPath) {
-    if (isOwner) {
+    // An owner that may have a successor leaves new jobs to it.
+    if (isOwner && owner_->IsSure()) {
       TakeTold(aRequest);
     }
     co_return answer;
--- a/packages/daemon/src/intake.cpp
+++ b/packages/daemon/src/intake.cpp
@@ -170,7 +170,7 @@
                     ? "stored at " + std::to_string(reply.revision_)
                     : "it was stored before" },
                 parts_.clocks_.Now());
-      if (reply.IsDone() && owner_) {
+      if (reply.IsDone() && owner_ && owner_->IsSure()) {
         owner_->Handle(JobArrived{ std::move(job) });
       } else if (reply.IsDone()) {
         TellOwner(kTellJobPath, std::move(write.puts_.front().value_));
--- a/packages/fleet/src/jobs.cpp
+++ b/packages/fleet/src/jobs.cpp
@@ -130,12 +130,37 @@
     WorkLeft(aState, aJob, nullptr), memory, aState.now_);
 }
 
+// Ties runs that were met before their job was known to it.
+void
+AdoptUnknown(FleetState& aState, const std::string& aJob)
+{
+  for (auto& [id, target] : aState.targets_) {
+    std::vector<Run> known;
+    std::erase_if(target.runs_, [&](const Run& aRun) {
+      const bool isOfJob = aRun.isUnknown_ && aRun.item_.job_ == aJob;
+      if (isOfJob) {
+        known.push_back(aRun);
+      }
+      return isOfJob;
+    });
+    for (auto& run : known) {
+      run.isUnknown_ = false;
+      AddRun(aState, target, std::move(run));
+    }
+  }
+}
+
 JobEntry&
 InsertJob(FleetState& aState, const Job& aJob)
 {
   auto entry = std::make_unique<JobEntry>();
   entry->job_ = aJob;
-  entry->arrived_ = aState.now_;
+  // A job that an owner before us had waits since it was accepted.
+  constexpr Millis kLongestWait(3600000);
+  entry->arrived_ =
+    aState.now_ - std::clamp(aState.TimeOfDay() - aJob.accepted_,
+                             Millis(0),
+                             kLongestWait);
   auto& slot = aState.jobs_[aJob.id_];
   slot = std::move(entry);
   return *slot;
@@ -342,6 +367,7 @@
   aState.active_.insert(aJob.id_);
   OpenOccurrences(aState, entry);
   CountOffered(aState, entry);
+  AdoptUnknown(aState, aJob.id_);
   aState.dirtyPools_.insert(PoolOf(aState, entry));
 }
 
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -90,6 +90,7 @@
   ItemName item_;
   std::int64_t run_ = 0;
   RunPhase phase_ = RunPhase::Starting;
+  bool isUnknown_ = false;  // no job has this item, so far
   bool isPresumed_ = false; // by the stored record of the owner before
   Resources needs_;
   std::string account_;
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -16,6 +16,9 @@
 // A renewal is answered at once while ends are listed that it does not cover:
 // the next one waits for the store, but no longer than this.
 constexpr Millis kStoreWait(400);
+// A run whose job has not been told by then belongs to none. Jobs are told
+// within milliseconds, and within a second and a half by the watch alone.
+constexpr Millis kUnknownStays(2500);
 constexpr std::size_t kFullList = 500; // a target lists no more ends at once
 
 bool
@@ -159,8 +162,13 @@
                "run " + std::to_string(aSeen.run_));
     return;
   }
+  const bool isUnknown = !ref.job_;
   auto& added = AddRun(aState, aTarget, std::move(run));
-  Stop(aState, aTarget, added, "no longer wanted");
+  if (isUnknown) {
+    added.isUnknown_ = true; // its job may not have been told yet
+  } else {
+    Stop(aState, aTarget, added, "no longer wanted");
+  }
 }
 
 void
@@ -318,6 +326,10 @@
 RetryStops(FleetState& aState, Target& aTarget)
 {
   for (auto& run : aTarget.runs_) {
+    if (run.isUnknown_ && run.phase_ == RunPhase::Running &&
+        aState.now_ - run.sentAt_ >= kUnknownStays) {
+      Stop(aState, aTarget, run, "of no known job");
+    }
     if (run.phase_ == RunPhase::Stopping && !run.stoppedAt_ &&
         aState.now_ - run.stopSentAt_ >= aState.options_.stopRetry_) {
       Stop(aState, aTarget, run, "");
