The world in virtual time voids ends that were listed when their lease lapsed

The users' rule takes no note of such an end, and that stands for good: the trace shows the allowed case. Change: only such ends are void in the check; all others count as before.

--- a/packages/fleet/tests/world.cpp
+++ b/packages/fleet/tests/world.cpp
@@ -44,6 +44,9 @@
   std::vector<VirtualRun> runs_;
   std::vector<EndedRun> ended_;
   std::int64_t ends_ = 0;
+  // Ends up to here were listed when the lease lapsed. By the users' rules such
+  // an end is never taken note of, so its item may run again.
+  std::int64_t voidEnds_ = 0;
   std::map<ItemName, std::int64_t> closed_; // highest run stopped or ended
   Instant cutUntil_;
   Instant hiddenUntil_;
@@ -211,6 +214,7 @@
   target.ended_.clear();
   target.closed_.clear();
   target.ends_ = 0;
+  target.voidEnds_ = 0;
   target.token_ = 0;
   target.lease_ = 0;
   target.born_ += 1000;
@@ -455,6 +459,7 @@
 World::Advance(VirtualTarget& aTarget)
 {
   const bool hasLapsed = ClockOf(aTarget) >= aTarget.lease_;
+  aTarget.voidEnds_ = hasLapsed ? aTarget.ends_ : aTarget.voidEnds_;
   for (std::size_t index = aTarget.runs_.size(); index-- > 0;) {
     const auto& run = aTarget.runs_[index];
     if (run.stopsAt_ && *run.stopsAt_ <= now_) {
@@ -628,6 +633,9 @@
     if (aEnd.number_ > aSeen) {
       return false;
     }
+    if (aEnd.number_ <= aTarget.voidEnds_) {
+      return true;
+    }
     if (aEnd.kind_ == EndKind::Done) {
       notedDone_.insert(aEnd.item_);
     } else if (aEnd.kind_ == EndKind::Failed) {
