--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -34,7 +34,7 @@
 // Connections between requests are closed this long after SIGTERM: callers
 // have been told to close them with each answer until then.
 constexpr Millis kCloseIdleAfter(2500);
-constexpr Millis kExitMargin(800);             // before SIGKILL
+constexpr Millis kExitMargin(800); // before SIGKILL
 constexpr const char* kMetricsPath = "/metrics";
 constexpr std::uint64_t kMaxBody = 256 * 1024; // until a configuration tells
 
@@ -100,21 +100,18 @@
   , callers_(
       io_,
       MakeServerOptions(),
-      [this](const HttpRequest& aRequest) {
-               return AnswerCaller(aRequest);
-             })
+      [this](const HttpRequest& aRequest) { return AnswerCaller(aRequest); })
   , readiness_(
       io_,
       MakeServerOptions(),
       [this](const HttpRequest& aRequest) { return TellReady(aRequest); })
-  , peers_(io_, MakeServerOptions(), [this](const HttpRequest& aRequest) {
-    return TellPeer(aRequest);
-  })
-  , metricsServer_(io_,
-                   MakeServerOptions(),
-                   [this](const HttpRequest& aRequest) {
-                     return TellMetrics(aRequest);
-                   })
+  , peers_(io_,
+           MakeServerOptions(),
+           [this](const HttpRequest& aRequest) { return TellPeer(aRequest); })
+  , metricsServer_(
+      io_,
+      MakeServerOptions(),
+      [this](const HttpRequest& aRequest) { return TellMetrics(aRequest); })
 {
 }
 
--- a/packages/daemon/src/daemon_log.cpp
+++ b/packages/daemon/src/daemon_log.cpp
@@ -24,7 +24,7 @@
 {
   double tokens_ = kLineBurst;
   Instant filled_;
-  std::uint64_t leftOut_ = 0;      // since the last line
+  std::uint64_t leftOut_ = 0; // since the last line
   std::uint64_t leftOutInAll_ = 0;
 };
 
--- a/packages/daemon/src/daemon_metrics.cpp
+++ b/packages/daemon/src/daemon_metrics.cpp
@@ -82,9 +82,10 @@
 {
   std::ostringstream out;
   out << "# TYPE " << aName << " summary\n";
-  for (std::size_t index = 0; index < kQuantiles.size(); ++index) {
-    out << aName << "{quantile=\"" << kQuantiles[index] << "\"} "
-        << accumulators::extended_p_square(times_)[index] << '\n';
+  std::size_t index = 0;
+  for (const double value : accumulators::extended_p_square(times_)) {
+    out << aName << "{quantile=\"" << kQuantiles[index++] << "\"} " << value
+        << '\n';
   }
   out << aName << "_sum " << accumulators::sum(times_) << '\n'
       << aName << "_count " << accumulators::count(times_) << '\n';
--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -213,6 +213,16 @@
   return true;
 }
 
+std::int64_t
+NextWatchRevision(std::int64_t aAfter, const StoreReply& aReply, bool aIsList)
+{
+  auto next = aIsList ? std::max(aAfter, aReply.revision_) : aAfter;
+  for (const auto& item : aReply.items_) {
+    next = std::max(next, item.revision_);
+  }
+  return next;
+}
+
 std::string
 PeerAddress(const PlatformSettings& aSettings)
 {
@@ -382,12 +392,7 @@
                     parts_.clocks_.Now());
         }
       }
-      // Not to the store's own revision: while a watch hears nothing, the store
-      // goes on, and what it passed over would never be told.
-      for (const auto& item : reply.items_) {
-        after = std::max(after, item.revision_);
-      }
-      after = mustList ? std::max(after, reply.revision_) : after;
+      after = NextWatchRevision(after, reply, mustList);
       mustList = false;
       continue;
     }
--- a/packages/fleet/src/jobs.cpp
+++ b/packages/fleet/src/jobs.cpp
@@ -158,9 +158,8 @@
   // A job that an owner before us had waits since it was accepted.
   constexpr Millis kLongestWait(3600000);
   entry->arrived_ =
-    aState.now_ - std::clamp(aState.TimeOfDay() - aJob.accepted_,
-                             Millis(0),
-                             kLongestWait);
+    aState.now_ -
+    std::clamp(aState.TimeOfDay() - aJob.accepted_, Millis(0), kLongestWait);
   auto& slot = aState.jobs_[aJob.id_];
   slot = std::move(entry);
   return *slot;
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -243,7 +243,8 @@
   std::vector<std::string> batchTargets_;
 
   std::map<std::string, Instant> dispatched_; // by pool
-  std::set<std::string> dirtyPools_; // something changed that may let work start
+  std::set<std::string>
+    dirtyPools_; // something changed that may let work start
   Instant nextSweep_;
 
   FleetCounts counts_;
--- a/packages/fleet/tests/fleet_test.cpp
+++ b/packages/fleet/tests/fleet_test.cpp
@@ -262,8 +262,8 @@
 
 TEST_CASE("a list that was asked for in the moment of a start does not end it")
 {
-  // crue fresh-5eb7: the question left in the millisecond in which the start was
-  // answered, and was answered without the run; it was started again.
+  // crue fresh-5eb7: the question left in the millisecond in which the start
+  // was answered, and was answered without the run; it was started again.
   const Instant begin(Millis(1000000));
   Fleet fleet(FleetOptions{}, begin);
   FleetConfig config;
