A VM is not taken down while its target is only missing in the list

Change: targets that the list has lost still belong to their VM, and a VM with a target that never told what runs there is left alone.

--- a/packages/fleet/src/vms.cpp
+++ b/packages/fleet/src/vms.cpp
@@ -30,7 +30,8 @@
 {
   Target* found = nullptr;
   for (auto& [id, target] : aState.targets_) {
-    if (target.report_.vm_ == aVm && target.isListed_ &&
+    // Also one that the list has lost: it may be cut off from the store only.
+    if (target.report_.vm_ == aVm && !target.isGone_ &&
         (!found || target.report_.born_ > found->report_.born_)) {
       found = &target;
     }
@@ -132,6 +133,8 @@
       vm.lastingRuns_ = CountLasting(*target);
       // What runs there is not known before it has told.
       vm.isUp_ = vm.isUp_ && target->contact_ == Contact::Good;
+    } else {
+      vm.isUp_ = vm.isUp_ && aState.vms_.at(name).target_.empty();
     }
     view.waiting_.push_back(std::move(vm));
   }
--- a/packages/fleet/tests/fleet_test.cpp
+++ b/packages/fleet/tests/fleet_test.cpp
@@ -260,6 +260,122 @@
   }
 }
 
+// A fleet of one target "t" on VM "vm" in pool "a", which has told what runs.
+struct OneTarget
+{
+  OneTarget()
+  {
+    FleetConfig config;
+    config.version_ = 1;
+    config.pools_.push_back({ "a", true, false });
+    report_.id_ = report_.address_ = "t";
+    report_.pool_ = "a";
+    report_.vm_ = "vm";
+    report_.capacity_ = { 8000, 32000, 0 };
+    report_.born_ = 5;
+    report_.clockMs_ = 100;
+    Send(ConfigSeen{ config });
+    Send(JobsLoaded{});
+    Send(TargetsSeen{ { report_ } });
+    Pass(Millis(10));
+    Hold({});
+    Send(ProgressStored{ 1 });
+  }
+
+  void Send(const Event& aEvent) { fleet_.Handle(aEvent, now_); }
+
+  void Pass(Millis aTime)
+  {
+    now_ += aTime;
+    Send(Tick{ WallTime(now_.time_since_epoch()), true });
+  }
+
+  // The target lists these runs.
+  void Hold(std::vector<RunningRun> aRunning)
+  {
+    HoldAnswered hold;
+    hold.target_ = "t";
+    hold.outcome_ = HoldOutcome::Answered;
+    hold.sentAt_ = now_;
+    now_ += Millis(5);
+    hold.born_ = 5;
+    hold.clockMs_ = 100;
+    hold.running_ = std::move(aRunning);
+    Send(hold);
+  }
+
+  template<typename Wanted>
+  int Count()
+  {
+    int count = 0;
+    for (const auto& effect : fleet_.TakeEffects()) {
+      count += std::holds_alternative<Wanted>(effect) ? 1 : 0;
+    }
+    return count;
+  }
+
+  Instant now_{ Millis(1000000) };
+  Fleet fleet_{ FleetOptions{}, now_ };
+  TargetReport report_;
+};
+
+TEST_CASE("a VM is not taken down while its target is only missing in the list")
+{
+  // crue-grown targets-cut: a target cut off from the store lapsed from the list
+  // with lasting work on it; its VM counted as idle and had its upkeep.
+  OneTarget one;
+  auto job = MakeJob(IdOf(1), "a", { 1 });
+  job.steps_[0].isLasting_ = true;
+  one.Send(JobArrived{ job });
+  RunningRun run;
+  run.item_ = { job.id_, 0, 0, 0 };
+  run.run_ = 1;
+  run.percent_ = 100;
+  one.Pass(Millis(50));
+  one.Hold({ run });
+  one.Send(TargetsSeen{}); // the list has lost it
+  Vm vm;
+  vm.name_ = "vm";
+  vm.pool_ = "a";
+  vm.target_ = "t";
+  vm.state_ = VmState::Up;
+  one.Send(WavesSeen{ { { 1, { "vm" }, Millis(20000), 1 } } });
+  for (int round = 0; round < 10; ++round) {
+    one.Send(VmsSeen{ { vm }, one.now_ });
+    one.Pass(Millis(250));
+    one.Send(ProgressStored{ static_cast<std::uint64_t>(round) + 2 });
+    one.Hold({ run });
+  }
+  CHECK(one.Count<UpkeepVm>() == 0);
+  // Nor while nothing is known of what runs on it.
+  OneTarget other;
+  vm.target_ = "never listed";
+  other.Send(TargetsSeen{});
+  other.Send(WavesSeen{ { { 1, { "vm" }, Millis(20000), 1 } } });
+  for (int round = 0; round < 10; ++round) {
+    other.Send(VmsSeen{ { vm }, other.now_ });
+    other.Pass(Millis(250));
+    other.Send(ProgressStored{ static_cast<std::uint64_t>(round) + 2 });
+  }
+  CHECK(other.Count<UpkeepVm>() == 0);
+}
+
+TEST_CASE("a VM without a target has its upkeep at once")
+{
+  OneTarget one;
+  Vm vm;
+  vm.name_ = "other";
+  vm.pool_ = "standby";
+  vm.state_ = VmState::Up;
+  one.Send(WavesSeen{ { { 1, { "other" }, Millis(20000), 1 } } });
+  for (int round = 0; round < 4; ++round) {
+    one.Send(VmsSeen{ { vm }, one.now_ });
+    one.Pass(Millis(250));
+    one.Send(ProgressStored{ static_cast<std::uint64_t>(round) + 2 });
+  }
+  CHECK(one.Count<UpkeepVm>() == 1);
+}
+
 TEST_CASE("a list that was asked for in the moment of a start does not end it")
 {
   // crue fresh-5eb7: the question left in the millisecond in which the start
