--- a/packages/daemon/src/owner.h
+++ b/packages/daemon/src/owner.h
@@ -109,8 +109,8 @@
 std::string WriteLastOwner(const LastOwner& aOwner);
 
 // The revision from which to watch on. Not the store's own after a watch: while
-// watches hear nothing, the store goes on, and what it passed over would never be
-// told.
+// watches hear nothing, the store goes on, and what it passed over would never
+// be told.
 std::int64_t NextWatchRevision(std::int64_t aAfter,
                                const StoreReply& aReply,
                                bool aIsList);
--- a/packages/fleet/src/moves.cpp
+++ b/packages/fleet/src/moves.cpp
@@ -102,8 +102,8 @@
     return moves;
   }
   for (auto& pool : aPools) {
-    // What a pool will be asked for is not known before its first work.
-    while (!pool.isStandby_ && pool.hasWorked_ && pool.waitingCpu_ == 0 &&
+    // A pool whose turn of demand is still to come keeps its VMs for it.
+    while (!pool.isStandby_ && pool.hadTurn_ && pool.waitingCpu_ == 0 &&
            moves.size() < aOptions.mostAtOnce_) {
       const auto* vm = Spare(pool, aOptions, aOptions.parkAfter_);
       if (!vm) {
--- a/packages/fleet/src/moves.h
+++ b/packages/fleet/src/moves.h
@@ -28,7 +28,7 @@
   std::int64_t capacityCpu_ = 0; // of usable VMs
   std::int64_t offeredCpu_ = 0;  // that arriving work would keep busy
   int size_ = 0;                 // usable VMs
-  bool hasWorked_ = false;       // batch work has come since the owner began
+  bool hadTurn_ = false;         // its demand has risen and may be over
   std::vector<IdleVm> idle_;     // may be moved
 
   bool operator==(const PoolView&) const = default;
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -219,8 +219,9 @@
   std::unordered_map<std::string, std::unique_ptr<JobEntry>> jobs_;
   std::set<std::string> active_; // jobs that have not ended
   std::map<std::string, Target> targets_;
-  std::map<std::string, Resources> running_;   // by account
-  std::map<std::string, RunTimes> runTimes_;   // by queue
+  std::map<std::string, Resources> running_; // by account
+  std::map<std::string, RunTimes> runTimes_; // by queue
+  std::set<std::string> turnSeen_;           // pools that had a turn of demand
   std::map<std::string, OfferedLoad> offered_; // by pool
 
   std::map<std::string, Vm> vms_;
--- a/packages/fleet/src/vms.cpp
+++ b/packages/fleet/src/vms.cpp
@@ -23,6 +23,9 @@
 constexpr Millis kBusyPause(500); // after the platform called a VM busy
 // Lasting work leaves a cordoned target even without room elsewhere after this.
 constexpr Millis kEvacuateAnyway(3000);
+// Arriving work that keeps this part of a pool busy is a turn of its demand;
+// one large job alone stays below it.
+constexpr double kTurnPart = 0.5;
 constexpr int kAtWork = 100; // percent of a lasting item that is at work
 
 Target*
@@ -229,7 +232,6 @@
     }
     ++view->second.size_;
     view->second.capacityCpu_ += target.report_.capacity_.cpu_;
-    view->second.hasWorked_ = aState.offered_.count(view->first) != 0;
     if (target.runs_.empty() && IsMovable(aState, target.report_.vm_)) {
       view->second.idle_.push_back({ target.report_.vm_,
                                      aState.now_ - target.idleSince_,
@@ -252,6 +254,13 @@
         vm == aState.vms_.end() ? 0 : vm->second.capacity_.cpu_;
     }
   }
+  for (auto& [name, view] : views) {
+    if (static_cast<double>(view.offeredCpu_) >
+        kTurnPart * static_cast<double>(view.capacityCpu_)) {
+      aState.turnSeen_.insert(name);
+    }
+    view.hadTurn_ = aState.turnSeen_.count(name) != 0;
+  }
   std::vector<PoolView> rows;
   rows.reserve(views.size());
   for (auto& [name, view] : views) {
--- a/packages/fleet/tests/decisions_test.cpp
+++ b/packages/fleet/tests/decisions_test.cpp
@@ -48,7 +48,7 @@
 {
   PoolView pool;
   pool.name_ = aName;
-  pool.hasWorked_ = true;
+  pool.hadTurn_ = true;
   pool.size_ = aIdle + 2;
   pool.capacityCpu_ = pool.size_ * 16000;
   for (int number = 0; number < aIdle; ++number) {
@@ -192,7 +192,7 @@
   auto standby = MakePool("standby", 0, Millis(0));
   standby.isStandby_ = true;
   CHECK(PlanMoves({ idle, standby }, MoveOptions{}).size() == 4);
-  idle.hasWorked_ = false;
+  idle.hadTurn_ = false;
   CHECK(PlanMoves({ idle, standby }, MoveOptions{}).empty());
 }
 
--- a/packages/fleet/tests/fleet_test.cpp
+++ b/packages/fleet/tests/fleet_test.cpp
@@ -321,8 +321,8 @@
 
 TEST_CASE("a VM is not taken down while its target is only missing in the list")
 {
-  // crue-grown targets-cut: a target cut off from the store lapsed from the list
-  // with lasting work on it; its VM counted as idle and had its upkeep.
+  // crue-grown targets-cut: a target cut off from the store lapsed from the
+  // list with lasting work on it; its VM counted as idle and had its upkeep.
   OneTarget one;
   auto job = MakeJob(IdOf(1), "a", { 1 });
   job.steps_[0].isLasting_ = true;
