Test gangs and repeating jobs in virtual time

Cause: no site so far has gangs or repeating jobs, so nothing had tried them. Change: the world knows gangs (all members or alone, broken together) and due times; three cases, one with 30 seeds of lost calls, restarts and changes of owner.

--- a/packages/fleet/tests/fleet_test.cpp
+++ b/packages/fleet/tests/fleet_test.cpp
@@ -475,3 +475,64 @@
   }
   CHECK(isStopped);
 }
+
+TEST_CASE("a gang starts whole and ends together")
+{
+  World world(21);
+  world.AddTargets("a", 3);
+  world.BeginOwner();
+  // Three gangs of ten on room for twenty-four: one has to wait for another.
+  for (int number = 0; number < 3; ++number) {
+    auto job = MakeJob(IdOf(number), "a", { 10, 2 });
+    job.steps_[0].isGang_ = true;
+    world.Submit(job);
+  }
+  world.RunFor(kWhile);
+  CheckNothingBroken(world);
+  CheckAllCompleted(world, 3);
+  CHECK(world.Alone() == 0);
+  CHECK(world.Starts(IdOf(0)) == 12);
+}
+
+TEST_CASE("gangs survive lost calls, lost targets and changes of owner")
+{
+  for (unsigned seed = 1; seed <= 30; ++seed) {
+    INFO("seed " << seed);
+    World world(seed, { 0.01, 0.01, 0.01, 0 });
+    world.AddTargets("a", 5);
+    world.BeginOwner();
+    for (int number = 0; number < 4; ++number) {
+      auto job = MakeJob(IdOf(number), "a", { 6 });
+      job.steps_[0].isGang_ = true;
+      world.Submit(job);
+      world.RunFor(Millis(200));
+    }
+    world.RestartTarget(world.TargetIds()[seed % 5]);
+    world.RunFor(Millis(300));
+    world.BeginOwner(seed % 2 == 0 ? FormerOwner::Unknown
+                                   : FormerOwner::Ended);
+    world.RunFor(2 * kWhile);
+    CheckNothingBroken(world);
+    CheckAllCompleted(world, 4);
+  }
+}
+
+TEST_CASE("each time of a repeating job runs once, and never early")
+{
+  World world(23, { 0.01, 0.01, 0.01, 0 });
+  world.AddTargets("a", 3);
+  world.BeginOwner();
+  auto job = MakeJob(IdOf(0), "a", { 2, 1 });
+  job.repeats_ = 5;
+  job.firstRun_ = WallTime(Millis(1000000 + 3000));
+  job.interval_ = Millis(1500);
+  world.Submit(job);
+  world.RunFor(Millis(2500));
+  CHECK(world.Starts(IdOf(0)) == 0);
+  world.RunFor(Millis(3000));
+  world.EndOwner();
+  world.BeginOwner(FormerOwner::Ended);
+  world.RunFor(kWhile);
+  CheckNothingBroken(world);
+  CheckAllCompleted(world, 1);
+}
--- a/packages/fleet/tests/world.cpp
+++ b/packages/fleet/tests/world.cpp
@@ -18,6 +18,8 @@
 constexpr Millis kStopTime(150);
 constexpr double kSlowClock = 0.98;
 constexpr Millis kCancelBound(3000);
+constexpr Millis kGangTimeout(3000);
+constexpr Millis kEarly(250); // a timed start may come this much before its time
 
 } // namespace
 
@@ -29,6 +31,8 @@
   Instant endsAt_;
   bool willFail_ = false;
   bool isLasting_ = false;
+  bool isGang_ = false; // works once all members of the run are there
+  Instant cameAt_;
   std::optional<Instant> stopsAt_;
 };
 
@@ -354,12 +358,8 @@
       }
       if (progress.state_ == JobState::Completed) {
         const auto& record = jobs_.at(job);
-        for (std::size_t step = 0; step < record.steps_.size(); ++step) {
-          for (int index = 0; index < record.steps_[step].count_; ++index) {
-            if (done_.count({ job, 0, static_cast<int>(step), index }) == 0) {
-              Break("completed without " + std::to_string(index));
-            }
-          }
+        for (int number = 0; number < std::max(1, record.repeats_); ++number) {
+          CheckDone(record, number);
         }
       }
     }
@@ -452,6 +452,62 @@
   } else if (aKind == EndKind::Failed) {
     ++failures_[run.item_];
   }
+  const auto& spec =
+    jobs_.at(run.item_.job_).steps_[static_cast<std::size_t>(run.item_.step_)];
+  if (spec.isGang_ && aKind != EndKind::Done && aKind != EndKind::Broken) {
+    BreakGang(run.item_, run.run_);
+  }
+}
+
+// All runs of one gang, wherever they are.
+std::vector<std::pair<World::VirtualTarget*, std::size_t>>
+World::FindGang(const ItemName& aMember, std::int64_t aRun)
+{
+  std::vector<std::pair<VirtualTarget*, std::size_t>> members;
+  for (auto& [id, target] : targets_) {
+    for (std::size_t index = 0; index < target->runs_.size(); ++index) {
+      const auto& run = target->runs_[index];
+      if (run.run_ == aRun && run.item_.job_ == aMember.job_ &&
+          run.item_.occurrence_ == aMember.occurrence_ &&
+          run.item_.step_ == aMember.step_) {
+        members.emplace_back(target.get(), index);
+      }
+    }
+  }
+  return members;
+}
+
+// Sets the end of a gang once its last member is there.
+void
+World::BeginGang(const ItemName& aMember, std::int64_t aRun)
+{
+  const auto members = FindGang(aMember, aRun);
+  const auto& spec = jobs_.at(aMember.job_)
+                       .steps_[static_cast<std::size_t>(aMember.step_)];
+  if (static_cast<int>(members.size()) < spec.count_) {
+    return;
+  }
+  for (const auto& [target, index] : members) {
+    auto& run = target->runs_[index];
+    run.isGang_ = false; // from now on it ends by time
+    run.endsAt_ = now_ + spec.estimate_;
+    At(spec.estimate_, [this, id = target->id_] {
+      Advance(*targets_.at(id));
+    });
+  }
+}
+
+// A member has ended otherwise than done: the others end too.
+void
+World::BreakGang(const ItemName& aMember, std::int64_t aRun)
+{
+  while (true) {
+    const auto members = FindGang(aMember, aRun);
+    if (members.empty()) {
+      return;
+    }
+    EndRun(*members.front().first, members.front().second, EndKind::Broken);
+  }
 }
 
 // Ends what is over by now.
@@ -461,7 +517,18 @@
   const bool hasLapsed = ClockOf(aTarget) >= aTarget.lease_;
   aTarget.voidEnds_ = hasLapsed ? aTarget.ends_ : aTarget.voidEnds_;
   for (std::size_t index = aTarget.runs_.size(); index-- > 0;) {
+    if (index >= aTarget.runs_.size()) {
+      continue; // its gang has ended meanwhile
+    }
     const auto& run = aTarget.runs_[index];
+    if (run.isGang_ && run.cameAt_ + kGangTimeout <= now_) {
+      ++alone_;
+      EndRun(aTarget, index, EndKind::Alone);
+      continue;
+    }
+    if (run.isGang_ && !run.stopsAt_ && !hasLapsed) {
+      continue;
+    }
     if (run.stopsAt_ && *run.stopsAt_ <= now_) {
       EndRun(aTarget, index, EndKind::Stopped);
     } else if (!run.isLasting_ && run.endsAt_ <= now_) {
@@ -495,11 +562,20 @@
   for (const int before : spec.after_) {
     for (int index = 0; index < steps[static_cast<std::size_t>(before)].count_;
          ++index) {
-      if (done_.count({ job->first, 0, before, index }) == 0) {
+      if (done_.count(
+            { job->first, aStart.item_.occurrence_, before, index }) == 0) {
         Break("before its turn: " + name);
       }
     }
   }
+  const auto& record = job->second;
+  if (record.repeats_ > 0) {
+    const auto due =
+      record.firstRun_ + aStart.item_.occurrence_ * record.interval_;
+    if (WallTime(now_.time_since_epoch()) + kEarly < due) {
+      Break("before its time: " + name);
+    }
+  }
   int same = 0;
   for (const auto& run : aTarget.runs_) {
     same += run.item_.job_ == aStart.item_.job_ &&
@@ -531,6 +607,23 @@
   }
 }
 
+void
+World::CheckDone(const Job& aJob, int aOccurrence)
+{
+  for (std::size_t step = 0; step < aJob.steps_.size(); ++step) {
+    // The end of one member of a gang stands for all of them.
+    const int count = aJob.steps_[step].isGang_ ? 1 : aJob.steps_[step].count_;
+    int done = 0;
+    for (int index = 0; index < aJob.steps_[step].count_; ++index) {
+      done += static_cast<int>(done_.count(
+        { aJob.id_, aOccurrence, static_cast<int>(step), index }));
+    }
+    if (done < count) {
+      Break("completed too early: " + aJob.id_);
+    }
+  }
+}
+
 void
 World::CheckFailed(const std::string& aJob)
 {
@@ -590,11 +683,20 @@
   run.run_ = aStart.run_;
   run.needs_ = spec.needs_;
   run.isLasting_ = spec.isLasting_;
+  run.isGang_ = spec.isGang_;
+  run.cameAt_ = now_;
   run.willFail_ = Draw() < faults_.failing_;
   run.endsAt_ = now_ + Duration(aStart.item_);
   target.runs_.push_back(run);
   ++runningNow_[aStart.item_];
   ++starts_[aStart.item_.job_];
+  if (run.isGang_) {
+    BeginGang(run.item_, run.run_);
+    At(kGangTimeout + Millis(1), [this, id = target.id_] {
+      Advance(*targets_.at(id));
+    });
+    return answer;
+  }
   // So that what runs ends on time, also when nobody asks.
   At(Duration(aStart.item_),
      [this, id = target.id_] { Advance(*targets_.at(id)); });
--- a/packages/fleet/tests/world.h
+++ b/packages/fleet/tests/world.h
@@ -59,6 +59,7 @@
   std::vector<std::string> TargetIds() const;
   int Starts(const std::string& aJob) const;
   int RunningOn(const std::string& aTarget) const;
+  int Alone() const { return alone_; } // members that waited in vain
 
 private:
   struct VirtualRun;
@@ -89,6 +90,12 @@
   void NoteEnds(VirtualTarget& aTarget, std::int64_t aSeen);
   void CheckStart(const VirtualTarget& aTarget, const StartRun& aStart);
   void CheckFailed(const std::string& aJob);
+  void CheckDone(const Job& aJob, int aOccurrence);
+  std::vector<std::pair<VirtualTarget*, std::size_t>> FindGang(
+    const ItemName& aMember,
+    std::int64_t aRun);
+  void BeginGang(const ItemName& aMember, std::int64_t aRun);
+  void BreakGang(const ItemName& aMember, std::int64_t aRun);
   void Break(const std::string& aWhat);
   std::int64_t ClockOf(const VirtualTarget& aTarget) const;
   double Draw();
@@ -117,6 +124,7 @@
   std::map<ItemName, int> notedFailures_;
   std::map<ItemName, int> failures_; // noted or not
   std::map<std::string, int> starts_;
+  int alone_ = 0;
   std::map<std::string, Instant> cancelledAt_;
   std::vector<std::string> broken_;
 };
