The test of whole gangs notices gangs that start in part

Mutants of dispatch: a gang started over its own remains, occurrences opened early, and a gang started in part, each fail a case; the last did not before this change.

--- a/packages/fleet/tests/fleet_test.cpp
+++ b/packages/fleet/tests/fleet_test.cpp
@@ -485,6 +485,8 @@
   for (int number = 0; number < 3; ++number) {
     auto job = MakeJob(IdOf(number), "a", { 10, 2 });
     job.steps_[0].isGang_ = true;
+    // Longer than members wait for each other: part of a gang would end alone.
+    job.steps_[0].estimate_ = Millis(5000);
     world.Submit(job);
   }
   world.RunFor(kWhile);
