Ticks look after the targets that need it; targets are indexed by pool

Cause: fleet_bench: at 13,000 targets a tick took 10.3 ms, more than its interval, and taking a job 1.1 ms, as both walked over all targets.

--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -111,9 +111,9 @@
 CollectTargets(FleetState& aState, const std::string& aPool)
 {
   Targets targets;
-  for (auto& [id, target] : aState.targets_) {
-    if (target.report_.pool_ == aPool && target.IsUsable(aState.now_)) {
-      targets.push_back(&target);
+  for (auto* target : aState.byPool_[aPool]) {
+    if (target->IsUsable(aState.now_)) {
+      targets.push_back(target);
     }
   }
   return targets;
--- a/packages/fleet/src/reducer.cpp
+++ b/packages/fleet/src/reducer.cpp
@@ -61,6 +61,7 @@
     OpenOccurrences(aState, *aState.jobs_[id]);
     aState.dirtyPools_.insert(PoolOf(aState, *aState.jobs_[id]));
   }
+  AttendAll(aState);
   Evacuate(aState);
   PlanVms(aState);
   PaceFillers(aState);
@@ -71,7 +72,11 @@
 {
   FleetState& state_;
 
-  void operator()(const JobsLoaded& aEvent) { LoadJobs(state_, aEvent); }
+  void operator()(const JobsLoaded& aEvent)
+  {
+    LoadJobs(state_, aEvent);
+    AttendAll(state_);
+  }
   void operator()(const JobArrived& aEvent) { AddJob(state_, aEvent.job_); }
   void operator()(const JobCancelled& aEvent)
   {
--- a/packages/fleet/src/runs.cpp
+++ b/packages/fleet/src/runs.cpp
@@ -120,6 +120,7 @@
   effect.ticket_ = std::move(aTicket);
   effect.leaseUntil_ = aTarget.leaseUntil_;
   AddRun(aState, aTarget, std::move(run));
+  aState.attended_.insert(aTarget.report_.id_);
   ++aState.counts_.starts_;
   aState.Emit(std::move(effect));
 }
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -219,6 +219,9 @@
   std::unordered_map<std::string, std::unique_ptr<JobEntry>> jobs_;
   std::set<std::string> active_; // jobs that have not ended
   std::map<std::string, Target> targets_;
+  std::map<std::string, std::vector<Target*>> byPool_; // listed ones
+  // Targets to look after at each tick; all others wait for the next sweep.
+  std::set<std::string> attended_;
   std::map<std::string, Resources> running_; // by account
   std::map<std::string, RunTimes> runTimes_; // by queue
   std::set<std::string> turnSeen_;           // pools that had a turn of demand
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -339,6 +339,16 @@
 
 } // namespace
 
+void
+AttendAll(FleetState& aState)
+{
+  for (const auto& [id, target] : aState.targets_) {
+    if (NeedsHold(target)) {
+      aState.attended_.insert(id);
+    }
+  }
+}
+
 Instant
 InheritedLapse(const FleetState& aState)
 {
@@ -401,6 +411,13 @@
       ++it;
     }
   }
+  aState.byPool_.clear();
+  for (auto& [id, target] : aState.targets_) {
+    if (target.isListed_) {
+      aState.byPool_[target.report_.pool_].push_back(&target);
+    }
+  }
+  AttendAll(aState);
 }
 
 void
@@ -468,8 +485,14 @@
   if (!aState.hasJobs_ || !aState.hasTargets_) {
     return;
   }
-  for (auto& [id, target] : aState.targets_) {
-    KeepTarget(aState, target);
+  for (auto it = aState.attended_.begin(); it != aState.attended_.end();) {
+    const auto target = aState.targets_.find(*it);
+    if (target == aState.targets_.end() || !NeedsHold(target->second)) {
+      it = aState.attended_.erase(it);
+      continue;
+    }
+    KeepTarget(aState, target->second);
+    ++it;
   }
 }
 
--- a/packages/fleet/src/targets.h
+++ b/packages/fleet/src/targets.h
@@ -10,6 +10,9 @@
 void TakeTargets(FleetState& aState, const TargetsSeen& aSeen);
 void TakeHold(FleetState& aState, const HoldAnswered& aAnswer);
 
+// Finds the targets that need looking after; Start() adds its own.
+void AttendAll(FleetState& aState);
+
 // Sends the renewals that are due, gives up what has surely lapsed.
 void KeepContact(FleetState& aState);
 void KeepTarget(FleetState& aState, Target& aTarget); // the same for one
--- /dev/null
+++ b/packages/fleet/tests/fleet_bench.cpp
@@ -0,0 +1,126 @@
+// What the owner's decisions cost as the fleet grows, on this machine.
+//
+//   fleet_bench            prints a table
+//
+// No verdict: times differ from machine to machine. docs/CAPACITY.md holds a
+// run.
+
+#include <chrono>
+#include <cstdio>
+
+#include "world.h"
+
+using namespace cuminbridge;
+
+namespace {
+
+constexpr int kPerPool = 64; // targets
+constexpr int kRounds = 200;
+
+std::string
+IdOf(int aNumber)
+{
+  auto text = std::to_string(aNumber);
+  return std::string(16 - text.size(), '0') + text;
+}
+
+HoldAnswered
+MakeHold(int aTarget, Instant aNow)
+{
+  HoldAnswered hold;
+  hold.target_ = "t" + std::to_string(aTarget);
+  hold.outcome_ = HoldOutcome::Answered;
+  hold.sentAt_ = aNow;
+  hold.born_ = 1;
+  hold.clockMs_ = aNow.time_since_epoch().count();
+  return hold;
+}
+
+template<typename Work>
+double
+MeasureMicros(int aCount, Work aWork)
+{
+  const auto began = std::chrono::steady_clock::now();
+  for (int round = 0; round < aCount; ++round) {
+    aWork(round);
+  }
+  const std::chrono::duration<double, std::micro> took =
+    std::chrono::steady_clock::now() - began;
+  return took.count() / aCount;
+}
+
+void
+Measure(int aTargets)
+{
+  Instant now(Millis(1000000));
+  Fleet fleet(FleetOptions{}, now);
+  FleetConfig config;
+  config.version_ = 1;
+  TargetsSeen seen;
+  for (int number = 0; number < aTargets; ++number) {
+    TargetReport report;
+    report.id_ = "t" + std::to_string(number);
+    report.address_ = "10.0.0.1:1";
+    report.pool_ = "p" + std::to_string(number / kPerPool);
+    report.vm_ = "vm" + std::to_string(number);
+    report.rack_ = "r" + std::to_string(number / 8);
+    report.capacity_ = { 64000, 131072, 0 };
+    report.born_ = 1;
+    report.clockMs_ = now.time_since_epoch().count();
+    seen.targets_.push_back(std::move(report));
+    if (number % kPerPool == 0) {
+      config.pools_.push_back(
+        { "p" + std::to_string(number / kPerPool), true, false });
+    }
+  }
+  fleet.Handle(ConfigSeen{ config }, now);
+  fleet.Handle(JobsLoaded{}, now);
+  const double list = MeasureMicros(5, [&](int) { fleet.Handle(seen, now); });
+  fleet.Handle(Tick{}, now);
+  for (int number = 0; number < aTargets; ++number) {
+    fleet.Handle(MakeHold(number, now), now);
+  }
+  fleet.Handle(ProgressStored{ 1 }, now);
+  fleet.TakeEffects();
+  const int pools = static_cast<int>(config.pools_.size());
+  const double job = MeasureMicros(kRounds, [&](int aRound) {
+    now += Millis(5);
+    fleet.Handle(
+      JobArrived{
+        MakeJob(IdOf(aRound), "p" + std::to_string(aRound % pools), { 6, 4 }) },
+      now);
+    fleet.TakeEffects();
+  });
+  const double hold = MeasureMicros(kRounds, [&](int aRound) {
+    now += Millis(1);
+    fleet.Handle(MakeHold(aRound % aTargets, now), now);
+    fleet.TakeEffects();
+  });
+  const double tick = MeasureMicros(kRounds, [&](int) {
+    now += Millis(10);
+    fleet.Handle(Tick{}, now);
+    fleet.TakeEffects();
+  });
+  const auto record = EncodeJob(MakeJob(IdOf(1), "p0", { 6, 4 }));
+  std::printf("| %6d | %3d | %9.0f | %7.1f | %8.1f | %7.1f | %4zu |\n",
+              aTargets,
+              pools,
+              list,
+              job,
+              hold,
+              tick,
+              record.size());
+}
+
+} // namespace
+
+int
+main()
+{
+  std::printf("| targets | pools | list us | job us | answer us | tick us | "
+              "job bytes |\n| --- | --- | --- | --- | --- | --- | --- |\n");
+  for (const int targets : { 50, 350, 3000, 13000 }) {
+    Measure(targets);
+  }
+  return 0;
+}
--- a/packages/fleet/tests/fleet_test.cpp
+++ b/packages/fleet/tests/fleet_test.cpp
@@ -511,8 +511,7 @@
     }
     world.RestartTarget(world.TargetIds()[seed % 5]);
     world.RunFor(Millis(300));
-    world.BeginOwner(seed % 2 == 0 ? FormerOwner::Unknown
-                                   : FormerOwner::Ended);
+    world.BeginOwner(seed % 2 == 0 ? FormerOwner::Unknown : FormerOwner::Ended);
     world.RunFor(2 * kWhile);
     CheckNothingBroken(world);
     CheckAllCompleted(world, 4);
--- a/packages/fleet/tests/world.cpp
+++ b/packages/fleet/tests/world.cpp
@@ -19,7 +19,8 @@
 constexpr double kSlowClock = 0.98;
 constexpr Millis kCancelBound(3000);
 constexpr Millis kGangTimeout(3000);
-constexpr Millis kEarly(250); // a timed start may come this much before its time
+constexpr Millis kEarly(
+  250); // a timed start may come this much before its time
 
 } // namespace
 
@@ -482,8 +483,8 @@
 World::BeginGang(const ItemName& aMember, std::int64_t aRun)
 {
   const auto members = FindGang(aMember, aRun);
-  const auto& spec = jobs_.at(aMember.job_)
-                       .steps_[static_cast<std::size_t>(aMember.step_)];
+  const auto& spec =
+    jobs_.at(aMember.job_).steps_[static_cast<std::size_t>(aMember.step_)];
   if (static_cast<int>(members.size()) < spec.count_) {
     return;
   }
@@ -491,9 +492,7 @@
     auto& run = target->runs_[index];
     run.isGang_ = false; // from now on it ends by time
     run.endsAt_ = now_ + spec.estimate_;
-    At(spec.estimate_, [this, id = target->id_] {
-      Advance(*targets_.at(id));
-    });
+    At(spec.estimate_, [this, id = target->id_] { Advance(*targets_.at(id)); });
   }
 }
 
@@ -615,8 +614,8 @@
     const int count = aJob.steps_[step].isGang_ ? 1 : aJob.steps_[step].count_;
     int done = 0;
     for (int index = 0; index < aJob.steps_[step].count_; ++index) {
-      done += static_cast<int>(done_.count(
-        { aJob.id_, aOccurrence, static_cast<int>(step), index }));
+      done += static_cast<int>(
+        done_.count({ aJob.id_, aOccurrence, static_cast<int>(step), index }));
     }
     if (done < count) {
       Break("completed too early: " + aJob.id_);
@@ -692,9 +691,8 @@
   ++starts_[aStart.item_.job_];
   if (run.isGang_) {
     BeginGang(run.item_, run.run_);
-    At(kGangTimeout + Millis(1), [this, id = target.id_] {
-      Advance(*targets_.at(id));
-    });
+    At(kGangTimeout + Millis(1),
+       [this, id = target.id_] { Advance(*targets_.at(id)); });
     return answer;
   }
   // So that what runs ends on time, also when nobody asks.
