Refuse at once while the store is lost

Change: while calls to the store fail one after the other, jobs are refused with 503 and Retry-After before anything is written; an unanswered write is answered 504 as soon as the store counts as lost.

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -66,7 +66,7 @@
   asio::io_context io_{ 1 };
   asio::signal_set signals_{ io_, SIGTERM, SIGHUP };
   HttpClient http_{ io_, HttpClientOptions{} };
-  StoreClient store_{ http_, settings_.storeAddress_ };
+  StoreClient store_{ http_, settings_.storeAddress_, clocks_ };
   DaemonParts parts_{ io_, clocks_, settings_, http_, store_ };
   Intake intake_{ parts_ };
   HttpServer callers_;
--- a/packages/daemon/src/intake.cpp
+++ b/packages/daemon/src/intake.cpp
@@ -158,7 +158,9 @@
   write.conditions_.push_back({ key, 0 });
   write.puts_.push_back({ key, EncodeJob(job), 0 });
   bool mayBeStored = false;
-  while (true) {
+  // Nothing is written while the store is lost, so that the refusal is true and
+  // the caller can go elsewhere at once.
+  while (mayBeStored || !parts_.store_.IsLost()) {
     const auto reply = co_await parts_.store_.Write(write);
     if (reply.IsDone() || reply.status_ == StoreStatus::Conflict) {
       ++counts_.accepted_;
@@ -180,7 +182,7 @@
     mayBeStored = mayBeStored || reply.status_ == StoreStatus::Unknown;
     const bool isLate = parts_.clocks_.Now() - began > kAnswerLimit;
     // What was refused without doubt never runs; the caller may go elsewhere.
-    if (!mayBeStored || isLate) {
+    if (!mayBeStored || isLate || parts_.store_.IsLost()) {
       break;
     }
     co_await Sleep(parts_.io_, kRetryPause);
@@ -203,13 +205,16 @@
 Intake::Read(std::string aId)
 {
   ++counts_.reads_;
-  if (owner_ && owner_->IsSure()) {
+  if (owner_ && !owner_->HasEnded()) {
     if (const auto state = owner_->GetFleet().StoredState(aId)) {
       HttpAnswer answer;
       answer.body_ = FormatJobState(*state);
       co_return answer;
     }
   }
+  if (parts_.store_.IsLost()) {
+    co_return Problem(kUnavailable, "the store can't be reached from here");
+  }
   const auto progress = co_await parts_.store_.Get(kProgressPrefix + aId);
   if (progress.IsDone()) {
     const auto record = DecodeProgress(progress.items_.front().value_);
@@ -236,7 +241,8 @@
 {
   const auto began = parts_.clocks_.Now();
   ++counts_.cancels_;
-  while (true) {
+  bool mayBeStored = false;
+  while (mayBeStored || !parts_.store_.IsLost()) {
     const auto job = co_await parts_.store_.Get(kJobPrefix + aId);
     if (job.status_ == StoreStatus::Missing) {
       co_return Problem(kGone, "no such job");
@@ -257,12 +263,18 @@
         }
         co_return HttpAnswer{};
       }
+      mayBeStored = mayBeStored || reply.status_ == StoreStatus::Unknown;
     }
-    if (parts_.clocks_.Now() - began > kAnswerLimit) {
-      co_return Problem(kTimeout, "it may have been cancelled: ask again");
+    if (parts_.clocks_.Now() - began > kAnswerLimit ||
+        parts_.store_.IsLost()) {
+      break;
     }
     co_await Sleep(parts_.io_, kRetryPause);
   }
+  if (!mayBeStored) {
+    co_return Problem(kUnavailable, "the store can't be reached from here");
+  }
+  co_return Problem(kTimeout, "it may have been cancelled: ask again");
 }
 
 Awaitable<HttpAnswer>
