--- a/packages/ctl/src/control.cpp
+++ b/packages/ctl/src/control.cpp
@@ -13,6 +13,7 @@
 
 #include "control_client.h"
 #include "cuminbridge/model.h"
+#include "explain.h"
 
 namespace cuminbridge {
 
@@ -32,6 +33,7 @@
   "  in-force            the ticket in force, at each entry\n"
   "  pools               pools, their VMs and what they run\n"
   "  teams               teams, their limits and what they run\n"
+  "  explain JOB FILE... what became of a job, from the entries' logs\n"
   "  waves               maintenance: what is taken, what waits, and why\n"
   "Exit codes: 0 done, 1 refused, 2 usage, 3 unreachable or unknown.\n\n"
   "Example: cuminbridgectl -e 10.0.0.1:9080 -c operator.key ticket file "
@@ -205,6 +207,10 @@
 int
 RunControl(int aCount, char** aArguments)
 {
+  // Reads files only, and so needs neither an entry nor a credential.
+  if (aCount >= 2 && std::string_view(aArguments[1]) == "explain") {
+    return RunExplain({ aArguments + 2, aArguments + aCount });
+  }
   try {
     TCLAP::CmdLine command(kHelp, ' ', CUMINBRIDGE_VERSION);
     TCLAP::MultiArg<std::string> entries("e",
--- /dev/null
+++ b/packages/ctl/tests/explain_test.cpp
@@ -0,0 +1,45 @@
+// From a job's id to what became of it.
+
+#include <catch2/catch.hpp>
+
+#include "explain.h"
+
+using namespace cuminbridge;
+
+namespace {
+
+std::string
+Line(const std::string& aTime,
+     const std::string& aEvent,
+     const std::string& aJob,
+     const std::string& aTarget)
+{
+  return R"({"time":")" + aTime + R"(","entry":"e","event":")" + aEvent +
+         R"(","job":")" + aJob + R"(","item":"","target":")" + aTarget +
+         R"(","detail":"d"})";
+}
+
+} // namespace
+
+TEST_CASE("a job's lines come in the order of time, with its target's")
+{
+  const auto told = ExplainJob("j",
+                               { Line("12:05", "run_lost", "j", "t"),
+                                 Line("12:01", "job_accepted", "j", ""),
+                                 Line("12:04", "target_silent", "", "t"),
+                                 Line("12:04", "target_silent", "", "other"),
+                                 Line("12:03", "run_placed", "k", "t"),
+                                 Line("12:02", "owner_began", "", ""),
+                                 Line("13:00", "owner_ended", "", ""),
+                                 "no JSON" });
+  REQUIRE(told.size() == 4);
+  CHECK(told[0] == "12:01 e job_accepted: d");
+  CHECK(told[1] == "12:02 e owner_began: d");
+  CHECK(told[2] == "12:04 e target_silent t: d");
+  CHECK(told[3] == "12:05 e run_lost t: d");
+}
+
+TEST_CASE("of an unknown job nothing is told")
+{
+  CHECK(ExplainJob("x", { Line("12:02", "owner_began", "", "") }).empty());
+}
--- a/packages/daemon/src/intake.cpp
+++ b/packages/daemon/src/intake.cpp
@@ -265,8 +265,7 @@
       }
       mayBeStored = mayBeStored || reply.status_ == StoreStatus::Unknown;
     }
-    if (parts_.clocks_.Now() - began > kAnswerLimit ||
-        parts_.store_.IsLost()) {
+    if (parts_.clocks_.Now() - began > kAnswerLimit || parts_.store_.IsLost()) {
       break;
     }
     co_await Sleep(parts_.io_, kRetryPause);
