--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -2,8 +2,6 @@
 
 #include "owner.h"
 
-#include <sstream>
-
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -31,15 +29,8 @@
 constexpr Millis kWatchWait(1000); // a silent channel is noticed after it
 // An order for a VM needs the lease to live at least this long.
 constexpr Millis kOrderMargin(600);
-constexpr std::size_t kPutsInWrite = kMostInWrite - 4; // beside the conditions
 constexpr Millis kHandOverLimit(800);
 
-std::string
-KeyOf(const char* aPrefix, const std::string& aName)
-{
-  return aPrefix + aName;
-}
-
 // The key was read, or does not exist.
 bool
 IsKnown(const StoreReply& aReply)
@@ -47,15 +38,6 @@
   return aReply.IsDone() || aReply.status_ == StoreStatus::Missing;
 }
 
-std::string
-WriteWaveRecord(const WaveRecord& aRecord)
-{
-  return nlohmann::json{
-    { "seen", aRecord.seen_.time_since_epoch().count() },
-    { "done", aRecord.upkeepDone_ }
-  }.dump();
-}
-
 FleetOptions
 MakeOptions(const PlatformSettings& aSettings)
 {
@@ -71,13 +53,6 @@
 
 } // namespace
 
-Awaitable<void>
-Sleep(asio::io_context& aIo, Millis aTime)
-{
-  asio::steady_timer timer(aIo, aTime);
-  co_await timer.async_wait(kAsTuple);
-}
-
 Owner::Owner(DaemonParts aParts,
              Ownership aOwnership,
              const FleetConfig& aConfig)
@@ -90,8 +65,9 @@
          aParts.settings_.name_,
          aOwnership.token_)
   , advice_(aParts.http_, aParts.settings_.adviceAddress_)
-  , writeSignal_(aParts.io_)
-  , chainRevision_(aOwnership.token_)
+  , writer_(aParts, aOwnership.token_, [this](const std::string& aWhy) {
+    End(aWhy);
+  })
 {
   Handle(ConfigSeen{ aConfig });
 }
@@ -117,7 +93,7 @@
   Spawn([self] { return self->Renew(); });
   Spawn([self] { return self->Load(); });
   Spawn([self] { return self->PollTargets(); });
-  Spawn([self] { return self->RunWriter(); });
+  Spawn([self] { return self->writer_.Run(); });
 }
 
 void
@@ -127,7 +103,7 @@
     return;
   }
   hasEnded_ = true;
-  writeSignal_.cancel();
+  writer_.Stop();
   WriteLine({ "owner_ended", "", "", "", aWhy }, parts_.clocks_.Now());
 }
 
@@ -144,21 +120,17 @@
   isHandingOver_ = true;
   const auto limit = parts_.clocks_.Now() + kHandOverLimit;
   while (!hasEnded_ && parts_.clocks_.Now() < limit &&
-         (isWriting_ || !writes_.empty() || fleet_.HasUnstored())) {
+         (!writer_.IsIdle() || fleet_.HasUnstored())) {
     co_await Sleep(parts_.io_, kTickInterval);
   }
-  if (!hasEnded_ && !isWriting_ && !fleet_.HasUnstored()) {
-    bool isWritten = false;
-    LastOwner last{ ownership_.term_, PeerAddress(parts_.settings_), true };
-    Queue({ { { kLastOwnerKey, WriteLastOwner(last), 0 } }, {}, [&isWritten] {
-             isWritten = true;
-           } });
-    while (!hasEnded_ && !isWritten && parts_.clocks_.Now() < limit) {
+  if (!hasEnded_ && writer_.IsIdle() && !fleet_.HasUnstored()) {
+    const LastOwner last{ ownership_.term_,
+                          PeerAddress(parts_.settings_),
+                          true };
+    writer_.Queue({ { { kLastOwnerKey, WriteLastOwner(last), 0 } }, {}, {} });
+    while (!hasEnded_ && !writer_.IsIdle() && parts_.clocks_.Now() < limit) {
       co_await Sleep(parts_.io_, kTickInterval);
     }
-    if (!isWritten) {
-      writes_.clear(); // its end refers to this call
-    }
   }
   End("handed over");
   co_await parts_.store_.EndLease(ownership_.lease_);
@@ -213,40 +185,6 @@
   return true;
 }
 
-std::int64_t
-NextWatchRevision(std::int64_t aAfter, const StoreReply& aReply, bool aIsList)
-{
-  auto next = aIsList ? std::max(aAfter, aReply.revision_) : aAfter;
-  for (const auto& item : aReply.items_) {
-    next = std::max(next, item.revision_);
-  }
-  return next;
-}
-
-std::string
-PeerAddress(const PlatformSettings& aSettings)
-{
-  return aSettings.ip_ + ':' + std::to_string(aSettings.firstInternalPort_);
-}
-
-std::string
-WriteLastOwner(const LastOwner& aOwner)
-{
-  return std::to_string(aOwner.term_) + ' ' + aOwner.address_ +
-         (aOwner.hasHandedOver_ ? " handed-over" : "");
-}
-
-LastOwner
-ReadLastOwner(const std::string& aText)
-{
-  LastOwner owner;
-  std::string mark;
-  std::istringstream text(aText);
-  text >> owner.term_ >> owner.address_ >> mark;
-  owner.hasHandedOver_ = mark == "handed-over";
-  return owner;
-}
-
 Awaitable<FormerOwner>
 Owner::AskFormer()
 {
@@ -272,96 +210,43 @@
 Owner::Load()
 {
   const auto self = shared_from_this();
-  StoreReply intake;
-  StoreReply progress;
-  StoreReply upkeep;
-  StoreReply targets;
-  StoreReply orders;
-  while (!hasEnded_) {
-    intake = co_await parts_.store_.List(kIntakePrefix);
-    if (intake.IsDone()) {
-      progress = co_await parts_.store_.List(kProgressPrefix);
+  auto& store = parts_.store_;
+  StoredFleet stored;
+  bool isRead = false;
+  while (!hasEnded_ && !isRead) {
+    stored.intake_ = co_await store.List(kIntakePrefix);
+    stored.progress_ = co_await store.List(kProgressPrefix);
+    stored.waves_ = co_await store.List(kUpkeepPrefix);
+    stored.targets_ = co_await store.Get(kTargetsKey);
+    stored.orders_ = co_await store.Get(kOrdersKey);
+    isRead = stored.intake_.IsDone() && stored.progress_.IsDone() &&
+             stored.waves_.IsDone() && IsKnown(stored.targets_) &&
+             IsKnown(stored.orders_);
+    if (!isRead) {
+      co_await Sleep(parts_.io_, kRetryPause);
     }
-    if (intake.IsDone() && progress.IsDone()) {
-      upkeep = co_await parts_.store_.List(kUpkeepPrefix);
-    }
-    if (intake.IsDone() && progress.IsDone() && upkeep.IsDone()) {
-      targets = co_await parts_.store_.Get(kTargetsKey);
-      orders = co_await parts_.store_.Get(kOrdersKey);
-      if (IsKnown(targets) && IsKnown(orders)) {
-        break;
-      }
-    }
-    co_await Sleep(parts_.io_, kRetryPause);
   }
+  const auto former = co_await AskFormer();
   if (hasEnded_) {
     co_return;
   }
-  JobsLoaded loaded;
-  loaded.term_ = ownership_.term_;
-  const std::string_view cancel = kCancelPrefix;
-  for (const auto& item : intake.items_) {
-    if (std::string_view(item.key_).substr(0, cancel.size()) == cancel) {
-      loaded.cancelled_.insert(item.key_.substr(cancel.size()));
-    } else if (auto job = DecodeJob(item.value_)) {
-      loaded.jobs_.push_back(std::move(*job));
-    } else {
-      WriteLine({ "record_unreadable", "", "", "", item.key_ },
-                parts_.clocks_.Now());
-    }
-  }
-  for (const auto& item : progress.items_) {
-    const auto id = item.key_.substr(std::string_view(kProgressPrefix).size());
-    if (auto record = DecodeProgress(item.value_)) {
-      loaded.progress_[id] = std::move(*record);
-    } else {
-      WriteLine({ "record_unreadable", id, "", "", item.key_ },
-                parts_.clocks_.Now());
-    }
-  }
-  for (const auto& item : upkeep.items_) {
-    const auto number =
-      item.key_.substr(std::string_view(kUpkeepPrefix).size());
-    const auto record = nlohmann::json::parse(item.value_, nullptr, false);
-    if (record.is_object()) {
-      loaded.waves_[std::atoll(number.c_str())] = {
-        WallTime(Millis(record.at("seen").get<std::int64_t>())),
-        record.at("done").get<std::vector<std::string>>()
-      };
-    }
-  }
-  if (orders.IsDone()) {
-    const auto rows =
-      nlohmann::json::parse(orders.items_.front().value_, nullptr, false);
-    for (const auto& row : rows) {
-      loaded.orders_.push_back(
-        { row.at(0).get<std::string>(),
-          WallTime(Millis(row.at(1).get<std::int64_t>())) });
-    }
-  }
-  if (targets.IsDone()) {
-    const auto rows =
-      nlohmann::json::parse(targets.items_.front().value_, nullptr, false);
-    for (const auto& row : rows) {
-      loaded.targets_.emplace_back(row.at(0).get<std::string>(),
-                                   row.at(1).get<std::string>(),
-                                   row.at(2).get<std::string>());
-    }
-  }
-  loaded.former_ = co_await AskFormer();
-  if (hasEnded_) {
-    co_return;
+  std::vector<std::string> unreadable;
+  auto loaded = ReadStoredFleet(stored, unreadable);
+  for (const auto& key : unreadable) {
+    WriteLine({ "record_unreadable", "", "", "", key }, parts_.clocks_.Now());
   }
+  loaded.term_ = ownership_.term_;
+  loaded.former_ = former;
   WriteLine({ "former_owner",
               "",
               "",
               "",
               ownership_.former_ + " state " +
-                std::to_string(static_cast<int>(loaded.former_)) },
+                std::to_string(static_cast<int>(former)) },
             parts_.clocks_.Now());
   Handle(Tick{ parts_.clocks_.TimeOfDay(), false });
   Handle(loaded);
-  const auto revision = intake.revision_;
+  const auto revision = stored.intake_.revision_;
   Spawn([self, revision] { return self->WatchIntake(revision); });
   Spawn([self] { return self->PollVms(); });
   Spawn([self] { return self->PollWaves(); });
@@ -462,112 +347,43 @@
 //-----------------------------------------------------------------------------
 
 void
-Owner::Queue(Pending aPending)
-{
-  writes_.push_back(std::move(aPending));
-  writeSignal_.cancel();
-}
-
-void
-Owner::QueueProgress(const StoreProgress& aEffect)
+Owner::Store(const StoreProgress& aEffect)
 {
   std::vector<StoreWrite::Put> puts;
   if (aEffect.hasTargets_) {
-    nlohmann::json rows = nlohmann::json::array();
-    for (const auto& target : aEffect.targets_) {
-      rows.push_back({ target.id_, target.address_, target.pool_ });
-    }
-    puts.push_back({ kTargetsKey, rows.dump(), 0 });
+    puts.push_back({ kTargetsKey, WriteKnownTargets(aEffect.targets_), 0 });
   }
   if (aEffect.hasOrders_) {
-    nlohmann::json rows = nlohmann::json::array();
-    for (const auto& order : aEffect.orders_) {
-      rows.push_back({ order.vm_, order.at_.time_since_epoch().count() });
-    }
-    puts.push_back({ kOrdersKey, rows.dump(), 0 });
+    puts.push_back({ kOrdersKey, WriteKnownOrders(aEffect.orders_), 0 });
   }
   for (const auto& [job, progress] : aEffect.jobs_) {
-    puts.push_back(
-      { KeyOf(kProgressPrefix, job), EncodeProgress(progress), 0 });
-  }
-  for (std::size_t begin = 0; begin < puts.size(); begin += kPutsInWrite) {
-    Pending pending;
-    const auto end = std::min(begin + kPutsInWrite, puts.size());
-    for (std::size_t row = begin; row < end; ++row) {
-      pending.puts_.push_back(std::move(puts[row]));
-    }
-    if (end == puts.size()) {
-      const auto batch = aEffect.batch_;
-      pending.done_ = [this, batch] { Handle(ProgressStored{ batch }); };
-    }
-    Queue(std::move(pending));
+    puts.push_back({ kProgressPrefix + job, EncodeProgress(progress), 0 });
   }
+  const auto batch = aEffect.batch_;
+  writer_.QueueAll(std::move(puts),
+                   [this, batch] { Handle(ProgressStored{ batch }); });
 }
 
-Awaitable<bool>
-Owner::WriteChained(StoreWrite aWrite)
-{
-  const auto number = std::to_string(++chainNumber_);
-  aWrite.conditions_.push_back({ kOwnerKey, ownership_.token_ });
-  aWrite.conditions_.push_back({ kChainKey, chainRevision_ });
-  aWrite.puts_.push_back({ kChainKey, number, 0 });
-  while (!hasEnded_) {
-    const auto reply = co_await parts_.store_.Write(aWrite);
-    if (reply.IsDone()) {
-      chainRevision_ = reply.revision_;
-      co_return true;
-    }
-    if (reply.status_ == StoreStatus::Conflict) {
-      for (const auto& item : reply.items_) {
-        // An earlier try without an answer was carried out after all.
-        if (item.key_ == kChainKey && item.value_ == number &&
-            item.revision_ != chainRevision_) {
-          chainRevision_ = item.revision_;
-          co_return true;
-        }
-      }
-      End("a write found another owner");
-      co_return false;
-    }
-    co_await Sleep(parts_.io_, kRetryPause);
-  }
-  co_return false;
+void
+Owner::Store(const StoreWave& aEffect)
+{
+  writer_.QueueAll({ { kUpkeepPrefix + std::to_string(aEffect.wave_),
+                       WriteWaveRecord(aEffect.record_),
+                       0 },
+                     { WaveStatusKey(aEffect.wave_),
+                       FormatWaveStatus(aEffect.isCompleted_),
+                       0 } },
+                   {});
 }
 
-Awaitable<void>
-Owner::RunWriter()
+void
+Owner::Forget(const ForgetJobs& aEffect)
 {
-  const auto self = shared_from_this();
-  while (!hasEnded_) {
-    if (writes_.empty()) {
-      writeSignal_.expires_after(std::chrono::hours(1));
-      co_await writeSignal_.async_wait(kAsTuple);
-      continue;
-    }
-    isWriting_ = true;
-    StoreWrite write;
-    std::vector<std::function<void()>> done;
-    while (!writes_.empty() && write.puts_.size() + write.removes_.size() +
-                                   writes_.front().puts_.size() +
-                                   writes_.front().removes_.size() <=
-                                 kPutsInWrite) {
-      auto& front = writes_.front();
-      for (auto& put : front.puts_) {
-        write.puts_.push_back(std::move(put));
-      }
-      for (auto& key : front.removes_) {
-        write.removes_.push_back(std::move(key));
-      }
-      done.push_back(std::move(front.done_));
-      writes_.pop_front();
-    }
-    const bool isDone = co_await WriteChained(std::move(write));
-    isWriting_ = false;
-    for (const auto& tell : done) {
-      if (isDone && !hasEnded_ && tell) {
-        tell();
-      }
-    }
+  for (const auto& job : aEffect.jobs_) {
+    writer_.Queue(
+      { {},
+        { kJobPrefix + job, kCancelPrefix + job, kProgressPrefix + job },
+        {} });
   }
 }
 
@@ -584,7 +400,7 @@
     auto text = waiting.dump();
     if (text != told) {
       told = text;
-      Queue({ { { kLoadKey, std::move(text), 0 } }, {}, nullptr });
+      writer_.Queue({ { { kLoadKey, std::move(text), 0 } }, {}, {} });
     }
     co_await Sleep(parts_.io_, kLoadInterval);
   }
@@ -682,30 +498,9 @@
                       self->Handle(co_await self->vms_.Upkeep(upkeep));
                     });
                 },
-                [&](StoreProgress& aStore) { QueueProgress(aStore); },
-                [&](StoreWave& aWave) {
-                  Queue({ { { kUpkeepPrefix + std::to_string(aWave.wave_),
-                              WriteWaveRecord(aWave.record_),
-                              0 },
-                            { WaveStatusKey(aWave.wave_),
-                              FormatWaveStatus(aWave.isCompleted_),
-                              0 } },
-                          {},
-                          nullptr });
-                },
-                [&](ForgetJobs& aForget) {
-                  Pending pending;
-                  for (const auto& job : aForget.jobs_) {
-                    pending.removes_.push_back(KeyOf(kJobPrefix, job));
-                    pending.removes_.push_back(KeyOf(kCancelPrefix, job));
-                  }
-                  Queue(std::move(pending));
-                  Pending progress;
-                  for (const auto& job : aForget.jobs_) {
-                    progress.removes_.push_back(KeyOf(kProgressPrefix, job));
-                  }
-                  Queue(std::move(progress));
-                },
+                [&](StoreProgress& aStore) { Store(aStore); },
+                [&](StoreWave& aWave) { Store(aWave); },
+                [&](ForgetJobs& aForget) { Forget(aForget); },
                 [&](LogLine& aLine) { WriteLine(aLine, parts_.clocks_.Now()); },
                 [&](Abdicate&) { End("a target has seen a newer owner"); } },
     aEffect);
--- /dev/null
+++ b/packages/daemon/src/parts.cpp
@@ -0,0 +1,25 @@
+// What every part of a daemon works with.
+
+#include "parts.h"
+
+#include <boost/asio/as_tuple.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace cuminbridge {
+
+namespace asio = boost::asio;
+
+Awaitable<void>
+Sleep(asio::io_context& aIo, Millis aTime)
+{
+  asio::steady_timer timer(aIo, aTime);
+  co_await timer.async_wait(asio::as_tuple(asio::use_awaitable));
+}
+
+std::string
+PeerAddress(const PlatformSettings& aSettings)
+{
+  return aSettings.ip_ + ':' + std::to_string(aSettings.firstInternalPort_);
+}
+
+} // namespace cuminbridge
--- a/packages/daemon/src/records.h
+++ b/packages/daemon/src/records.h
@@ -3,10 +3,14 @@
 #ifndef cuminbridge_daemon_records_h
 #define cuminbridge_daemon_records_h
 
-#include <string>
+#include "cuminbridge/adapter.h"
 
 namespace cuminbridge {
 
+//-----------------------------------------------------------------------------
+// [SECTION] Keys
+//-----------------------------------------------------------------------------
+
 // Who owns the fleet. Created under the owner's lease; the revision of its
 // creation is the owner's fencing token.
 inline constexpr const char* kOwnerKey = "owner";
@@ -36,6 +40,47 @@
 // Waiting jobs by queue.
 inline constexpr const char* kLoadKey = "load";
 
+//-----------------------------------------------------------------------------
+// [SECTION] Values
+//-----------------------------------------------------------------------------
+// Jobs and their progress are in jobs.h.
+
+// What kLastOwnerKey holds.
+struct LastOwner
+{
+  int term_ = 0;
+  std::string address_; // of its process, for peers
+  bool hasHandedOver_ = false;
+};
+
+LastOwner ReadLastOwner(const std::string& aText);
+std::string WriteLastOwner(const LastOwner& aOwner);
+
+std::string WriteWaveRecord(const WaveRecord& aRecord);
+std::string WriteKnownTargets(const std::vector<KnownTarget>& aTargets);
+std::string WriteKnownOrders(const std::vector<KnownOrder>& aOrders);
+
+// All that an owner finds in the store, as the lists came.
+struct StoredFleet
+{
+  StoreReply intake_;
+  StoreReply progress_;
+  StoreReply waves_;
+  StoreReply targets_; // one key, that may be missing
+  StoreReply orders_;  // the same
+};
+
+// Decodes it. Adds the keys of records that can't be read.
+JobsLoaded ReadStoredFleet(const StoredFleet& aStored,
+                           std::vector<std::string>& aUnreadable);
+
+// The revision from which to watch on. Not the store's own after a watch: while
+// watches hear nothing, the store goes on, and what it passed over would never
+// be told.
+std::int64_t NextWatchRevision(std::int64_t aAfter,
+                               const StoreReply& aReply,
+                               bool aIsList);
+
 } // namespace cuminbridge
 
 #endif // cuminbridge_daemon_records_h
--- a/packages/daemon/tests/owner_test.cpp
+++ b/packages/daemon/tests/owner_test.cpp
@@ -2,7 +2,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "owner.h"
+#include "records.h"
 
 using namespace cuminbridge;
 
@@ -36,3 +36,37 @@
   CHECK(!ReadLastOwner("7 10.1.0.23:7000").hasHandedOver_);
   CHECK(ReadLastOwner("").address_.empty());
 }
+
+TEST_CASE("what an owner stores comes back to the next one")
+{
+  Job job;
+  job.id_ = "00000000000000a1";
+  Progress progress;
+  progress.state_ = JobState::Serving;
+  const WaveRecord wave{ WallTime(Millis(17)), { "vm-1", "vm-2" } };
+  const std::vector<KnownTarget> targets = { { "t", "10.0.0.1:1", "p" } };
+  const std::vector<KnownOrder> orders = { { "vm", WallTime(Millis(5)) } };
+  const auto make = [](const std::string& aKey, std::string aValue) {
+    StoreReply reply;
+    reply.status_ = StoreStatus::Done;
+    reply.items_.push_back({ aKey, std::move(aValue), 1, 1, false });
+    return reply;
+  };
+  StoredFleet stored;
+  stored.intake_ = make(kJobPrefix + job.id_, EncodeJob(job));
+  stored.intake_.items_.push_back({ "in/cancel/b", "{}", 2, 2, false });
+  stored.intake_.items_.push_back({ "in/job/c", "damaged", 3, 3, false });
+  stored.progress_ = make("progress/a", EncodeProgress(progress));
+  stored.waves_ = make("upkeep/4", WriteWaveRecord(wave));
+  stored.targets_ = make(kTargetsKey, WriteKnownTargets(targets));
+  stored.orders_ = make(kOrdersKey, WriteKnownOrders(orders));
+  std::vector<std::string> unreadable;
+  const auto loaded = ReadStoredFleet(stored, unreadable);
+  CHECK(loaded.jobs_ == std::vector<Job>{ job });
+  CHECK(loaded.cancelled_ == std::set<std::string>{ "b" });
+  CHECK(loaded.progress_.at("a") == progress);
+  CHECK(loaded.waves_.at(4) == wave);
+  CHECK(loaded.targets_ == targets);
+  CHECK(loaded.orders_ == orders);
+  CHECK(unreadable == std::vector<std::string>{ "in/job/c" });
+}
--- a/packages/fleet/tests/fleet_test.cpp
+++ b/packages/fleet/tests/fleet_test.cpp
@@ -380,100 +380,48 @@
 {
   // crue fresh-5eb7: the question left in the millisecond in which the start
   // was answered, and was answered without the run; it was started again.
-  const Instant begin(Millis(1000000));
-  Fleet fleet(FleetOptions{}, begin);
-  FleetConfig config;
-  config.version_ = 1;
-  config.pools_.push_back({ "a", true, false });
-  fleet.Handle(ConfigSeen{ config }, begin);
-  fleet.Handle(JobsLoaded{}, begin);
-  TargetReport report;
-  report.id_ = report.address_ = "t";
-  report.pool_ = "a";
-  report.capacity_ = { 8000, 32000, 0 };
-  report.born_ = 5;
-  report.clockMs_ = 100;
-  fleet.Handle(TargetsSeen{ { report } }, begin);
-  HoldAnswered hold;
-  hold.target_ = "t";
-  hold.outcome_ = HoldOutcome::Answered;
-  hold.born_ = 5;
-  hold.clockMs_ = 100;
-  hold.sentAt_ = begin;
-  fleet.Handle(Tick{}, begin + Millis(10));
-  fleet.Handle(hold, begin + Millis(20));
-  fleet.Handle(ProgressStored{ 1 }, begin + Millis(30));
-  fleet.Handle(JobArrived{ MakeJob(IdOf(1), "a", { 1 }) }, begin + Millis(40));
-  std::optional<StartRun> start;
-  for (const auto& effect : fleet.TakeEffects()) {
-    if (const auto* found = std::get_if<StartRun>(&effect)) {
-      start = *found;
-    }
-  }
-  REQUIRE(start);
-  const auto answeredAt = begin + Millis(50);
-  fleet.Handle(
-    StartAnswered{ "t", start->item_, start->run_, StartOutcome::Started, 150 },
-    answeredAt);
-  hold.sentAt_ = answeredAt;
-  fleet.Handle(hold, answeredAt + Millis(5));
-  fleet.Handle(Tick{}, answeredAt + Millis(200));
-  for (const auto& effect : fleet.TakeEffects()) {
-    CHECK(!std::holds_alternative<StartRun>(effect));
-  }
+  OneTarget one;
+  one.Pass(Millis(20));
+  one.Send(JobArrived{ MakeJob(IdOf(1), "a", { 1 }) });
+  one.Pass(Millis(10));
+  CHECK(one.Count<StartRun>() == 1);
+  one.Send(
+    StartAnswered{ "t", { IdOf(1), 0, 0, 0 }, 1, StartOutcome::Started, 150 });
+  one.Hold({});
+  one.Pass(Millis(200));
+  CHECK(one.Count<StartRun>() == 0);
 }
 
 TEST_CASE("a run of a job that is not known yet is adopted once the job comes")
 {
   // crue-grown trouble-1: the last owner had begun a job that its successor's
   // list did not hold yet; it was stopped and started again at the same time.
-  const Instant begin(Millis(1000000));
-  Fleet fleet(FleetOptions{}, begin);
-  FleetConfig config;
-  config.version_ = 1;
-  config.pools_.push_back({ "a", true, false });
-  fleet.Handle(ConfigSeen{ config }, begin);
-  fleet.Handle(JobsLoaded{}, begin);
-  TargetReport report;
-  report.id_ = report.address_ = "t";
-  report.pool_ = "a";
-  report.capacity_ = { 8000, 32000, 0 };
-  report.born_ = 5;
-  report.clockMs_ = 100;
-  fleet.Handle(TargetsSeen{ { report } }, begin);
   const auto job = MakeJob(IdOf(1), "a", { 1 });
-  HoldAnswered hold;
-  hold.target_ = "t";
-  hold.outcome_ = HoldOutcome::Answered;
-  hold.born_ = 5;
-  hold.clockMs_ = 100;
-  hold.sentAt_ = begin;
   RunningRun run;
   run.item_ = { job.id_, 0, 0, 0 };
   run.run_ = 7;
-  hold.running_ = { run };
-  fleet.Handle(Tick{}, begin + Millis(10));
-  fleet.Handle(hold, begin + Millis(20));
-  fleet.Handle(ProgressStored{ 1 }, begin + Millis(30));
-  fleet.Handle(JobArrived{ job }, begin + Millis(200));
-  fleet.Handle(Tick{}, begin + Millis(400));
-  for (const auto& effect : fleet.TakeEffects()) {
-    CHECK(!std::holds_alternative<StartRun>(effect));
-    CHECK(!std::holds_alternative<StopRun>(effect));
-  }
-  // One that stays unknown is stopped.
-  Fleet other(FleetOptions{}, begin);
-  other.Handle(ConfigSeen{ config }, begin);
-  other.Handle(JobsLoaded{}, begin);
-  other.Handle(TargetsSeen{ { report } }, begin);
-  other.Handle(Tick{}, begin + Millis(10));
-  other.Handle(hold, begin + Millis(20));
-  other.Handle(Tick{}, begin + Millis(5000));
-  bool isStopped = false;
-  for (const auto& effect : other.TakeEffects()) {
-    isStopped = isStopped || std::holds_alternative<StopRun>(effect);
-  }
-  CHECK(isStopped);
+  OneTarget one;
+  one.Hold({ run });
+  one.Pass(Millis(200));
+  one.Send(JobArrived{ job });
+  one.Pass(Millis(200));
+  CHECK(one.Count<StartRun>() == 0);
+  one.Hold({ run });
+  one.Pass(Millis(5000));
+  CHECK(one.Count<StopRun>() == 0);
+}
+
+TEST_CASE("a run whose job never comes is stopped")
+{
+  RunningRun run;
+  run.item_ = { IdOf(1), 0, 0, 0 };
+  run.run_ = 7;
+  OneTarget one;
+  one.Hold({ run });
+  one.Pass(Millis(1000));
+  CHECK(one.Count<StopRun>() == 0);
+  one.Pass(Millis(4000));
+  CHECK(one.Count<StopRun>() == 1);
 }
 
 TEST_CASE("a gang starts whole and ends together")
