Orders for VMs are checked again once their record is stored

Cause, found by reading: while the store is away an order waits for its record, its target may get work meanwhile, and the order would then end that work; the next owner would count from a time that is long past. An order of the last owner without an answer did not count for a wave's limit. Change: an order is sent only if its target is still idle and the record took no longer than 500 ms; VMs listed in upkeep, or ordered by the last owner a moment ago, count as down.

--- a/packages/fleet/src/vms.cpp
+++ b/packages/fleet/src/vms.cpp
@@ -20,6 +20,8 @@
 constexpr Millis kOrderDoubt(3000);
 // A VM that was ordered to move is expected in its pool for this long.
 constexpr Millis kMoveExpected(6000);
+// An order whose record took longer to store is planned anew.
+constexpr Millis kRecordTime(500);
 constexpr Millis kBusyPause(500); // after the platform called a VM busy
 // Lasting work leaves a cordoned target even without room elsewhere after this.
 constexpr Millis kEvacuateAnyway(3000);
@@ -55,6 +57,13 @@
   return vm != aState.vms_.end() && vm->second.state_ == VmState::Up;
 }
 
+bool
+IsInUpkeep(const FleetState& aState, const std::string& aVm)
+{
+  const auto vm = aState.vms_.find(aVm);
+  return vm != aState.vms_.end() && vm->second.state_ == VmState::Upkeep;
+}
+
 int
 CountLasting(const Target& aTarget)
 {
@@ -123,6 +132,9 @@
   view.duration_ = aWave.wave_.duration_;
   view.down_ = static_cast<int>(aWave.down_.size());
   for (const auto& name : aWave.wave_.vms_) {
+    // The owner before us may have ordered these without an answer.
+    const bool mayBeDown = IsInUpkeep(aState, name) || !MayOrder(aState, name);
+    view.down_ += mayBeDown && aWave.down_.count(name) == 0 ? 1 : 0;
     if (aWave.done_.count(name) != 0 || !IsKnownVm(aState, name)) {
       continue;
     }
@@ -474,6 +486,21 @@
   }
 }
 
+namespace {
+
+// What held when the order was planned must still hold once it is stored.
+bool
+MaySend(FleetState& aState, const std::string& aVm, const VmOrder& aOrder)
+{
+  const auto* target = TargetOfVm(aState, aVm);
+  const bool isIdle = !target || target->runs_.empty();
+  // The next owner counts from the time in the record.
+  const bool isRecent = aState.now_ - aOrder.sentAt_ <= kRecordTime;
+  return aState.mayOrderVms_ && isIdle && isRecent;
+}
+
+} // namespace
+
 void
 SendStoredOrders(FleetState& aState)
 {
@@ -483,8 +510,7 @@
       ++it;
       continue;
     }
-    if (!aState.mayOrderVms_) {
-      // The lease may run out before the order arrives.
+    if (!MaySend(aState, vm, order)) {
       if (order.isUpkeep_) {
         aState.waves_[order.wave_].down_.erase(vm);
       }
@@ -493,6 +519,9 @@
     }
     order.isStored_ = true;
     order.sentAt_ = aState.now_;
+    if (auto* target = TargetOfVm(aState, vm)) {
+      target->leavingUntil_ = aState.now_ + kOrderDoubt;
+    }
     aState.Log(order.isUpkeep_ ? "vm_upkeep" : "vm_move",
                "",
                "",
--- a/packages/fleet/tests/fleet_test.cpp
+++ b/packages/fleet/tests/fleet_test.cpp
@@ -360,6 +360,52 @@
   CHECK(other.Count<UpkeepVm>() == 0);
 }
 
+TEST_CASE("an order that was stored late is not sent to a VM with work")
+{
+  // Found by reading: while the store is away an order waits for its record,
+  // and the target may be used again meanwhile.
+  OneTarget one;
+  Vm vm;
+  vm.name_ = "vm";
+  vm.pool_ = "a";
+  vm.target_ = "t";
+  vm.state_ = VmState::Up;
+  one.Send(WavesSeen{ { { 1, { "vm" }, Millis(20000), 1 } } });
+  one.Send(VmsSeen{ { vm }, one.now_ });
+  one.Pass(Millis(250)); // the order waits for batch 2
+  auto job = MakeJob(IdOf(1), "a", { 1 });
+  job.steps_[0].isLasting_ = true;
+  one.Send(JobArrived{ job });
+  for (int round = 0; round < 16; ++round) {
+    one.Send(VmsSeen{ { vm }, one.now_ });
+    one.Pass(Millis(250));
+  }
+  CHECK(one.Count<StartRun>() == 1);
+  one.Send(ProgressStored{ 2 });
+  one.Pass(Millis(10));
+  CHECK(one.Count<UpkeepVm>() == 0);
+}
+
+TEST_CASE("VMs that the last owner took down count for a wave's limit")
+{
+  // Found by reading: an order without an answer is in no record of the wave.
+  OneTarget one;
+  Vm vm;
+  vm.name_ = "free";
+  vm.pool_ = "standby";
+  vm.state_ = VmState::Up;
+  Vm down = vm;
+  down.name_ = "down";
+  down.state_ = VmState::Upkeep;
+  one.Send(WavesSeen{ { { 1, { "free", "down" }, Millis(20000), 1 } } });
+  for (int round = 0; round < 4; ++round) {
+    one.Send(VmsSeen{ { vm, down }, one.now_ });
+    one.Pass(Millis(250));
+    one.Send(ProgressStored{ static_cast<std::uint64_t>(round) + 2 });
+  }
+  CHECK(one.Count<UpkeepVm>() == 0);
+}
+
 TEST_CASE("a VM without a target has its upkeep at once")
 {
   OneTarget one;
