The HTTP client drops connections to addresses that are gone

Change: every 5 s closed and long idle connections go, and empty pools with them. First tests of the client and the server.

--- a/packages/web/include/cuminbridge/web.h
+++ b/packages/web/include/cuminbridge/web.h
@@ -80,6 +80,7 @@
   std::size_t maxConnections_ = 24; // to one address, in use at once
   std::chrono::milliseconds connectLimit_{ 300 };
   std::chrono::seconds idleLimit_{ 60 }; // an unused connection is closed then
+  std::chrono::seconds sweepInterval_{ 5 }; // between looks for such ones
 };
 
 class HttpClient
@@ -93,11 +94,19 @@
   // Closes the idle connections to an address, as when it went silent.
   void Forget(const std::string& aAddress);
 
+  // Addresses with a connection, in use or idle.
+  std::size_t CountAddresses() const { return pools_.size(); }
+
 private:
   struct Pool;
 
+  // Drops connections that the other side has closed or that were idle for too
+  // long, as addresses of targets that are gone are never called again.
+  void Sweep();
+
   boost::asio::io_context& io_;
   HttpClientOptions options_;
+  std::chrono::steady_clock::time_point nextSweep_;
   std::unordered_map<std::string, std::shared_ptr<Pool>> pools_;
 };
 
--- a/packages/web/src/client.cpp
+++ b/packages/web/src/client.cpp
@@ -115,10 +115,31 @@
   }
 }
 
+void
+HttpClient::Sweep()
+{
+  const auto now = steady_clock::now();
+  if (now < nextSweep_) {
+    return;
+  }
+  nextSweep_ = now + options_.sweepInterval_;
+  for (auto it = pools_.begin(); it != pools_.end();) {
+    auto& pool = *it->second;
+    std::erase_if(pool.idle_, [&](Pool::Idle& aIdle) {
+      return now - aIdle.since_ >= options_.idleLimit_ ||
+             !IsStillOpen(*aIdle.stream_);
+    });
+    const bool isUsed =
+      !pool.idle_.empty() || pool.inUse_ > 0 || !pool.waiting_.empty();
+    it = isUsed ? std::next(it) : pools_.erase(it);
+  }
+}
+
 Awaitable<HttpReply>
 HttpClient::Call(std::string aAddress, HttpCall aCall)
 {
   HttpReply reply;
+  Sweep();
   const auto deadline = steady_clock::now() + aCall.limit_;
   auto& slot = pools_[aAddress];
   if (!slot) {
--- /dev/null
+++ b/packages/web/tests/web_test.cpp
@@ -0,0 +1,91 @@
+// Calls and requests, over loopback.
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <catch2/catch.hpp>
+
+#include "cuminbridge/web.h"
+
+using namespace cuminbridge;
+
+namespace {
+
+constexpr const char* kAddress = "127.0.43.1:18700";
+constexpr const char* kNobody = "127.0.43.1:18701";
+
+HttpReply
+CallOnce(boost::asio::io_context& aIo, HttpClient& aClient, const char* aTo)
+{
+  HttpReply reply;
+  bool isOver = false;
+  boost::asio::co_spawn(
+    aIo,
+    [&]() -> Awaitable<void> {
+      HttpCall call;
+      call.method_ = "POST";
+      call.path_ = "/x?y=1";
+      call.body_ = "{}";
+      call.headers_.emplace_back("X-Test", "value");
+      reply = co_await aClient.Call(aTo, call);
+      isOver = true;
+    },
+    boost::asio::detached);
+  while (!isOver) {
+    aIo.run_one();
+  }
+  return reply;
+}
+
+} // namespace
+
+TEST_CASE("a call is answered whole, and its connection used again")
+{
+  boost::asio::io_context io;
+  int requests = 0;
+  HttpServer server(
+    io, {}, [&](const HttpRequest& aRequest) -> Awaitable<HttpAnswer> {
+      ++requests;
+      HttpAnswer answer;
+      answer.status_ = 201;
+      answer.body_ = aRequest.method_ + aRequest.path_ + aRequest.body_ +
+                     std::string(aRequest.Header("x-test"));
+      co_return answer;
+    });
+  REQUIRE(server.Open(kAddress).empty());
+  HttpClient client(io, {});
+  for (int round = 0; round < 3; ++round) {
+    const auto reply = CallOnce(io, client, kAddress);
+    CHECK(reply.outcome_ == CallOutcome::Answered);
+    CHECK(reply.status_ == 201);
+    CHECK(reply.body_ == "POST/x?y=1{}value");
+  }
+  CHECK(requests == 3);
+  CHECK(client.CountAddresses() == 1);
+  CHECK(server.IsIdle());
+}
+
+TEST_CASE("a call to nobody was refused, and leaves nothing behind")
+{
+  boost::asio::io_context io;
+  HttpClientOptions options;
+  options.sweepInterval_ = std::chrono::seconds(0);
+  HttpClient client(io, options);
+  CHECK(CallOnce(io, client, kNobody).outcome_ == CallOutcome::Refused);
+  CHECK(CallOnce(io, client, "127.0.43.1:18702").outcome_ ==
+        CallOutcome::Refused);
+  CHECK(client.CountAddresses() == 1); // the last; the first was swept
+}
+
+TEST_CASE("a body beyond the limit is answered 413")
+{
+  boost::asio::io_context io;
+  HttpServerOptions options;
+  options.maxBody_ = 1;
+  HttpServer server(
+    io, options, [](const HttpRequest&) -> Awaitable<HttpAnswer> {
+      co_return HttpAnswer{};
+    });
+  REQUIRE(server.Open(kAddress).empty());
+  HttpClient client(io, {});
+  CHECK(CallOnce(io, client, kAddress).status_ == 413);
+}
