Chains of lost owners are waited for; ends of jobs that are not known yet stay listed

And the end of a run of a job that the owner does not know yet was told as stored. Each test fails without its part.

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -260,7 +260,13 @@
   write.puts_.push_back({ kOwnerKey, PeerAddress(settings_), aLease });
   write.puts_.push_back({ kTermKey, std::to_string(number), 0 });
   write.puts_.push_back({ kChainKey, "0", 0 });
-  LastOwner self{ number, PeerAddress(settings_), false };
+  // Before it knows what became of the last owner: the longest possible.
+  const FleetOptions options;
+  const LastOwner self{ number,
+                        PeerAddress(settings_),
+                        clocks_.TimeOfDay() + options.ownerAllowance_ +
+                          2 * options.targetLease_,
+                        false };
   write.puts_.push_back({ kLastOwnerKey, WriteLastOwner(self), 0 });
   const auto reply = co_await store_.Write(write);
   if (!reply.IsDone() || isStopping_) {
--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -123,9 +123,10 @@
          (!writer_.IsIdle() || fleet_.HasUnstored())) {
     co_await Sleep(parts_.io_, kTickInterval);
   }
-  if (!hasEnded_ && writer_.IsIdle() && !fleet_.HasUnstored()) {
+  if (!hasEnded_ && hasLoaded_ && writer_.IsIdle() && !fleet_.HasUnstored()) {
     const LastOwner last{ ownership_.term_,
                           PeerAddress(parts_.settings_),
+                          fleet_.InheritedUntil(),
                           true };
     writer_.Queue({ { { kLastOwnerKey, WriteLastOwner(last), 0 } }, {}, {} });
     while (!hasEnded_ && !writer_.IsIdle() && parts_.clocks_.Now() < limit) {
@@ -237,6 +238,7 @@
   }
   loaded.term_ = ownership_.term_;
   loaded.former_ = former;
+  loaded.inheritedUntil_ = ReadLastOwner(ownership_.former_).inheritedUntil_;
   WriteLine({ "former_owner",
               "",
               "",
@@ -246,6 +248,12 @@
             parts_.clocks_.Now());
   Handle(Tick{ parts_.clocks_.TimeOfDay(), false });
   Handle(loaded);
+  const LastOwner known{ ownership_.term_,
+                         PeerAddress(parts_.settings_),
+                         fleet_.InheritedUntil(),
+                         false };
+  writer_.Queue({ { { kLastOwnerKey, WriteLastOwner(known), 0 } }, {}, {} });
+  hasLoaded_ = true;
   const auto revision = stored.intake_.revision_;
   Spawn([self, revision] { return self->WatchIntake(revision); });
   Spawn([self] { return self->PollVms(); });
--- a/packages/daemon/src/owner.h
+++ b/packages/daemon/src/owner.h
@@ -67,6 +67,7 @@
   AdviceClient advice_;
   ChainWriter writer_;
   bool hasEnded_ = false;
+  bool hasLoaded_ = false;     // it knows what lay in the store
   bool isHandingOver_ = false; // nothing new is started
 };
 
--- a/packages/daemon/src/records.cpp
+++ b/packages/daemon/src/records.cpp
@@ -99,7 +99,8 @@
 std::string
 WriteLastOwner(const LastOwner& aOwner)
 {
-  return std::to_string(aOwner.term_) + ' ' + aOwner.address_ +
+  return std::to_string(aOwner.term_) + ' ' + aOwner.address_ + ' ' +
+         std::to_string(aOwner.inheritedUntil_.time_since_epoch().count()) +
          (aOwner.hasHandedOver_ ? " handed-over" : "");
 }
 
@@ -108,8 +109,10 @@
 {
   LastOwner owner;
   std::string mark;
+  std::int64_t until = 0;
   std::istringstream text(aText);
-  text >> owner.term_ >> owner.address_ >> mark;
+  text >> owner.term_ >> owner.address_ >> until >> mark;
+  owner.inheritedUntil_ = WallTime(Millis(until));
   owner.hasHandedOver_ = mark == "handed-over";
   return owner;
 }
--- a/packages/daemon/src/records.h
+++ b/packages/daemon/src/records.h
@@ -16,8 +16,8 @@
 inline constexpr const char* kOwnerKey = "owner";
 // Counts the owners.
 inline constexpr const char* kTermKey = "term";
-// The last owner, for the next one: "TERM ADDRESS" and, once it has handed
-// over, " handed-over".
+// The last owner, for the next one: "TERM ADDRESS UNTIL" and, once it has
+// handed over, " handed-over".
 inline constexpr const char* kLastOwnerKey = "last-owner";
 // What each entry has of a core: "entries/NAME". The strongest are to own.
 inline constexpr const char* kEntriesPrefix = "entries/";
@@ -50,6 +50,8 @@
 {
   int term_ = 0;
   std::string address_; // of its process, for peers
+  // Until then work that owners before it left may run unseen.
+  WallTime inheritedUntil_;
   bool hasHandedOver_ = false;
 };
 
--- a/packages/daemon/tests/owner_test.cpp
+++ b/packages/daemon/tests/owner_test.cpp
@@ -28,12 +28,13 @@
 
 TEST_CASE("what is said of the last owner")
 {
-  const auto owner = ReadLastOwner("7 10.1.0.23:7000 handed-over");
+  const auto owner = ReadLastOwner("7 10.1.0.23:7000 1700 handed-over");
   CHECK(owner.term_ == 7);
   CHECK(owner.address_ == "10.1.0.23:7000");
+  CHECK(owner.inheritedUntil_ == WallTime(Millis(1700)));
   CHECK(owner.hasHandedOver_);
-  CHECK(WriteLastOwner(owner) == "7 10.1.0.23:7000 handed-over");
-  CHECK(!ReadLastOwner("7 10.1.0.23:7000").hasHandedOver_);
+  CHECK(WriteLastOwner(owner) == "7 10.1.0.23:7000 1700 handed-over");
+  CHECK(!ReadLastOwner("7 10.1.0.23:7000 1700").hasHandedOver_);
   CHECK(ReadLastOwner("").address_.empty());
 }
 
--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -135,6 +135,9 @@
   std::vector<KnownOrder> orders_;   // recent ones of the owner before
   std::vector<KnownTarget> targets_; // of the owner before
   FormerOwner former_ = FormerOwner::Unknown;
+  // Until then an owner before the last one may renew leases, or what it left
+  // may run where nobody can ask.
+  WallTime inheritedUntil_;
   int term_ = 1; // counts the owners, from 1
 };
 
@@ -423,6 +426,8 @@
   // What the store is known to hold about a job; nothing if it is unknown here.
   std::optional<JobState> StoredState(const std::string& aJob) const;
   std::vector<QueueLoad> Loads() const;
+  // Until then work that owners before this one left may run unseen.
+  WallTime InheritedUntil() const;
   bool HasUnstored() const; // something changed that the store does not hold
   const FleetCounts& Counts() const;
   const FleetState& State() const { return *state_; } // for tests
--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -383,7 +383,9 @@
 bool
 MayRunUnseen(const FleetState& aState, const JobEntry& aJob)
 {
-  if (!aJob.wasLoaded_ || aState.former_ == FormerOwner::HandedOver ||
+  const bool isAllRecorded = aState.former_ == FormerOwner::HandedOver &&
+                             aState.now_ >= aState.inheritedUntil_;
+  if (!aJob.wasLoaded_ || isAllRecorded ||
       aState.now_ >= InheritedLapse(aState)) {
     return false;
   }
--- a/packages/fleet/src/jobs.cpp
+++ b/packages/fleet/src/jobs.cpp
@@ -312,6 +312,13 @@
   aState.hasJobs_ = true;
   aState.term_ = aLoaded.term_;
   aState.former_ = aLoaded.former_;
+  // No owner is waited for longer than this, whatever the clocks say.
+  const auto longest =
+    aState.options_.ownerAllowance_ + 2 * aState.options_.targetLease_;
+  aState.inheritedUntil_ =
+    aState.now_ + std::clamp(aLoaded.inheritedUntil_ - aState.TimeOfDay(),
+                             Millis(0),
+                             longest);
   aState.loadedWaves_ = aLoaded.waves_;
   for (const auto& order : aLoaded.orders_) {
     const auto apart =
--- a/packages/fleet/src/reducer.cpp
+++ b/packages/fleet/src/reducer.cpp
@@ -179,6 +179,12 @@
   return rows;
 }
 
+WallTime
+Fleet::InheritedUntil() const
+{
+  return state_->TimeOfDay() + (InheritedLapse(*state_) - state_->now_);
+}
+
 bool
 Fleet::HasUnstored() const
 {
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -214,6 +214,7 @@
   bool isLooking_ = true;   // some listed target has not been asked yet
   int term_ = 1;
   FormerOwner former_ = FormerOwner::Unknown;
+  Instant inheritedUntil_; // from the record of the owner before
 
   FleetConfig config_;
   std::unordered_map<std::string, std::unique_ptr<JobEntry>> jobs_;
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -243,6 +243,11 @@
     aState.dirtyPools_.insert(aTarget.report_.pool_);
   }
   for (const auto& end : aAnswer.ended_) {
+    // Its job may not have been told yet: the target will list it again.
+    if (!FindItem(aState, end.item_).job_ &&
+        aState.now_ - aState.began_ < kUnknownStays) {
+      break;
+    }
     if (end.number_ > aTarget.endsTaken_) {
       aTarget.endsTaken_ = end.number_;
       ApplyEnd(aState, aTarget, end);
@@ -358,7 +363,8 @@
   const auto allowance = aState.former_ == FormerOwner::Unknown
                            ? options.ownerAllowance_
                            : Millis(0);
-  return aState.began_ + allowance + lease + kLapseSlack;
+  return std::max(aState.inheritedUntil_,
+                  aState.began_ + allowance + lease + kLapseSlack);
 }
 
 void
--- a/packages/fleet/tests/fleet_test.cpp
+++ b/packages/fleet/tests/fleet_test.cpp
@@ -457,6 +457,82 @@
   CHECK(one.Count<StopRun>() == 0);
 }
 
+TEST_CASE("the end of a run of a job that is not known yet is not lost")
+{
+  // Found by reading: such an end was taken in and told as stored.
+  const auto job = MakeJob(IdOf(1), "a", { 1 });
+  OneTarget one;
+  HoldAnswered hold;
+  hold.target_ = "t";
+  hold.outcome_ = HoldOutcome::Answered;
+  hold.born_ = 5;
+  hold.clockMs_ = 100;
+  hold.sentAt_ = one.now_;
+  EndedRun end;
+  end.number_ = 1;
+  end.item_ = { job.id_, 0, 0, 0 };
+  end.run_ = 7;
+  end.kind_ = EndKind::Done;
+  hold.ended_ = { end };
+  one.Send(hold);
+  one.Pass(Millis(100));
+  one.Send(JobArrived{ job });
+  one.Send(hold); // the target lists it again, as it was not told
+  one.Pass(Millis(200));
+  CHECK(one.Count<StartRun>() == 0);
+}
+
+TEST_CASE("what an owner before the last one may have left is waited for too")
+{
+  // Found by reading: the first owner is cut off, the second is killed at once,
+  // and the third learns only that the second has ended.
+  const auto job = MakeJob(IdOf(1), "a", { 1 });
+  OneTarget one;
+  Fleet third(FleetOptions{}, one.now_);
+  FleetConfig config;
+  config.version_ = 1;
+  config.pools_.push_back({ "a", true, false });
+  auto now = one.now_;
+  const auto wall = [&now] { return WallTime(now.time_since_epoch()); };
+  third.Handle(ConfigSeen{ config }, now);
+  third.Handle(Tick{ wall(), true }, now);
+  JobsLoaded loaded;
+  loaded.jobs_ = { job };
+  Progress progress;
+  progress.state_ = JobState::Serving;
+  progress.items_.push_back({ 0, 0, 0, false, {}, 1, "", "unlisted" });
+  loaded.progress_[job.id_] = progress;
+  loaded.former_ = FormerOwner::Ended;
+  loaded.inheritedUntil_ = wall() + Millis(9000);
+  third.Handle(loaded, now);
+  const auto countStarts = [&](Millis aTime) {
+    int starts = 0;
+    for (const auto end = now + aTime; now < end;) {
+      now += Millis(100);
+      one.report_.clockMs_ += 100;
+      ++one.report_.sequence_;
+      third.Handle(TargetsSeen{ { one.report_ } }, now);
+      HoldAnswered hold;
+      hold.target_ = "t";
+      hold.outcome_ = HoldOutcome::Answered;
+      hold.born_ = 5;
+      hold.clockMs_ = one.report_.clockMs_;
+      hold.sentAt_ = now;
+      third.Handle(hold, now);
+      third.Handle(Tick{ wall(), true }, now);
+      for (const auto& effect : third.TakeEffects()) {
+        starts += std::holds_alternative<StartRun>(effect) ? 1 : 0;
+        if (const auto* store = std::get_if<StoreProgress>(&effect)) {
+          third.Handle(ProgressStored{ store->batch_ }, now);
+        }
+      }
+    }
+    return starts;
+  };
+  CHECK(countStarts(Millis(8000)) == 0);
+  CHECK(countStarts(Millis(3000)) == 1);
+}
+
 TEST_CASE("a run whose job never comes is stopped")
 {
   RunningRun run;
