--- a/packages/daemon/src/chain_writer.cpp
+++ b/packages/daemon/src/chain_writer.cpp
@@ -38,7 +38,7 @@
 
 void
 ChainWriter::QueueAll(std::vector<StoreWrite::Put> aPuts,
-                      std::function<void()> aDone)
+                      const std::function<void()>& aDone)
 {
   for (std::size_t begin = 0; begin < aPuts.size(); begin += kMostPending) {
     Pending pending;
@@ -47,7 +47,7 @@
       pending.puts_.push_back(std::move(aPuts[row]));
     }
     if (end == aPuts.size()) {
-      pending.done_ = std::move(aDone);
+      pending.done_ = aDone;
     }
     Queue(std::move(pending));
   }
--- a/packages/daemon/src/chain_writer.h
+++ b/packages/daemon/src/chain_writer.h
@@ -36,7 +36,7 @@
   // aPending has no more than kMostPending puts and removes.
   void Queue(Pending aPending);
   void QueueAll(std::vector<StoreWrite::Put> aPuts,
-                std::function<void()> aDone);
+                const std::function<void()>& aDone);
   Awaitable<void> Run();
   void Stop();
   bool IsIdle() const { return !isWriting_ && pending_.empty(); }
