--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -220,9 +220,10 @@
     stored.waves_ = co_await store.List(kUpkeepPrefix);
     stored.targets_ = co_await store.Get(kTargetsKey);
     stored.orders_ = co_await store.Get(kOrdersKey);
+    stored.turns_ = co_await store.Get(kTurnsKey);
     isRead = stored.intake_.IsDone() && stored.progress_.IsDone() &&
              stored.waves_.IsDone() && IsKnown(stored.targets_) &&
-             IsKnown(stored.orders_);
+             IsKnown(stored.orders_) && IsKnown(stored.turns_);
     if (!isRead) {
       co_await Sleep(parts_.io_, kRetryPause);
     }
@@ -364,6 +365,9 @@
   if (aEffect.hasOrders_) {
     puts.push_back({ kOrdersKey, WriteKnownOrders(aEffect.orders_), 0 });
   }
+  if (aEffect.hasTurns_) {
+    puts.push_back({ kTurnsKey, WriteKnownTurns(aEffect.turns_), 0 });
+  }
   for (const auto& [job, progress] : aEffect.jobs_) {
     puts.push_back({ kProgressPrefix + job, EncodeProgress(progress), 0 });
   }
--- a/packages/daemon/src/records.cpp
+++ b/packages/daemon/src/records.cpp
@@ -146,6 +146,19 @@
   return rows.dump();
 }
 
+std::string
+WriteKnownTurns(const std::vector<KnownTurn>& aTurns)
+{
+  json rows = json::array();
+  for (const auto& turn : aTurns) {
+    rows.push_back({ turn.pool_,
+                     turn.began_.time_since_epoch().count(),
+                     turn.period_.count(),
+                     turn.meanCpu_ });
+  }
+  return rows.dump();
+}
+
 JobsLoaded
 ReadStoredFleet(const StoredFleet& aStored,
                 std::vector<std::string>& aUnreadable)
@@ -164,6 +177,12 @@
       { aRow.at(0).get<std::string>(),
         WallTime(Millis(aRow.at(1).get<std::int64_t>())) });
   });
+  ReadRows(aStored.turns_, aUnreadable, [&loaded](const json& aRow) {
+    loaded.turns_.push_back({ aRow.at(0).get<std::string>(),
+                              WallTime(Millis(aRow.at(1).get<std::int64_t>())),
+                              Millis(aRow.at(2).get<std::int64_t>()),
+                              aRow.at(3).get<std::int64_t>() });
+  });
   return loaded;
 }
 
--- a/packages/daemon/src/records.h
+++ b/packages/daemon/src/records.h
@@ -37,6 +37,8 @@
 inline constexpr const char* kTargetsKey = "targets";
 // Recent orders for VMs.
 inline constexpr const char* kOrdersKey = "orders";
+// The last turn of demand on each pool.
+inline constexpr const char* kTurnsKey = "turns";
 // Waiting jobs by queue.
 inline constexpr const char* kLoadKey = "load";
 
@@ -61,6 +63,7 @@
 std::string WriteWaveRecord(const WaveRecord& aRecord);
 std::string WriteKnownTargets(const std::vector<KnownTarget>& aTargets);
 std::string WriteKnownOrders(const std::vector<KnownOrder>& aOrders);
+std::string WriteKnownTurns(const std::vector<KnownTurn>& aTurns);
 
 // All that an owner finds in the store, as the lists came.
 struct StoredFleet
@@ -70,6 +73,7 @@
   StoreReply waves_;
   StoreReply targets_; // one key, that may be missing
   StoreReply orders_;  // the same
+  StoreReply turns_;   // the same
 };
 
 // Decodes it. Adds the keys of records that can't be read.
--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -108,6 +108,17 @@
   bool operator==(const KnownOrder&) const = default;
 };
 
+// The last turn of demand on a pool, in the store for the next owner.
+struct KnownTurn
+{
+  std::string pool_;
+  WallTime began_;
+  Millis period_{ 0 };       // since the turn before it; 0 if it is the first
+  std::int64_t meanCpu_ = 0; // thousandths of a core kept busy, last whole turn
+
+  bool operator==(const KnownTurn&) const = default;
+};
+
 // What is known of a wave, in the store.
 struct WaveRecord
 {
@@ -134,6 +145,7 @@
   std::map<std::int64_t, WaveRecord> waves_;
   std::vector<KnownOrder> orders_;   // recent ones of the owner before
   std::vector<KnownTarget> targets_; // of the owner before
+  std::vector<KnownTurn> turns_;     // one a pool
   FormerOwner former_ = FormerOwner::Unknown;
   // Until then an owner before the last one may renew leases, or what it left
   // may run where nobody can ask.
@@ -346,6 +358,8 @@
   std::vector<KnownTarget> targets_;
   bool hasOrders_ = false; // so is that of recent orders
   std::vector<KnownOrder> orders_;
+  bool hasTurns_ = false; // and that of turns of demand
+  std::vector<KnownTurn> turns_;
 };
 
 struct StoreWave
--- a/packages/fleet/src/jobs.cpp
+++ b/packages/fleet/src/jobs.cpp
@@ -327,6 +327,9 @@
       std::clamp(aState.TimeOfDay() - order.at_, Millis(0), apart);
     aState.orderedBefore_[order.vm_] = aState.now_ + (apart - age);
   }
+  for (const auto& turn : aLoaded.turns_) {
+    aState.turns_[turn.pool_].known_ = turn;
+  }
   for (const auto& known : aLoaded.targets_) {
     auto& target = aState.targets_[known.id_];
     target.isInherited_ = true;
@@ -503,7 +506,7 @@
 StoreChanges(FleetState& aState)
 {
   const bool isIdle = aState.dirtyJobs_.empty() && !aState.mustStoreTargets_ &&
-                      !aState.mustStoreOrders_;
+                      !aState.mustStoreOrders_ && !aState.mustStoreTurns_;
   if (!aState.hasJobs_ || aState.batch_ != 0 || isIdle ||
       (aState.now_ < aState.nextStore_ && !aState.isUrgent_)) {
     return;
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -6,6 +6,7 @@
 #include "cuminbridge/fleet.h"
 
 #include "run_times.h"
+#include "turns.h"
 
 namespace cuminbridge {
 
@@ -225,7 +226,8 @@
   std::set<std::string> attended_;
   std::map<std::string, Resources> running_; // by account
   std::map<std::string, RunTimes> runTimes_; // by queue
-  std::set<std::string> turnSeen_;           // pools that had a turn of demand
+  std::map<std::string, PoolTurn> turns_;    // by pool
+  bool mustStoreTurns_ = false;
   std::map<std::string, OfferedLoad> offered_; // by pool
 
   std::map<std::string, Vm> vms_;
--- /dev/null
+++ b/packages/fleet/src/turns.h
@@ -0,0 +1,64 @@
+// Internal: when the demand on each pool rises next. Pure functions of the
+// turns seen so far.
+//
+//   if (NoteDemand(turn, sample)) { ... store it ... }
+//   auto next = NextTurn(turns, "dispatch", pools, now);
+
+#ifndef cuminbridge_fleet_turns_h
+#define cuminbridge_fleet_turns_h
+
+#include <map>
+#include <optional>
+#include <string>
+
+#include "cuminbridge/fleet.h"
+
+namespace cuminbridge {
+
+// A turn: for some seconds a pool's queues ask several times their mean.
+struct PoolTurn
+{
+  KnownTurn known_;        // its last turn; not begun if there was none
+  bool isOn_ = false;      // it lasts
+  std::int64_t sum_ = 0;   // of the samples while it lasts
+  std::int64_t count_ = 0; // of these samples
+};
+
+struct DemandSample
+{
+  std::int64_t offeredCpu_ = 0;  // that arriving work would keep busy
+  std::int64_t capacityCpu_ = 0; // of the pool
+  WallTime at_;
+
+  bool operator==(const DemandSample&) const = default;
+};
+
+// True if a turn has begun or ended.
+bool NoteDemand(PoolTurn& aTurn, const DemandSample& aSample);
+
+// Whether the pool ever had a turn.
+bool HasHadTurn(const PoolTurn& aTurn);
+
+// The next time at which the pool's turn is expected, or the last one if that
+// is less than kTurnDoubt ago. Nothing while too little is known: neither two
+// turns of this pool nor one of every pool.
+std::optional<WallTime> NextTurn(const std::map<std::string, PoolTurn>& aTurns,
+                                 const std::string& aPool,
+                                 std::size_t aPools,
+                                 WallTime aNow);
+
+// The processor time, in thousandths of a core, that the pool's work is
+// expected to keep busy: the mean of its last turn from aLead before the next
+// one, and while that has just begun; else 0.
+std::int64_t ExpectedCpu(const std::map<std::string, PoolTurn>& aTurns,
+                         const std::string& aPool,
+                         std::size_t aPools,
+                         WallTime aNow,
+                         Millis aLead);
+
+// A turn that does not begin this long after it was expected is given up.
+inline constexpr Millis kTurnDoubt(1000);
+
+} // namespace cuminbridge
+
+#endif // cuminbridge_fleet_turns_h
--- a/packages/fleet/src/vms.cpp
+++ b/packages/fleet/src/vms.cpp
@@ -25,9 +25,12 @@
 constexpr Millis kBusyPause(500); // after the platform called a VM busy
 // Lasting work leaves a cordoned target even without room elsewhere after this.
 constexpr Millis kEvacuateAnyway(3000);
-// Arriving work that keeps this part of a pool busy is a turn of its demand;
-// one large job alone stays below it.
-constexpr double kTurnPart = 0.5;
+// VMs set out for a turn of demand this long before they have to, as a turn
+// shows only after some of its jobs.
+constexpr Millis kTurnLead(500);
+// Idle VMs stay for a turn that comes within this: as long as parking them
+// would have to last to be worth its two moves.
+constexpr Millis kKeepForTurn(2500);
 constexpr int kAtWork = 100; // percent of a lasting item that is at work
 
 Target*
@@ -215,6 +218,41 @@
          MayOrder(aState, aVm) && !IsInOpenWave(aState, aVm);
 }
 
+// Adds what is expected of the turns of demand, and learns from the views.
+void
+ApplyTurns(FleetState& aState, std::map<std::string, PoolView>& aViews)
+{
+  std::size_t pools = 0;
+  for (const auto& [name, view] : aViews) {
+    pools += view.isStandby_ ? 0 : 1;
+  }
+  const auto now = aState.TimeOfDay();
+  const auto lead = aState.options_.moveTime_ + kTurnLead;
+  for (auto& [name, view] : aViews) {
+    if (view.isStandby_) {
+      continue;
+    }
+    auto& turn = aState.turns_[name];
+    if (NoteDemand(turn, { view.offeredCpu_, view.capacityCpu_, now })) {
+      turn.known_.pool_ = name;
+      aState.mustStoreTurns_ = true;
+      aState.Log(turn.isOn_ ? "turn_began" : "turn_ended",
+                 "",
+                 "",
+                 "",
+                 name + " offered " + std::to_string(view.offeredCpu_) +
+                   " mean " + std::to_string(turn.known_.meanCpu_) +
+                   " period " + std::to_string(turn.known_.period_.count()) +
+                   " ms");
+    }
+    const auto soon = ExpectedCpu(aState.turns_, name, pools, now, lead);
+    view.offeredCpu_ = std::max(view.offeredCpu_, soon);
+    const bool isNear =
+      ExpectedCpu(aState.turns_, name, pools, now, lead + kKeepForTurn) > 0;
+    view.hadTurn_ = HasHadTurn(turn) && !isNear;
+  }
+}
+
 std::vector<PoolView>
 MakePoolViews(FleetState& aState)
 {
@@ -266,13 +304,7 @@
         vm == aState.vms_.end() ? 0 : vm->second.capacity_.cpu_;
     }
   }
-  for (auto& [name, view] : views) {
-    if (static_cast<double>(view.offeredCpu_) >
-        kTurnPart * static_cast<double>(view.capacityCpu_)) {
-      aState.turnSeen_.insert(name);
-    }
-    view.hadTurn_ = aState.turnSeen_.count(name) != 0;
-  }
+  ApplyTurns(aState, views);
   std::vector<PoolView> rows;
   rows.reserve(views.size());
   for (auto& [name, view] : views) {
@@ -469,6 +501,15 @@
 void
 AddOrdersToBatch(FleetState& aState, StoreProgress& aBatch)
 {
+  if (aState.mustStoreTurns_) {
+    aState.mustStoreTurns_ = false;
+    aBatch.hasTurns_ = true;
+    for (const auto& [pool, turn] : aState.turns_) {
+      if (HasHadTurn(turn)) {
+        aBatch.turns_.push_back(turn.known_);
+      }
+    }
+  }
   if (!aState.mustStoreOrders_) {
     return;
   }
