Jobs beyond their account's share yield; moves use the allowed rate of orders

Change: a token bucket by account (weight jobs a second, one second of burst) marks jobs beyond the share, which go after all others that can still be served; moves in a plan are 0.7 of the allowed rate. job_accepted names the queue.

--- a/packages/daemon/src/intake.cpp
+++ b/packages/daemon/src/intake.cpp
@@ -164,14 +164,15 @@
     const auto reply = co_await parts_.store_.Write(write);
     if (reply.IsDone() || reply.status_ == StoreStatus::Conflict) {
       ++counts_.accepted_;
-      WriteLine({ "job_accepted",
-                  job.id_,
-                  "",
-                  "",
-                  reply.IsDone()
-                    ? "stored at " + std::to_string(reply.revision_)
-                    : "it was stored before" },
-                parts_.clocks_.Now());
+      WriteLine(
+        { "job_accepted",
+          job.id_,
+          "",
+          "",
+          aQueue.name_ + (reply.IsDone()
+                            ? ", stored at " + std::to_string(reply.revision_)
+                            : ", it was stored before") },
+        parts_.clocks_.Now());
       if (reply.IsDone() && owner_ && owner_->IsSure()) {
         owner_->Handle(JobArrived{ std::move(job) });
       } else if (reply.IsDone()) {
--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -38,6 +38,9 @@
   return aReply.IsDone() || aReply.status_ == StoreStatus::Missing;
 }
 
+// Part of the rate of VM orders that moves take; waves need the rest.
+constexpr double kMovePart = 0.7;
+
 FleetOptions
 MakeOptions(const PlatformSettings& aSettings)
 {
@@ -48,6 +51,12 @@
   options.vmOrderLease_ = aSettings.vmOrderLease_;
   options.keepEnded_ = aSettings.keepEnded_;
   options.remoteFactor_ = aSettings.remoteFactor_;
+  const std::chrono::duration<double> interval = options.planInterval_;
+  options.movesInPlan_ = std::max<std::size_t>(
+    1,
+    static_cast<std::size_t>(kMovePart *
+                             static_cast<double>(aSettings.vmOrdersPerSecond_) *
+                             interval.count()));
   return options;
 }
 
--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -61,6 +61,8 @@
   Millis storeInterval_{ 50 };
   // Time between two looks at moves of VMs between pools.
   Millis planInterval_{ 200 };
+  // Moves in one plan: a part of the rate that the settings allow for orders.
+  std::size_t movesInPlan_ = 8;
   // A VM has left its pool for this long when it moves, from the settings.
   Millis moveTime_{ 1500 };
   // Orders of two owners for one VM stay this far apart, from the settings.
--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -54,6 +54,7 @@
   Claim claim;
   claim.priority_ = aJob.job_.priority_;
   claim.isLasting_ = aStep.isLasting_;
+  claim.isBeyondShare_ = aJob.isBeyondShare_;
   claim.arrived_ = aJob.arrived_;
   if (aStep.isLasting_) {
     return claim;
--- a/packages/fleet/src/jobs.cpp
+++ b/packages/fleet/src/jobs.cpp
@@ -150,6 +150,17 @@
   }
 }
 
+void
+CountShare(FleetState& aState, JobEntry& aJob)
+{
+  const auto* account = FindAccount(aState.config_, aJob.job_.account_);
+  if (!account || aJob.job_.repeats_ > 0) {
+    return;
+  }
+  aJob.isBeyondShare_ = !TakeShare(
+    aState.shares_[account->name_], account->weight_, aJob.job_.accepted_);
+}
+
 JobEntry&
 InsertJob(FleetState& aState, const Job& aJob)
 {
@@ -160,6 +171,7 @@
   entry->arrived_ =
     aState.now_ -
     std::clamp(aState.TimeOfDay() - aJob.accepted_, Millis(0), kLongestWait);
+  CountShare(aState, *entry);
   auto& slot = aState.jobs_[aJob.id_];
   slot = std::move(entry);
   return *slot;
@@ -339,7 +351,12 @@
       target.report_.pool_ = known.pool_;
     }
   }
-  for (const auto& job : aLoaded.jobs_) {
+  auto jobs = aLoaded.jobs_;
+  std::stable_sort(
+    jobs.begin(), jobs.end(), [](const Job& aLeft, const Job& aRight) {
+      return aLeft.accepted_ < aRight.accepted_;
+    });
+  for (const auto& job : jobs) {
     auto& entry = InsertJob(aState, job);
     entry.wasLoaded_ = true;
     const auto progress = aLoaded.progress_.find(job.id_);
--- a/packages/fleet/src/placing.cpp
+++ b/packages/fleet/src/placing.cpp
@@ -79,6 +79,8 @@
   const auto key = [](const Claim& aClaim) {
     return std::make_tuple(aClaim.priority_,
                            !aClaim.isLasting_,
+                           aClaim.lateness_ == Lateness::Hopeless,
+                           aClaim.isBeyondShare_,
                            aClaim.lateness_,
                            aClaim.work_,
                            aClaim.arrived_);
--- a/packages/fleet/src/placing.h
+++ b/packages/fleet/src/placing.h
@@ -49,14 +49,17 @@
 {
   int priority_ = 0;
   bool isLasting_ = false;
+  bool isBeyondShare_ = false; // of its client account
   Lateness lateness_ = Lateness::InTime;
   double work_ = 0; // left of its job, in core-milliseconds
   Instant arrived_;
 };
 
-// Whether aLeft goes before aRight: urgent first, then what lasts, then what
-// can still make its objective, then the least work left. Names the load: a
-// queue that asks five times its mean, where the short ones would wait.
+// Whether aLeft goes before aRight: urgent first, then what lasts; hopeless
+// work last; before it what lies beyond its account's share; among the rest
+// what can still make its objective, then the least work left. Names the loads:
+// a queue that asks five times its mean, where the short ones would wait, and
+// an account that asks five times its usual, where the others would.
 bool GoesBefore(const Claim& aLeft, const Claim& aRight);
 
 } // namespace cuminbridge
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -6,6 +6,7 @@
 #include "cuminbridge/fleet.h"
 
 #include "run_times.h"
+#include "shares.h"
 #include "turns.h"
 
 namespace cuminbridge {
@@ -60,7 +61,8 @@
   JobState state_ = JobState::Queued;
   std::optional<JobState> stored_; // what the store is known to hold
   bool isDirty_ = false;
-  bool wasLoaded_ = false; // accepted before this owner began
+  bool wasLoaded_ = false;     // accepted before this owner began
+  bool isBeyondShare_ = false; // of its client account
   std::map<int, Occurrence> occurrences_;
   int nextOccurrence_ = 0; // first that is not open yet
   int occurrencesDone_ = 0;
@@ -224,9 +226,10 @@
   std::map<std::string, std::vector<Target*>> byPool_; // listed ones
   // Targets to look after at each tick; all others wait for the next sweep.
   std::set<std::string> attended_;
-  std::map<std::string, Resources> running_; // by account
-  std::map<std::string, RunTimes> runTimes_; // by queue
-  std::map<std::string, PoolTurn> turns_;    // by pool
+  std::map<std::string, Resources> running_;  // by account
+  std::map<std::string, ShareBucket> shares_; // by account
+  std::map<std::string, RunTimes> runTimes_;  // by queue
+  std::map<std::string, PoolTurn> turns_;     // by pool
   bool mustStoreTurns_ = false;
   std::map<std::string, OfferedLoad> offered_; // by pool
 
--- a/packages/fleet/src/vms.cpp
+++ b/packages/fleet/src/vms.cpp
@@ -316,7 +316,9 @@
 void
 PlanAllMoves(FleetState& aState)
 {
-  for (const auto& move : PlanMoves(MakePoolViews(aState), MoveOptions{})) {
+  MoveOptions options;
+  options.mostAtOnce_ = aState.options_.movesInPlan_;
+  for (const auto& move : PlanMoves(MakePoolViews(aState), options)) {
     VmOrder order;
     order.pool_ = move.pool_;
     SendOrder(aState, move.vm_, std::move(order));
--- a/packages/fleet/tests/decisions_test.cpp
+++ b/packages/fleet/tests/decisions_test.cpp
@@ -8,6 +8,7 @@
 #include "pacing.h"
 #include "placing.h"
 #include "run_times.h"
+#include "shares.h"
 #include "waves.h"
 
 using namespace cuminbridge;
@@ -133,6 +134,62 @@
   CHECK(countInTime(ordered) > countInTime(load));
 }
 
+TEST_CASE("an account within its share waits less beside one that floods")
+{
+  // A pool that runs ten jobs a second; one account asks 30 a second with a
+  // share of 5, another its usual 5 with the same share.
+  const WallTime begin(Millis(1700000000000));
+  ShareBucket usual;
+  ShareBucket flood;
+  std::vector<Claim> all;
+  for (int number = 0; number < 300; ++number) {
+    const Millis at(number * 1000 / 30);
+    Claim claim;
+    claim.work_ = 100;
+    claim.arrived_ = Instant(at);
+    claim.isBeyondShare_ = !TakeShare(flood, 5, begin + at);
+    all.push_back(claim);
+    if (number % 6 == 0) {
+      claim.isBeyondShare_ = !TakeShare(usual, 5, begin + at);
+      CHECK_FALSE(claim.isBeyondShare_);
+      all.push_back(claim);
+    }
+  }
+  const auto beyond =
+    std::count_if(all.begin(), all.end(), [](const Claim& aClaim) {
+      return aClaim.isBeyondShare_;
+    });
+  // Nearly ten seconds at 5 a second, and the burst of one second.
+  CHECK(beyond == 300 - 54);
+  std::stable_sort(all.begin(), all.end(), GoesBefore);
+  // What is within a share is all served within the ten seconds.
+  CHECK(std::all_of(all.begin(), all.begin() + 100, [](const Claim& aClaim) {
+    return !aClaim.isBeyondShare_;
+  }));
+}
+
+TEST_CASE("a share is not filled by clocks that differ")
+{
+  const WallTime begin(Millis(1700000000000));
+  ShareBucket bucket;
+  CHECK(TakeShare(bucket, 1, begin + Millis(500)));
+  CHECK_FALSE(TakeShare(bucket, 1, begin));
+  CHECK_FALSE(TakeShare(bucket, 1, begin + Millis(900)));
+  CHECK(TakeShare(bucket, 1, begin + Millis(1600)));
+}
+
+TEST_CASE("hopeless work within a share goes after what can still be served")
+{
+  Claim hopeless;
+  hopeless.lateness_ = Lateness::Hopeless;
+  Claim beyond;
+  beyond.isBeyondShare_ = true;
+  CHECK(GoesBefore(beyond, hopeless));
+  Claim late;
+  late.lateness_ = Lateness::Late;
+  CHECK(GoesBefore(late, beyond));
+}
+
 TEST_CASE("urgent work goes first, hopeless work last")
 {
   Claim urgent;
