Waves take idle VMs at a pace, and empty no more than they are behind

Change: idle VMs go at a pace that ends after 0.4 of the duration, busy ones at one of 0.5, and no more are emptied than are behind it. A turn of demand that was expected and did not come ends the expectation.

--- a/packages/fleet/src/turns.cpp
+++ b/packages/fleet/src/turns.cpp
@@ -110,11 +110,9 @@
   if (!period || *period < kShortestPeriod) {
     return std::nullopt;
   }
-  auto next = known.began_ + *period;
-  if (next + kTurnDoubt < aNow) {
-    next += *period * ((aNow - next - kTurnDoubt) / *period + 1);
-  }
-  return next;
+  const auto next = known.began_ + *period;
+  // One that did not come ends the pattern until the next one is seen.
+  return next + kTurnDoubt < aNow ? std::nullopt : std::optional(next);
 }
 
 std::int64_t
--- a/packages/fleet/src/turns.h
+++ b/packages/fleet/src/turns.h
@@ -39,9 +39,9 @@
 // Whether the pool ever had a turn.
 bool HasHadTurn(const PoolTurn& aTurn);
 
-// The next time at which the pool's turn is expected, or the last one if that
-// is less than kTurnDoubt ago. Nothing while too little is known: neither two
-// turns of this pool nor one of every pool.
+// When the pool's next turn is expected. Nothing while too little is known,
+// neither two turns of this pool nor one of every pool, or when one did not
+// come.
 std::optional<WallTime> NextTurn(const std::map<std::string, PoolTurn>& aTurns,
                                  const std::string& aPool,
                                  std::size_t aPools,
--- a/packages/fleet/src/waves.cpp
+++ b/packages/fleet/src/waves.cpp
@@ -3,27 +3,31 @@
 #include "waves.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace cuminbridge {
 
 namespace {
 
-// The pace is set for this part of the duration, so that the last VMs have time
-// to become empty: a late tenth costs as much as some thirty small jobs.
-constexpr double kUsedPart = 0.5;
+// Busy VMs are emptied at a pace that ends after this part of the duration, so
+// that the last ones have time to become empty: a late tenth costs as much as
+// some thirty small jobs.
+constexpr double kBusyPart = 0.5;
+// Idle VMs are taken at a faster one, but not all together: they are what the
+// next turn of demand needs.
+constexpr double kIdlePart = 0.4;
+constexpr Millis kIdleAhead(500); // a wave begins with what this time allows
 
-bool
-IsBehind(const WaveView& aWave)
+// VMs whose upkeep should have begun, at a pace that ends after aPart of the
+// duration.
+int
+CountDue(const WaveView& aWave, Millis aAge, double aPart)
 {
+  const auto duration = std::max<std::int64_t>(1, aWave.duration_.count());
   const double part =
-    static_cast<double>(aWave.age_.count()) /
-    (kUsedPart *
-     static_cast<double>(std::max<std::int64_t>(1, aWave.duration_.count())));
-  const double begun =
-    static_cast<double>(aWave.total_ - static_cast<int>(aWave.waiting_.size()) +
-                        1) /
-    std::max(1, aWave.total_);
-  return begun <= part + 1.0 / std::max(1, aWave.total_);
+    static_cast<double>(aAge.count()) / (aPart * static_cast<double>(duration));
+  return static_cast<int>(
+    std::ceil(std::min(1.0, part) * static_cast<double>(aWave.total_)));
 }
 
 } // namespace
@@ -32,7 +36,9 @@
 PlanWave(const WaveView& aWave)
 {
   WavePlan plan;
-  int room = aWave.maxDown_ - aWave.down_;
+  const int begun = aWave.total_ - static_cast<int>(aWave.waiting_.size());
+  const int ahead = CountDue(aWave, aWave.age_ + kIdleAhead, kIdlePart) - begun;
+  int room = std::min(aWave.maxDown_ - aWave.down_, ahead);
   int cordoned = 0;
   std::vector<const WaveVm*> busy;
   for (const auto& vm : aWave.waiting_) {
@@ -47,7 +53,8 @@
       busy.push_back(&vm);
     }
   }
-  if (!IsBehind(aWave)) {
+  const int behind = CountDue(aWave, aWave.age_, kBusyPart) + 1 - begun;
+  if (behind <= 0) {
     return plan;
   }
   // One more than can go down now, as it takes a while to become empty.
@@ -56,7 +63,7 @@
       return std::make_pair(aLeft->lastingRuns_, aLeft->runs_) <
              std::make_pair(aRight->lastingRuns_, aRight->runs_);
     });
-  int wanted = aWave.maxDown_ + 1 - cordoned;
+  int wanted = std::min(aWave.maxDown_, behind) + 1 - cordoned;
   for (const auto* vm : busy) {
     if (wanted <= 0) {
       break;
--- a/packages/fleet/src/waves.h
+++ b/packages/fleet/src/waves.h
@@ -43,8 +43,8 @@
   bool operator==(const WavePlan&) const = default;
 };
 
-// Takes idle VMs at once, and empties as many others as can go down next, once
-// the wave is behind an even pace. Names the load: waves of half the fleet
+// Takes idle VMs ahead of an even pace, and empties as many others as are
+// behind it and can go down next. Names the load: waves of half the fleet
 // during turns of demand.
 WavePlan PlanWave(const WaveView& aWave);
 
--- a/packages/fleet/tests/decisions_test.cpp
+++ b/packages/fleet/tests/decisions_test.cpp
@@ -274,6 +274,58 @@
   CHECK(late.cordon_.front() == "1");
 }
 
+TEST_CASE("a wave leaves idle VMs to a turn of demand that comes with it")
+{
+  // 150 VMs in 27 s, 60 at once, all idle when the wave begins.
+  WaveView wave;
+  wave.total_ = 150;
+  wave.maxDown_ = 60;
+  wave.duration_ = Millis(27000);
+  for (int number = 0; number < wave.total_; ++number) {
+    WaveVm vm;
+    vm.name_ = std::to_string(number);
+    vm.isUp_ = true;
+    wave.waiting_.push_back(vm);
+  }
+  // Its upkeep takes 2 s: how many are down in each second, and when all have
+  // begun.
+  std::vector<int> begun;
+  int most = 0;
+  while (!wave.waiting_.empty()) {
+    const auto count = begun.size();
+    wave.age_ = Millis(1000 * static_cast<int>(count));
+    wave.down_ =
+      (count > 0 ? begun[count - 1] : 0) + (count > 1 ? begun[count - 2] : 0);
+    const auto taken = static_cast<int>(PlanWave(wave).upkeep_.size());
+    wave.waiting_.resize(wave.waiting_.size() -
+                         static_cast<std::size_t>(taken));
+    begun.push_back(taken);
+    most = std::max(most, wave.down_ + taken);
+    REQUIRE(begun.size() < 27);
+  }
+  CHECK(most < wave.maxDown_);
+  CHECK(begun.size() <= 27 / 2);
+}
+
+TEST_CASE("a wave empties no more busy VMs than it is behind")
+{
+  WaveView wave;
+  wave.total_ = 100;
+  wave.maxDown_ = 50;
+  wave.duration_ = Millis(20000);
+  wave.age_ = Millis(500);
+  for (int number = 0; number < wave.total_; ++number) {
+    WaveVm vm;
+    vm.name_ = std::to_string(number);
+    vm.isUp_ = true;
+    vm.runs_ = 1;
+    wave.waiting_.push_back(vm);
+  }
+  CHECK(PlanWave(wave).cordon_.size() <= 8);
+  wave.age_ = Millis(10000);
+  CHECK(PlanWave(wave).cordon_.size() == 51);
+}
+
 TEST_CASE("a wave never has more VMs down than it may")
 {
   WaveView wave;
