VMs set out by the trend of the demand

Change: the offered load is taken as it will be when VMs that set out now arrive, by its rise over the last second, at most twice what it is.

--- a/packages/fleet/src/turns.cpp
+++ b/packages/fleet/src/turns.cpp
@@ -17,6 +17,10 @@
 // Turns of one pool are no closer than this: a dip is not the end of one.
 constexpr Millis kShortestPeriod(2000);
 
+// The trend of the demand is taken over this time: shorter, and single jobs
+// would show as a rise.
+constexpr Millis kTrend(1000);
+
 double
 BeginThreshold(const PoolTurn& aTurn, std::int64_t aCapacityCpu)
 {
@@ -72,6 +76,10 @@
 bool
 NoteDemand(PoolTurn& aTurn, const DemandSample& aSample)
 {
+  aTurn.recent_.push_back(aSample);
+  while (aSample.at_ - aTurn.recent_.front().at_ > kTrend) {
+    aTurn.recent_.pop_front();
+  }
   const auto offered = static_cast<double>(aSample.offeredCpu_);
   if (!aTurn.isOn_) {
     const bool isRise = offered > BeginThreshold(aTurn, aSample.capacityCpu_);
@@ -135,4 +143,20 @@
   return hasJustBegun || isSoon ? turn.known_.meanCpu_ : 0;
 }
 
+std::int64_t
+ExpectedRise(const PoolTurn& aTurn, Millis aAhead)
+{
+  if (aTurn.recent_.empty()) {
+    return 0;
+  }
+  const auto& first = aTurn.recent_.front();
+  const auto& last = aTurn.recent_.back();
+  const auto time = std::chrono::duration_cast<Millis>(last.at_ - first.at_);
+  const auto rise = last.offeredCpu_ - first.offeredCpu_;
+  if (time < kTrend / 2 || rise <= 0) {
+    return 0;
+  }
+  return std::min(last.offeredCpu_, rise * aAhead.count() / time.count());
+}
+
 } // namespace cuminbridge
--- a/packages/fleet/src/turns.h
+++ b/packages/fleet/src/turns.h
@@ -7,6 +7,7 @@
 #ifndef cuminbridge_fleet_turns_h
 #define cuminbridge_fleet_turns_h
 
+#include <deque>
 #include <map>
 #include <optional>
 #include <string>
@@ -15,15 +16,6 @@
 
 namespace cuminbridge {
 
-// A turn: for some seconds a pool's queues ask several times their mean.
-struct PoolTurn
-{
-  KnownTurn known_;        // its last turn; not begun if there was none
-  bool isOn_ = false;      // it lasts
-  std::int64_t sum_ = 0;   // of the samples while it lasts
-  std::int64_t count_ = 0; // of these samples
-};
-
 struct DemandSample
 {
   std::int64_t offeredCpu_ = 0;  // that arriving work would keep busy
@@ -33,6 +25,16 @@
   bool operator==(const DemandSample&) const = default;
 };
 
+// A turn: for some seconds a pool's queues ask several times their mean.
+struct PoolTurn
+{
+  KnownTurn known_;        // its last turn; not begun if there was none
+  bool isOn_ = false;      // it lasts
+  std::int64_t sum_ = 0;   // of the samples while it lasts
+  std::int64_t count_ = 0; // of these samples
+  std::deque<DemandSample> recent_;
+};
+
 // True if a turn has begun or ended.
 bool NoteDemand(PoolTurn& aTurn, const DemandSample& aSample);
 
@@ -56,6 +58,10 @@
                          WallTime aNow,
                          Millis aLead);
 
+// What a demand that rises has grown by after aAhead, if it goes on as in the
+// last second; no more than it is now, and 0 if it falls.
+std::int64_t ExpectedRise(const PoolTurn& aTurn, Millis aAhead);
+
 // A turn that does not begin this long after it was expected is given up.
 inline constexpr Millis kTurnDoubt(1000);
 
--- a/packages/fleet/src/vms.cpp
+++ b/packages/fleet/src/vms.cpp
@@ -246,7 +246,8 @@
                    " ms");
     }
     const auto soon = ExpectedCpu(aState.turns_, name, pools, now, lead);
-    view.offeredCpu_ = std::max(view.offeredCpu_, soon);
+    view.offeredCpu_ =
+      std::max(view.offeredCpu_ + ExpectedRise(turn, lead), soon);
     const bool isNear =
       ExpectedCpu(aState.turns_, name, pools, now, lead + kKeepForTurn) > 0;
     view.hadTurn_ = HasHadTurn(turn) && !isNear;
--- a/packages/fleet/tests/turns_test.cpp
+++ b/packages/fleet/tests/turns_test.cpp
@@ -106,3 +106,37 @@
   PoolTurn turn;
   CHECK_FALSE(NoteDemand(turn, { kPeak, 0, kBegin }));
 }
+
+TEST_CASE("VMs set out for a demand that rises before it needs them")
+{
+  // A turn rises from nothing to its peak in three seconds, as on the grown
+  // fleets. By what is offered, a pool with room for two thirds of the peak
+  // needs more after two seconds; by its trend, before one and a half.
+  PoolTurn turn;
+  std::optional<Millis> byLevel;
+  std::optional<Millis> byTrend;
+  for (Millis at(0); at <= Millis(3000); at += kStep) {
+    const auto offered = kPeak * at.count() / 3000;
+    NoteDemand(turn, { offered, 2 * kPeak / 3, kBegin + at });
+    const auto ahead = offered + ExpectedRise(turn, Millis(2000));
+    if (!byLevel && offered > 2 * kPeak / 3) {
+      byLevel = at;
+    }
+    if (!byTrend && ahead > 2 * kPeak / 3) {
+      byTrend = at;
+    }
+  }
+  REQUIRE(byLevel);
+  REQUIRE(byTrend);
+  CHECK(*byTrend <= Millis(1200));
+  CHECK(*byLevel >= Millis(2000));
+}
+
+TEST_CASE("a demand that falls or stays is not expected to rise")
+{
+  PoolTurn turn;
+  for (Millis at(0); at <= Millis(2000); at += kStep) {
+    NoteDemand(turn, { kPeak - at.count(), kCapacity, kBegin + at });
+  }
+  CHECK(ExpectedRise(turn, Millis(2000)) == 0);
+}
