--- a/packages/fleet/src/moves.cpp
+++ b/packages/fleet/src/moves.cpp
@@ -3,7 +3,6 @@
 #include "moves.h"
 
 #include <algorithm>
-#include <map>
 
 namespace cuminbridge {
 
@@ -56,47 +55,6 @@
   return best;
 }
 
-bool
-IsFirstDemand(const std::vector<PoolView>& aPools)
-{
-  bool hasWork = false;
-  for (const auto& pool : aPools) {
-    if (!pool.isStandby_ && !pool.isUntried_) {
-      return false;
-    }
-    hasWork = hasWork || pool.offeredCpu_ > 0;
-  }
-  return hasWork;
-}
-
-// Gives each pool its part of the standby VMs, by size.
-void
-SpreadStandby(std::vector<PoolView>& aPools,
-              PoolView& aStandby,
-              const MoveOptions& aOptions,
-              std::vector<Move>& aMoves)
-{
-  std::map<std::string, double> given; // as a part of the pool
-  while (!aStandby.idle_.empty() && aMoves.size() < aOptions.mostAtOnce_) {
-    PoolView* least = nullptr;
-    for (auto& pool : aPools) {
-      const bool mayTake = !pool.isStandby_ && pool.capacityCpu_ > 0;
-      if (mayTake && (!least || given[pool.name_] < given[least->name_])) {
-        least = &pool;
-      }
-    }
-    if (!least) {
-      return;
-    }
-    const IdleVm vm = aStandby.idle_.back();
-    Give(aStandby, vm);
-    given[least->name_] +=
-      static_cast<double>(std::max<std::int64_t>(1, vm.cpu_)) /
-      static_cast<double>(least->capacityCpu_ + least->comingCpu_);
-    aMoves.push_back({ vm.name_, least->name_ });
-  }
-}
-
 } // namespace
 
 std::int64_t
@@ -140,9 +98,6 @@
       moves.push_back({ vm.name_, pool->name_ });
     }
   }
-  if (standby && IsFirstDemand(aPools)) {
-    SpreadStandby(aPools, *standby, aOptions, moves);
-  }
   if (!standby || !needy.empty()) {
     return moves;
   }
--- a/packages/fleet/src/moves.h
+++ b/packages/fleet/src/moves.h
@@ -29,8 +29,7 @@
   std::int64_t offeredCpu_ = 0;  // that arriving work would keep busy
   int size_ = 0;                 // usable VMs
   bool hadTurn_ = false;         // its demand has risen and may be over
-  bool isUntried_ = false;   // its demand has not risen since the fleet began
-  std::vector<IdleVm> idle_; // may be moved
+  std::vector<IdleVm> idle_;     // may be moved
 
   bool operator==(const PoolView&) const = default;
 };
@@ -60,10 +59,8 @@
 std::int64_t MissingCpu(const PoolView& aPool, const MoveOptions& aOptions);
 
 // Lends standby and idle VMs to pools where work waits for room, and parks what
-// stays idle. While no pool's demand has risen yet, it is not known whose will:
-// then standby VMs are spread over all as soon as work arrives. Names the load:
-// turns in which one queue asks five times its mean while the others ask a
-// twentieth.
+// stays idle. Names the load: turns in which one queue asks five times its mean
+// while the others ask a twentieth.
 std::vector<Move> PlanMoves(std::vector<PoolView> aPools,
                             const MoveOptions& aOptions);
 
--- a/packages/fleet/src/vms.cpp
+++ b/packages/fleet/src/vms.cpp
@@ -251,7 +251,6 @@
     const bool isNear =
       ExpectedCpu(aState.turns_, name, pools, now, lead + kKeepForTurn) > 0;
     view.hadTurn_ = HasHadTurn(turn) && !isNear;
-    view.isUntried_ = !HasHadTurn(turn);
   }
 }
 
