--- a/packages/fleet/src/jobs.cpp
+++ b/packages/fleet/src/jobs.cpp
@@ -6,7 +6,6 @@
 #include <cmath>
 
 #include "runs.h"
-#include "vms.h"
 
 namespace cuminbridge {
 
@@ -177,41 +176,6 @@
   return *slot;
 }
 
-Progress
-ProgressOf(const FleetState& aState, const JobEntry& aJob)
-{
-  Progress progress;
-  progress.state_ = aJob.state_;
-  progress.changed_ = aState.TimeOfDay();
-  if (aJob.HasEnded()) {
-    return progress;
-  }
-  for (const auto& [number, occurrence] : aJob.occurrences_) {
-    for (std::size_t step = 0; step < occurrence.steps_.size(); ++step) {
-      const auto& items = occurrence.steps_[step].items_;
-      for (std::size_t index = 0; index < items.size(); ++index) {
-        const auto& item = items[index];
-        if (item.phase_ == ItemPhase::Waiting && item.run_ == 0) {
-          continue;
-        }
-        ItemProgress row;
-        row.occurrence_ = number;
-        row.step_ = static_cast<int>(step);
-        row.index_ = static_cast<int>(index);
-        row.isDone_ = item.phase_ == ItemPhase::Done;
-        row.failedRuns_ = item.failedRuns_;
-        row.run_ = item.run_;
-        row.checkpoint_ = item.checkpoint_;
-        if (item.phase_ == ItemPhase::Assigned) {
-          row.target_ = item.target_;
-        }
-        progress.items_.push_back(std::move(row));
-      }
-    }
-  }
-  return progress;
-}
-
 } // namespace
 
 ItemRef
@@ -519,88 +483,4 @@
   }
 }
 
-void
-StoreChanges(FleetState& aState)
-{
-  const bool isIdle = aState.dirtyJobs_.empty() && !aState.mustStoreTargets_ &&
-                      !aState.mustStoreOrders_ && !aState.mustStoreTurns_;
-  if (!aState.hasJobs_ || aState.batch_ != 0 || isIdle ||
-      (aState.now_ < aState.nextStore_ && !aState.isUrgent_)) {
-    return;
-  }
-  StoreProgress effect;
-  aState.batch_ = effect.batch_ = ++aState.lastBatch_;
-  aState.batchStates_.clear();
-  for (const auto& id : aState.dirtyJobs_) {
-    auto& job = *aState.jobs_[id];
-    job.isDirty_ = false;
-    aState.batchStates_.emplace_back(id, job.state_);
-    effect.jobs_.emplace_back(id, ProgressOf(aState, job));
-  }
-  aState.batchTargets_.clear();
-  effect.hasTargets_ = aState.mustStoreTargets_;
-  for (auto& [id, target] : aState.targets_) {
-    target.endsInBatch_ = target.endsTaken_;
-    if (effect.hasTargets_ && (target.isListed_ || !target.runs_.empty())) {
-      effect.targets_.emplace_back(
-        id, target.report_.address_, target.report_.pool_);
-      aState.batchTargets_.push_back(id);
-    }
-  }
-  aState.mustStoreTargets_ = false;
-  AddOrdersToBatch(aState, effect);
-  aState.dirtyJobs_.clear();
-  aState.isUrgent_ = false;
-  aState.nextStore_ = aState.now_ + aState.options_.storeInterval_;
-  aState.Emit(std::move(effect));
-}
-
-void
-TakeStored(FleetState& aState, std::uint64_t aBatch)
-{
-  if (aBatch != aState.batch_) {
-    return;
-  }
-  aState.batch_ = 0;
-  for (const auto& [id, state] : aState.batchStates_) {
-    const auto job = aState.jobs_.find(id);
-    if (job != aState.jobs_.end()) {
-      job->second->stored_ = state;
-    }
-  }
-  for (auto& [id, target] : aState.targets_) {
-    target.endsStored_ = std::max(target.endsStored_, target.endsInBatch_);
-  }
-  SendStoredOrders(aState);
-  for (const auto& id : aState.batchTargets_) {
-    const auto target = aState.targets_.find(id);
-    if (target != aState.targets_.end() && !target->second.isRecorded_) {
-      target->second.isRecorded_ = true;
-      aState.dirtyPools_.insert(target->second.report_.pool_);
-    }
-  }
-}
-
-void
-ForgetOldJobs(FleetState& aState)
-{
-  constexpr std::size_t kAtOnce = 10; // three records each, in one write
-  ForgetJobs effect;
-  for (const auto& [id, job] : aState.jobs_) {
-    if (job->HasEnded() && !job->isDirty_ && job->stored_ == job->state_ &&
-        aState.now_ - job->ended_ > aState.options_.keepEnded_) {
-      effect.jobs_.push_back(id);
-      if (effect.jobs_.size() == kAtOnce) {
-        break;
-      }
-    }
-  }
-  for (const auto& id : effect.jobs_) {
-    aState.jobs_.erase(id);
-  }
-  if (!effect.jobs_.empty()) {
-    aState.Emit(std::move(effect));
-  }
-}
-
 } // namespace cuminbridge
--- a/packages/fleet/src/jobs.h
+++ b/packages/fleet/src/jobs.h
@@ -1,4 +1,4 @@
-// Internal: the life of jobs, from the store and back to it.
+// Internal: the life of jobs, from their arrival to their end.
 
 #ifndef cuminbridge_fleet_jobs_h
 #define cuminbridge_fleet_jobs_h
@@ -41,11 +41,6 @@
               ItemRef aRef,
               std::int64_t aRun);
 
-// Writes what changed, if it is time.
-void StoreChanges(FleetState& aState);
-void TakeStored(FleetState& aState, std::uint64_t aBatch);
-void ForgetOldJobs(FleetState& aState);
-
 } // namespace cuminbridge
 
 #endif // cuminbridge_fleet_jobs_h
--- a/packages/fleet/src/reducer.cpp
+++ b/packages/fleet/src/reducer.cpp
@@ -5,11 +5,15 @@
 #include <utility>
 
 #include "dispatch.h"
+#include "fleet_waves.h"
 #include "jobs.h"
 #include "pacing.h"
+#include "relocate.h"
 #include "runs.h"
 #include "state.h"
+#include "storing.h"
 #include "targets.h"
+#include "vm_orders.h"
 #include "vms.h"
 
 namespace cuminbridge {
