Runs on targets that are slow or stand still begin again elsewhere

Cause: nothing noticed a run that stands still; it stayed until its caller gave up, and slow targets went on getting work. Run times of adopted runs were learned from the moment of the takeover, too short. Only runs that this owner started are learned from and judged.

--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -136,7 +136,7 @@
 
 // The targets as any step sees them.
 std::vector<Site>
-MakeBaseSites(const Targets& aTargets)
+MakeBaseSites(const FleetState& aState, const Targets& aTargets)
 {
   std::vector<Site> sites;
   sites.reserve(aTargets.size());
@@ -149,7 +149,8 @@
       site.servingRuns_ += run.targetLatency_.count() > 0 ? 1 : 0;
       site.fillerRuns_ += run.isFiller_ ? 1 : 0;
     }
-    site.isAvoided_ = target->failuresInRow_ >= kDoubtfulFailures;
+    site.isAvoided_ = target->failuresInRow_ >= kDoubtfulFailures ||
+                      target->slowUntil_ > aState.now_;
     site.isDueSoon_ = target->isDueSoon_;
     sites.push_back(site);
   }
@@ -407,7 +408,7 @@
   if (targets.empty()) {
     return;
   }
-  auto base = MakeBaseSites(targets);
+  auto base = MakeBaseSites(aState, targets);
   for (const auto& waiting : CollectWaiting(aState, aPool)) {
     if (MayRunUnseen(aState, *waiting.job_)) {
       continue;
@@ -427,7 +428,7 @@
       PlaceItems(aState, waiting, targets, std::move(sites));
     }
     if (aState.counts_.starts_ != before) {
-      base = MakeBaseSites(targets);
+      base = MakeBaseSites(aState, targets);
     }
   }
 }
--- a/packages/fleet/src/jobs.cpp
+++ b/packages/fleet/src/jobs.cpp
@@ -1,4 +1,4 @@
-// The life of jobs, from the store and back to it.
+// The life of jobs, from their arrival to their end.
 
 #include "jobs.h"
 
--- a/packages/fleet/src/relocate.cpp
+++ b/packages/fleet/src/relocate.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 
+#include "jobs.h"
+#include "run_pace.h"
 #include "runs.h"
 
 namespace cuminbridge {
@@ -12,6 +14,11 @@
 
 // Lasting work leaves a cordoned target even without room elsewhere after this.
 constexpr Millis kEvacuateAnyway(3000);
+// A target that was found slow comes last for this long, then it is tried
+// again.
+constexpr Millis kSlowTime(4000);
+// Runs of one item that are stopped for being slow: its own work may be long.
+constexpr int kMostReplaced = 2;
 constexpr int kAtWork = 100; // percent of a lasting item that is at work
 
 bool
@@ -44,12 +51,22 @@
   return away <= aRef.spec_->maxUnavailable_;
 }
 
+// Whether advice allows the target, as far as it was asked for.
+bool
+IsAdvised(const StepState& aStep, const std::string& aTarget)
+{
+  const auto ticket = aStep.tickets_.find(aTarget);
+  return aStep.tickets_.empty() ||
+         (ticket != aStep.tickets_.end() && !ticket->second.text_.empty());
+}
+
 bool
 HasRoomElsewhere(FleetState& aState, const Target& aFrom, const ItemRef& aRef)
 {
   for (const auto& [id, target] : aState.targets_) {
     if (id == aFrom.report_.id_ || !target.IsUsable(aState.now_) ||
-        target.report_.pool_ != aFrom.report_.pool_) {
+        target.report_.pool_ != aFrom.report_.pool_ ||
+        target.slowUntil_ > aState.now_ || !IsAdvised(*aRef.step_, id)) {
       continue;
     }
     Resources free = target.report_.capacity_;
@@ -67,6 +84,25 @@
   return false;
 }
 
+// Nothing for a run whose pace tells nothing of its target.
+std::optional<RunPace>
+PaceOf(FleetState& aState, const Target& aTarget, const Run& aRun)
+{
+  const auto ref = FindItem(aState, aRun.item_);
+  if (!ref.item_ || !aRun.isOurs_ || aRun.isLasting_ || aRun.isFiller_ ||
+      aRun.phase_ != RunPhase::Running || ref.spec_->isGang_ ||
+      ref.spec_->isSameRack_) {
+    return std::nullopt;
+  }
+  const bool isRemote = !ref.spec_->dataRack_.empty() &&
+                        ref.spec_->dataRack_ != aTarget.report_.rack_;
+  const double factor = isRemote ? aState.options_.remoteFactor_ : 1;
+  const auto expected = ExpectRun(aState, *ref.job_, *ref.spec_);
+  return RunPace{ aState.now_ - aRun.sentAt_,
+                  std::chrono::duration_cast<Millis>(factor * expected),
+                  aRun.percent_ };
+}
+
 } // namespace
 
 void
@@ -93,4 +129,39 @@
   }
 }
 
+void
+ReplaceSlowRuns(FleetState& aState, Target& aTarget)
+{
+  std::vector<RunPace> paces;
+  for (const auto& run : aTarget.runs_) {
+    if (const auto pace = PaceOf(aState, aTarget, run)) {
+      paces.push_back(*pace);
+    }
+  }
+  const auto speed = SpeedOf(paces);
+  if (!speed || *speed >= kSlowSpeed) {
+    return;
+  }
+  if (aTarget.slowUntil_ <= aState.now_) {
+    aState.Log("target_slow",
+               "",
+               "",
+               aTarget.report_.id_,
+               "speed " + std::to_string(*speed) + " of " +
+                 std::to_string(paces.size()) + " runs");
+  }
+  aTarget.slowUntil_ = aState.now_ + kSlowTime;
+  for (auto& run : aTarget.runs_) {
+    const auto pace = PaceOf(aState, aTarget, run);
+    const auto ref = FindItem(aState, run.item_);
+    if (pace && IsWorthReplacing(*pace) &&
+        ref.item_->replaced_ < kMostReplaced &&
+        HasRoomElsewhere(aState, aTarget, ref)) {
+      ++ref.item_->replaced_;
+      ref.item_->avoid_ = aTarget.report_.id_;
+      Stop(aState, aTarget, run, "too slow on its target");
+    }
+  }
+}
+
 } // namespace cuminbridge
--- a/packages/fleet/src/relocate.h
+++ b/packages/fleet/src/relocate.h
@@ -11,6 +11,10 @@
 // allow.
 void Evacuate(FleetState& aState);
 
+// Stops runs on a target that works far slower than expected, where others have
+// room for them; they begin again there.
+void ReplaceSlowRuns(FleetState& aState, Target& aTarget);
+
 } // namespace cuminbridge
 
 #endif // cuminbridge_fleet_relocate_h
--- a/packages/fleet/src/runs.cpp
+++ b/packages/fleet/src/runs.cpp
@@ -107,6 +107,7 @@
   run.item_ = aItem;
   run.run_ = std::max(aRun, LowestRun(aState) + 1);
   run.sentAt_ = aState.now_;
+  run.isOurs_ = true;
   aTarget.leaseUntil_ =
     std::max(aTarget.leaseUntil_,
              ClockOf(aState, aTarget) + aState.options_.targetLease_.count());
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -29,7 +29,8 @@
   std::int64_t run_ = 0;                 // highest given out
   std::string checkpoint_;
   std::string target_; // while Assigned
-  std::string avoid_;  // target where it failed last
+  std::string avoid_;  // target where it failed last, or was too slow
+  int replaced_ = 0;   // runs that were stopped for being slow
   Instant notBefore_;  // its next start
 };
 
@@ -95,6 +96,7 @@
   RunPhase phase_ = RunPhase::Starting;
   bool isUnknown_ = false;  // no job has this item, so far
   bool isPresumed_ = false; // by the stored record of the owner before
+  bool isOurs_ = false;     // this owner sent its start, at sentAt_
   Resources needs_;
   std::string account_;
   bool isLasting_ = false;
@@ -150,6 +152,7 @@
   bool isDueSoon_ = false;  // an open wave has its VM
   bool isCordoned_ = false; // a wave wants it empty now
   Instant cordonedAt_;
+  Instant slowUntil_;     // it was found slow; it comes last until then
   int failuresInRow_ = 0; // runs that failed there, with no success between
 
   bool IsUsable(Instant aNow) const
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -3,6 +3,7 @@
 #include "targets.h"
 
 #include "jobs.h"
+#include "relocate.h"
 #include "runs.h"
 
 namespace cuminbridge {
@@ -62,6 +63,7 @@
   aTarget.leavingUntil_ = aState.now_;
   aTarget.idleSince_ = aState.now_;
   aTarget.failuresInRow_ = 0;
+  aTarget.slowUntil_ = aState.now_;
 }
 
 // A run that the owner before us started and did not record: newer than all
@@ -96,7 +98,8 @@
   const bool isOurs = run != nullptr;
   bool isCurrent = false;
   if (isOurs) {
-    if (aEnd.kind_ == EndKind::Done && ref.item_) {
+    // When others' runs began is not known.
+    if (aEnd.kind_ == EndKind::Done && ref.item_ && run->isOurs_) {
       aState.runTimes_[ref.job_->job_.queue_].Learn(ref.spec_->estimate_,
                                                     aState.now_ - run->sentAt_);
     }
@@ -439,6 +442,7 @@
   switch (aAnswer.outcome_) {
     case HoldOutcome::Answered:
       TakeLists(aState, target, aAnswer);
+      ReplaceSlowRuns(aState, target);
       break;
     case HoldOutcome::Fenced:
       aState.Emit(Abdicate{});
--- a/packages/fleet/tests/world.cpp
+++ b/packages/fleet/tests/world.cpp
@@ -1,5 +1,6 @@
 // A fleet in virtual time.
 
+#include "state.h"
 #include "world_parts.h"
 
 #include <algorithm>
@@ -146,6 +147,18 @@
   targets_.at(aTarget)->hiddenUntil_ = now_ + aTime;
 }
 
+std::size_t
+World::LearnedQueues() const
+{
+  return owner_->fleet_.State().runTimes_.size();
+}
+
+void
+World::SlowTarget(const std::string& aTarget, double aSpeed)
+{
+  targets_.at(aTarget)->speed_ = aSpeed;
+}
+
 void
 World::DrainTarget(const std::string& aTarget)
 {
--- a/packages/fleet/tests/world.h
+++ b/packages/fleet/tests/world.h
@@ -51,6 +51,8 @@
   void RestartTarget(const std::string& aTarget);
   void DelistTarget(const std::string& aTarget, Millis aTime);
   void DrainTarget(const std::string& aTarget);
+  // What is started there from now on works at this part of the usual speed.
+  void SlowTarget(const std::string& aTarget, double aSpeed);
 
   void RunFor(Millis aTime);
 
@@ -59,6 +61,7 @@
   std::vector<std::string> TargetIds() const;
   int Starts(const std::string& aJob) const;
   int RunningOn(const std::string& aTarget) const;
+  std::size_t LearnedQueues() const;   // by the present owner
   int Alone() const { return alone_; } // members that waited in vain
 
 private:
--- a/packages/fleet/tests/world_parts.h
+++ b/packages/fleet/tests/world_parts.h
@@ -12,6 +12,7 @@
   ItemName item_;
   std::int64_t run_ = 0;
   Resources needs_;
+  Instant beganAt_;
   Instant endsAt_;
   bool willFail_ = false;
   bool isLasting_ = false;
@@ -39,6 +40,7 @@
   Instant cutUntil_;
   Instant hiddenUntil_;
   bool isDraining_ = false;
+  double speed_ = 1; // of what is started there; 0 stands still
   std::int64_t sequence_ = 0;
 };
 
--- a/packages/fleet/tests/world_targets.cpp
+++ b/packages/fleet/tests/world_targets.cpp
@@ -15,6 +15,15 @@
 constexpr Millis kEarly(
   250); // a timed start may come this much before its time
 
+int
+PercentOf(Instant aBegan, Instant aEnds, Instant aNow)
+{
+  constexpr int kWhole = 100;
+  const auto whole = std::max<std::int64_t>(1, (aEnds - aBegan).count());
+  return static_cast<int>(std::clamp<std::int64_t>(
+    kWhole * (aNow - aBegan).count() / whole, 0, kWhole));
+}
+
 } // namespace
 
 std::int64_t
@@ -284,7 +293,11 @@
   run.isGang_ = spec.isGang_;
   run.cameAt_ = now_;
   run.willFail_ = Draw() < faults_.failing_;
-  run.endsAt_ = now_ + Duration(aStart.item_);
+  constexpr double kSlowest = 0.0001;
+  const auto takes = std::chrono::duration_cast<Millis>(
+    Duration(aStart.item_) / std::max(kSlowest, target.speed_));
+  run.beganAt_ = now_;
+  run.endsAt_ = now_ + takes;
   target.runs_.push_back(run);
   ++runningNow_[aStart.item_];
   ++starts_[aStart.item_.job_];
@@ -295,8 +308,7 @@
     return answer;
   }
   // So that what runs ends on time, also when nobody asks.
-  At(Duration(aStart.item_),
-     [this, id = target.id_] { Advance(*targets_.at(id)); });
+  At(takes, [this, id = target.id_] { Advance(*targets_.at(id)); });
   return answer;
 }
 
@@ -366,7 +378,8 @@
     RunningRun row;
     row.item_ = run.item_;
     row.run_ = run.run_;
-    row.percent_ = 100;
+    row.percent_ =
+      run.isLasting_ ? 100 : PercentOf(run.beganAt_, run.endsAt_, now_);
     answer.running_.push_back(std::move(row));
   }
   answer.ended_ = target.ended_;
