Pools with idle VMs lend them although some of their work waits

Change: waiting work counts only beyond what a pool's idle VMs have room for. An order for a VM that is dropped before it is sent is logged with its reason.

--- a/packages/fleet/src/moves.cpp
+++ b/packages/fleet/src/moves.cpp
@@ -62,7 +62,11 @@
 {
   const auto offered = static_cast<std::int64_t>(
     static_cast<double>(aPool.offeredCpu_) / aOptions.fullPart_);
-  return std::max(aPool.waitingCpu_, offered - aPool.capacityCpu_) -
+  std::int64_t idle = 0;
+  for (const auto& vm : aPool.idle_) {
+    idle += vm.cpu_;
+  }
+  return std::max(aPool.waitingCpu_ - idle, offered - aPool.capacityCpu_) -
          aPool.comingCpu_;
 }
 
--- a/packages/fleet/src/vm_orders.cpp
+++ b/packages/fleet/src/vm_orders.cpp
@@ -17,15 +17,21 @@
 constexpr Millis kRecordTime(500);
 constexpr Millis kBusyPause(500); // after the platform called a VM busy
 
-// What held when the order was planned must still hold once it is stored.
-bool
-MaySend(FleetState& aState, const std::string& aVm, const VmOrder& aOrder)
+// Why an order that was planned and is now stored may not be sent: what held
+// then must still hold. Null if it may.
+const char*
+WhyNotToSend(FleetState& aState, const std::string& aVm, const VmOrder& aOrder)
 {
   const auto* target = TargetOfVm(aState, aVm);
-  const bool isIdle = !target || target->runs_.empty();
+  if (target && !target->runs_.empty()) {
+    return "work runs there";
+  }
+  if (!aState.mayOrderVms_) {
+    return "the lease may run out";
+  }
   // The next owner counts from the time in the record.
-  const bool isRecent = aState.now_ - aOrder.sentAt_ <= kRecordTime;
-  return aState.mayOrderVms_ && isIdle && isRecent;
+  return aState.now_ - aOrder.sentAt_ > kRecordTime ? "stored too late"
+                                                    : nullptr;
 }
 
 } // namespace
@@ -164,7 +170,8 @@
       ++it;
       continue;
     }
-    if (!MaySend(aState, vm, order)) {
+    if (const char* why = WhyNotToSend(aState, vm, order)) {
+      aState.Log("vm_order_dropped", "", "", vm, why);
       if (order.isUpkeep_) {
         aState.waves_[order.wave_].down_.erase(vm);
       }
--- a/packages/fleet/tests/decisions_test.cpp
+++ b/packages/fleet/tests/decisions_test.cpp
@@ -178,6 +178,18 @@
   CHECK(TakeShare(bucket, 1, begin + Millis(1600)));
 }
 
+TEST_CASE("a pool with idle VMs lends them although some of its work waits")
+{
+  auto lender = MakePool("a", 10, Millis(5000));
+  lender.waitingCpu_ = 2000; // an item that just came
+  auto flooded = MakePool("b", 0, Millis(0));
+  flooded.waitingCpu_ = 500000;
+  const auto moves = PlanMoves({ lender, flooded }, {});
+  CHECK(moves.size() == 8);
+  lender.idle_.clear();
+  CHECK(PlanMoves({ lender, flooded }, {}).empty());
+}
+
 TEST_CASE("hopeless work within a share goes after what can still be served")
 {
   Claim hopeless;
