A weak owner hands over to a stronger entry; the election has its own file

Change: entries record their address beside their share; an owner with less than 0.6 of another's share asks it each second whether it is ready, and hands over.

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -13,8 +13,8 @@
 
 #include "daemon_log.h"
 #include "daemon_metrics.h"
+#include "election.h"
 #include "intake.h"
-#include "owner.h"
 #include "records.h"
 
 namespace cuminbridge {
@@ -28,8 +28,6 @@
 constexpr Millis kConfigInterval(400);
 // Without the store for this long an entry asks for no new connections.
 constexpr Millis kStoreMissing(1500);
-constexpr Millis kElectionWait(1500); // a silent watch is noticed after it
-constexpr Millis kRetryPause(150);
 constexpr Millis kDrainPause(50);
 // Connections between requests are closed this long after SIGTERM: callers
 // have been told to close them with each answer until then.
@@ -47,16 +45,12 @@
 
 private:
   Awaitable<void> PollConfig();
-  Awaitable<void> Elect();
-  Awaitable<bool> TakeOwnership(std::int64_t aLease, Instant aLeaseSent);
-  Awaitable<void> Register();
-  Awaitable<Millis> WaitForStronger();
   Awaitable<void> ShutDown();
   void WaitForSignals();
   Awaitable<HttpAnswer> TellReady(const HttpRequest& aRequest);
   Awaitable<HttpAnswer> AnswerCaller(const HttpRequest& aRequest);
   Awaitable<HttpAnswer> TellMetrics(const HttpRequest& aRequest);
-  void TakeTold(const HttpRequest& aRequest);
+  void TakeTold(Owner& aOwner, const HttpRequest& aRequest);
   Awaitable<HttpAnswer> TellPeer(const HttpRequest& aRequest);
   bool IsReady() const;
   void Note(const char* aEvent, std::string aDetail);
@@ -69,12 +63,12 @@
   StoreClient store_{ http_, settings_.storeAddress_, clocks_ };
   DaemonParts parts_{ io_, clocks_, settings_, http_, store_ };
   Intake intake_{ parts_ };
+  Election election_{ parts_, intake_ };
   HttpServer callers_;
   HttpServer readiness_;
   HttpServer peers_;
   HttpServer metricsServer_;
   DaemonMetrics metrics_;
-  std::shared_ptr<Owner> owner_;
   Instant storeSeen_;
   std::int64_t configRevision_ = 0;
   bool isStopping_ = false;
@@ -161,23 +155,22 @@
     answer.status_ = kNotFound;
     co_return answer;
   }
-  const bool isOwner = owner_ && !owner_->HasEnded();
   answer.body_ = FormatMetrics(metrics_,
                                intake_,
                                store_.Calls(),
-                               isOwner ? owner_.get() : nullptr,
+                               election_.CurrentOwner(),
                                clocks_.Now() - storeSeen_);
   co_return answer;
 }
 
 // Another entry has stored a job or a cancellation.
 void
-Daemon::TakeTold(const HttpRequest& aRequest)
+Daemon::TakeTold(Owner& aOwner, const HttpRequest& aRequest)
 {
   if (aRequest.path_ == kTellCancelPath) {
-    owner_->Handle(JobCancelled{ aRequest.body_ });
+    aOwner.Handle(JobCancelled{ aRequest.body_ });
   } else if (auto job = DecodeJob(aRequest.body_)) {
-    owner_->Handle(JobArrived{ std::move(*job) });
+    aOwner.Handle(JobArrived{ std::move(*job) });
   } else {
     Note("record_unreadable", "a job told by a peer");
   }
@@ -190,19 +183,23 @@
   constexpr int kNotFound = 404;
   HttpAnswer answer;
   answer.type_ = "text/plain";
-  const bool isOwner = owner_ && !owner_->HasEnded();
+  auto* owner = election_.CurrentOwner();
   if (aRequest.path_ == kTellJobPath || aRequest.path_ == kTellCancelPath) {
     // An owner that may have a successor leaves new jobs to it.
-    if (isOwner && owner_->IsSure()) {
-      TakeTold(aRequest);
+    if (owner && owner->IsSure()) {
+      TakeTold(*owner, aRequest);
     }
     co_return answer;
   }
+  if (aRequest.path_ == kStandbyPath) {
+    answer.body_ = IsReady() ? kStandbyReady : "no";
+    co_return answer;
+  }
   if (aRequest.path_ != kOwnerPath) {
     answer.status_ = kNotFound;
     co_return answer;
   }
-  answer.body_ = std::to_string(isOwner ? owner_->Term() : 0);
+  answer.body_ = std::to_string(owner ? owner->Term() : 0);
   co_return answer;
 }
 
@@ -228,8 +225,8 @@
         Note("config_seen",
              "version " + std::to_string(config->version_) + " at " +
                std::to_string(configRevision_));
-        if (owner_) {
-          owner_->Handle(ConfigSeen{ *config });
+        if (auto* owner = election_.CurrentOwner()) {
+          owner->Handle(ConfigSeen{ *config });
         }
         intake_.SetConfig(std::move(*config));
       } else {
@@ -240,126 +237,6 @@
   }
 }
 
-Awaitable<bool>
-Daemon::TakeOwnership(std::int64_t aLease, Instant aLeaseSent)
-{
-  const auto term = co_await store_.Get(kTermKey);
-  if (!term.IsDone() && term.status_ != StoreStatus::Missing) {
-    co_return false;
-  }
-  const auto last = co_await store_.Get(kLastOwnerKey);
-  if (!last.IsDone() && last.status_ != StoreStatus::Missing) {
-    co_return false;
-  }
-  const int number =
-    term.IsDone() ? std::atoi(term.items_.front().value_.c_str()) + 1 : 1;
-  StoreWrite write;
-  write.conditions_.push_back({ kOwnerKey, 0 });
-  write.conditions_.push_back(
-    { kTermKey, term.IsDone() ? term.items_.front().revision_ : 0 });
-  write.puts_.push_back({ kOwnerKey, PeerAddress(settings_), aLease });
-  write.puts_.push_back({ kTermKey, std::to_string(number), 0 });
-  write.puts_.push_back({ kChainKey, "0", 0 });
-  // Before it knows what became of the last owner: the longest possible.
-  const FleetOptions options;
-  const LastOwner self{ number,
-                        PeerAddress(settings_),
-                        clocks_.TimeOfDay() + options.ownerAllowance_ +
-                          2 * options.targetLease_,
-                        false };
-  write.puts_.push_back({ kLastOwnerKey, WriteLastOwner(self), 0 });
-  const auto reply = co_await store_.Write(write);
-  if (!reply.IsDone() || isStopping_) {
-    co_return false;
-  }
-  Ownership ownership;
-  ownership.token_ = reply.revision_;
-  ownership.lease_ = aLease;
-  ownership.term_ = number;
-  if (last.IsDone()) {
-    ownership.former_ = last.items_.front().value_;
-  }
-  ownership.validUntil_ = aLeaseSent + kOwnerLease;
-  owner_ = std::make_shared<Owner>(parts_, ownership, intake_.Config());
-  intake_.SetOwner(owner_);
-  owner_->Begin();
-  co_return true;
-}
-
-// Tells the other entries how strong this one is.
-Awaitable<void>
-Daemon::Register()
-{
-  StoreWrite write;
-  write.puts_.push_back({ kEntriesPrefix + settings_.name_,
-                          std::to_string(settings_.cpuShare_),
-                          0 });
-  while (!isStopping_) {
-    const auto reply = co_await store_.Write(write);
-    if (reply.IsDone()) {
-      co_return;
-    }
-    co_await Sleep(io_, kRetryPause);
-  }
-}
-
-// How long to leave the fleet to entries with more of a core than this one.
-Awaitable<Millis>
-Daemon::WaitForStronger()
-{
-  constexpr double kLongest = 300; // ms; a stronger one begins within 50
-  const auto reply = co_await store_.List(kEntriesPrefix);
-  double strongest = settings_.cpuShare_;
-  for (const auto& item : reply.items_) {
-    strongest = std::max(strongest, std::atof(item.value_.c_str()));
-  }
-  co_return Millis(static_cast<std::int64_t>(
-    kLongest * (1 - settings_.cpuShare_ / std::max(strongest, 0.01))));
-}
-
-Awaitable<void>
-Daemon::Elect()
-{
-  while (!isStopping_) {
-    if (owner_ && !owner_->HasEnded()) {
-      co_await Sleep(io_, kRetryPause);
-      continue;
-    }
-    if (owner_) {
-      intake_.SetOwner(nullptr);
-      owner_.reset();
-    }
-    const auto current = co_await store_.Get(kOwnerKey);
-    if (current.IsDone()) {
-      intake_.SetOwnerAddress(current.items_.front().value_);
-      co_await store_.Watch(kOwnerKey, current.revision_, kElectionWait);
-      continue;
-    }
-    if (current.status_ != StoreStatus::Missing ||
-        intake_.Config().version_ == 0) {
-      co_await Sleep(io_, kRetryPause);
-      continue;
-    }
-    if (const auto pause = co_await WaitForStronger(); pause.count() > 0) {
-      co_await Sleep(io_, pause);
-      const auto again = co_await store_.Get(kOwnerKey);
-      if (again.status_ != StoreStatus::Missing) {
-        continue;
-      }
-    }
-    const auto sent = clocks_.Now();
-    const auto lease = co_await store_.OpenLease(kOwnerLease);
-    if (!lease.IsDone()) {
-      co_await Sleep(io_, kRetryPause);
-      continue;
-    }
-    if (!co_await TakeOwnership(lease.revision_, sent)) {
-      // Also ends a key that an unanswered write may have created.
-      co_await store_.EndLease(lease.revision_);
-    }
-  }
-}
-
 Awaitable<void>
 Daemon::ShutDown()
 {
@@ -367,10 +244,7 @@
   const auto began = clocks_.Now();
   Note("stopping", "SIGTERM");
   callers_.BeginDrain();
-  if (owner_ && !owner_->HasEnded()) {
-    co_await owner_->HandOver();
-  }
-  intake_.SetOwner(nullptr);
+  co_await election_.Stop();
   const auto last = began + settings_.stopLimit_ - kExitMargin;
   while (clocks_.Now() - began < kCloseIdleAfter) {
     co_await Sleep(io_, kDrainPause);
@@ -421,8 +295,8 @@
   }
   WaitForSignals();
   asio::co_spawn(io_, PollConfig(), asio::detached);
-  asio::co_spawn(io_, Register(), asio::detached);
-  asio::co_spawn(io_, Elect(), asio::detached);
+  asio::co_spawn(io_, election_.Register(), asio::detached);
+  asio::co_spawn(io_, election_.Run(), asio::detached);
   io_.run();
   StopDaemonLog();
   return 0;
--- a/packages/daemon/src/parts.h
+++ b/packages/daemon/src/parts.h
@@ -22,6 +22,9 @@
 std::string PeerAddress(const PlatformSettings& aSettings);
 // Tells the term in which a process owns the fleet, or 0.
 inline constexpr const char* kOwnerPath = "/owner";
+// Tells whether a process could own the fleet now: kStandbyReady if so.
+inline constexpr const char* kStandbyPath = "/standby";
+inline constexpr const char* kStandbyReady = "ready";
 // An entry tells the owner at once what it has stored; the owner's watch is the
 // fallback. The body is a stored job, or the id of a cancelled one.
 inline constexpr const char* kTellJobPath = "/job";
--- a/packages/daemon/src/records.cpp
+++ b/packages/daemon/src/records.cpp
@@ -117,6 +117,20 @@
   return owner;
 }
 
+EntryRecord
+ReadEntry(const std::string& aText)
+{
+  EntryRecord entry;
+  std::istringstream(aText) >> entry.cpuShare_ >> entry.address_;
+  return entry;
+}
+
+std::string
+WriteEntry(const EntryRecord& aEntry)
+{
+  return std::to_string(aEntry.cpuShare_) + ' ' + aEntry.address_;
+}
+
 std::string
 WriteWaveRecord(const WaveRecord& aRecord)
 {
--- a/packages/daemon/src/records.h
+++ b/packages/daemon/src/records.h
@@ -19,7 +19,8 @@
 // The last owner, for the next one: "TERM ADDRESS UNTIL" and, once it has
 // handed over, " handed-over".
 inline constexpr const char* kLastOwnerKey = "last-owner";
-// What each entry has of a core: "entries/NAME". The strongest are to own.
+// Each entry, "entries/NAME": its share of a core, and its address for peers.
+// The strongest are to own.
 inline constexpr const char* kEntriesPrefix = "entries/";
 // Changed by each write of the owner, which makes the writes a chain: one that
 // is carried out late finds another revision and does nothing.
@@ -60,6 +61,18 @@
 LastOwner ReadLastOwner(const std::string& aText);
 std::string WriteLastOwner(const LastOwner& aOwner);
 
+// What lies under kEntriesPrefix, as "SHARE ADDRESS".
+struct EntryRecord
+{
+  double cpuShare_ = 0; // of a core
+  std::string address_; // for peers
+
+  bool operator==(const EntryRecord&) const = default;
+};
+
+EntryRecord ReadEntry(const std::string& aText);
+std::string WriteEntry(const EntryRecord& aEntry);
+
 std::string WriteWaveRecord(const WaveRecord& aRecord);
 std::string WriteKnownTargets(const std::vector<KnownTarget>& aTargets);
 std::string WriteKnownOrders(const std::vector<KnownOrder>& aOrders);
--- a/packages/fleet/src/moves.h
+++ b/packages/fleet/src/moves.h
@@ -54,8 +54,9 @@
   bool operator==(const Move&) const = default;
 };
 
-// Cores that a pool lacks, in thousandths: for work that waits and that its idle
-// VMs have no room for, or for work that arrives faster than it can run it.
+// Cores that a pool lacks, in thousandths: for work that waits and that its
+// idle VMs have no room for, or for work that arrives faster than it can run
+// it.
 std::int64_t MissingCpu(const PoolView& aPool, const MoveOptions& aOptions);
 
 // Lends standby and idle VMs to pools where work waits for room, and parks what
