--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -48,6 +48,9 @@
   Millis targetLease_{ 4000 };
   // A target answers a renewal at the next end, or after this.
   Millis holdWait_{ 1000 };
+  // The same where runs end by themselves: an answer that is lost then holds up
+  // the steps after them.
+  Millis runWait_{ 400 };
   // The same where fillers run beside work that serves, to pace them in time.
   Millis pacingWait_{ 400 };
   // A target that does not answer a renewal this long after its wait is silent.
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -2,6 +2,8 @@
 
 #include "targets.h"
 
+#include <algorithm>
+
 #include "jobs.h"
 #include "relocate.h"
 #include "runs.h"
@@ -301,6 +303,15 @@
   return hasServing && hasFiller;
 }
 
+// Whether something runs there that ends by itself.
+bool
+HasBatch(const Target& aTarget)
+{
+  return std::any_of(aTarget.runs_.begin(),
+                     aTarget.runs_.end(),
+                     [](const Run& aRun) { return !aRun.isLasting_; });
+}
+
 void
 SendHold(FleetState& aState, Target& aTarget)
 {
@@ -313,6 +324,7 @@
   if (aTarget.contact_ == Contact::Good && !aTarget.runs_.empty()) {
     effect.wait_ = HasStopped(aTarget)  ? kStopWait
                    : HasPacing(aTarget) ? aState.options_.pacingWait_
+                   : HasBatch(aTarget)  ? aState.options_.runWait_
                                         : aState.options_.holdWait_;
   }
   // A silent target is only asked: renewing without an answer would put off
