Settings of our own in TOML; a log that never waits for its reader

Nothing that owners have to agree on is among them. Cause: with a full pipe the writing thread hung, and a shutdown waited for it until SIGKILL.

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -36,10 +36,42 @@
 constexpr const char* kMetricsPath = "/metrics";
 constexpr std::uint64_t kMaxBody = 256 * 1024; // until a configuration tells
 
+std::string
+ReadFile(const std::string& aPath, Findings& aFindings)
+{
+  std::ifstream file(aPath);
+  if (!file) {
+    aFindings.push_back({ {}, "can't be opened" });
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+// Without a path, the defaults.
+Tuning
+ReadTuningFile(const std::string& aPath, Findings& aFindings)
+{
+  return aPath.empty() ? Tuning{}
+                       : ReadTuning(ReadFile(aPath, aFindings), aFindings);
+}
+
+// True if there was something to report.
+bool
+Report(const std::string& aPath, const Findings& aFindings)
+{
+  if (!aFindings.empty()) {
+    std::cerr << aPath << ": refused\n" << FormatFindings(aFindings);
+  }
+  return !aFindings.empty();
+}
+
 class Daemon
 {
 public:
-  explicit Daemon(PlatformSettings aSettings);
+  Daemon(PlatformSettings aSettings,
+         std::string aTuningPath,
+         const Tuning& aTuning);
 
   int Run();
 
@@ -47,6 +79,7 @@
   Awaitable<void> PollConfig();
   Awaitable<void> ShutDown();
   void WaitForSignals();
+  void ReloadTuning();
   Awaitable<HttpAnswer> TellReady(const HttpRequest& aRequest);
   Awaitable<HttpAnswer> AnswerCaller(const HttpRequest& aRequest);
   Awaitable<HttpAnswer> TellMetrics(const HttpRequest& aRequest);
@@ -57,11 +90,13 @@
 
   SystemClocks clocks_;
   PlatformSettings settings_;
+  std::string tuningPath_;
+  Tuning tuning_;
   asio::io_context io_{ 1 };
   asio::signal_set signals_{ io_, SIGTERM, SIGHUP };
   HttpClient http_{ io_, HttpClientOptions{} };
   StoreClient store_{ http_, settings_.storeAddress_, clocks_ };
-  DaemonParts parts_{ io_, clocks_, settings_, http_, store_ };
+  DaemonParts parts_{ io_, clocks_, settings_, tuning_, http_, store_ };
   Intake intake_{ parts_ };
   Election election_{ parts_, intake_ };
   HttpServer callers_;
@@ -89,8 +124,12 @@
   return options;
 }
 
-Daemon::Daemon(PlatformSettings aSettings)
+Daemon::Daemon(PlatformSettings aSettings,
+               std::string aTuningPath,
+               const Tuning& aTuning)
   : settings_(std::move(aSettings))
+  , tuningPath_(std::move(aTuningPath))
+  , tuning_(aTuning)
   , callers_(
       io_,
       MakeServerOptions(),
@@ -257,6 +296,31 @@
   io_.stop();
 }
 
+// The platform's settings are read at the start only: addresses don't change
+// while a process lives.
+void
+Daemon::ReloadTuning()
+{
+  Findings findings;
+  const auto tuning = ReadTuningFile(tuningPath_, findings);
+  if (!findings.empty()) {
+    Note("tuning_refused", FormatFindings(findings));
+    return;
+  }
+  const auto changes = CompareTuning(tuning_, tuning);
+  for (const auto& change : changes) {
+    Note("tuning_changed", change);
+  }
+  if (changes.empty()) {
+    Note("tuning_unchanged", "SIGHUP");
+  }
+  tuning_ = tuning;
+  SetLogLimits(tuning_.log_);
+  if (auto* owner = election_.CurrentOwner()) {
+    owner->Retune();
+  }
+}
+
 void
 Daemon::WaitForSignals()
 {
@@ -269,8 +333,7 @@
         asio::co_spawn(io_, ShutDown(), asio::detached);
       }
     } else {
-      // All that the settings hold is read at the start of a process.
-      Note("settings_unchanged", "SIGHUP");
+      ReloadTuning();
     }
     WaitForSignals();
   });
@@ -280,6 +343,7 @@
 Daemon::Run()
 {
   StartDaemonLog(settings_.name_);
+  SetLogLimits(tuning_.log_);
   Note("started", settings_.dataCentre_);
   for (const auto& [server, address] :
        { std::pair(&callers_, settings_.callerAddress_),
@@ -305,24 +369,25 @@
 } // namespace
 
 int
-RunDaemon(const std::string& aSettingsPath)
+RunDaemon(const DaemonArguments& aArguments)
 {
-  const std::string path =
-    aSettingsPath.empty() ? PlatformSettingsPath() : aSettingsPath;
-  std::ifstream file(path);
-  if (!file) {
-    std::cerr << path << ": can't be opened\n";
-    return kExitSettings;
-  }
-  std::stringstream text;
-  text << file.rdbuf();
+  const std::string path = aArguments.settingsPath_.empty()
+                             ? PlatformSettingsPath()
+                             : aArguments.settingsPath_;
   Findings findings;
-  auto settings = ReadPlatformSettings(text.str(), findings);
-  if (!findings.empty()) {
-    std::cerr << path << ": refused\n" << FormatFindings(findings);
+  const auto text = ReadFile(path, findings);
+  auto settings = ReadPlatformSettings(text, findings);
+  const bool isRefused = Report(path, findings);
+  Findings inTuning;
+  const auto tuning = ReadTuningFile(aArguments.tuningPath_, inTuning);
+  if (Report(aArguments.tuningPath_, inTuning) || isRefused) {
     return kExitSettings;
   }
-  return Daemon(std::move(settings)).Run();
+  if (aArguments.isCheckOnly_) {
+    std::cout << "good\n";
+    return 0;
+  }
+  return Daemon(std::move(settings), aArguments.tuningPath_, tuning).Run();
 }
 
 } // namespace cuminbridge
--- a/packages/daemon/src/daemon_log.h
+++ b/packages/daemon/src/daemon_log.h
@@ -1,4 +1,4 @@
-// Internal: the log of a daemon, as JSON lines on standard output.
+// Internal: the log of a daemon, as JSON lines.
 
 #ifndef cuminbridge_daemon_log_h
 #define cuminbridge_daemon_log_h
@@ -9,16 +9,26 @@
 
 namespace cuminbridge {
 
-// Lines are written by a thread of their own and never wait for the reader; the
-// oldest are dropped while it does not read.
-void StartDaemonLog(const std::string& aName);
+// More lines are left out, and counted in the next one.
+struct LogLimits
+{
+  double perSecond_ = 800; // a busy owner of 50 targets writes some 400
+  double burst_ = 2000;    // lines at once
+
+  bool operator==(const LogLimits&) const = default;
+};
+
+constexpr int kStandardOutput = 1;
+
+// Lines are written to a file descriptor by a thread of their own. While nobody
+// reads they are dropped: neither a caller of WriteLine() nor a shutdown waits.
+void StartDaemonLog(const std::string& aName, int aFile = kStandardOutput);
 void StopDaemonLog();
 
-// One line, unless too many were written in the last second. Lines that were
-// left out are counted in the next one.
+void SetLogLimits(const LogLimits& aLimits);
 void WriteLine(const LogLine& aLine, Instant aNow);
 
-// All lines left out since the start.
+// All lines left out since the start, for whichever reason.
 std::uint64_t LinesLeftOut();
 
 } // namespace cuminbridge
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -25,9 +25,29 @@
       "",
       "FILE",
       command);
+    TCLAP::ValueArg<std::string> tuning(
+      "t",
+      "tuning",
+      "the project's own settings in TOML; without it, all are defaults",
+      false,
+      "",
+      "FILE",
+      command);
+    TCLAP::SwitchArg isCheckOnly(
+      "", "check", "check both files and end: 0 good, 2 faults", command);
+    TCLAP::SwitchArg printsDefaults(
+      "", "print-defaults", "print the project's own settings", command);
     command.setExceptionHandling(false);
     command.parse(argc, argv);
-    return cuminbridge::RunDaemon(settings.getValue());
+    if (printsDefaults.getValue()) {
+      std::cout << cuminbridge::FormatTuningDefaults();
+      return 0;
+    }
+    cuminbridge::DaemonArguments arguments;
+    arguments.settingsPath_ = settings.getValue();
+    arguments.tuningPath_ = tuning.getValue();
+    arguments.isCheckOnly_ = isCheckOnly.getValue();
+    return cuminbridge::RunDaemon(arguments);
   } catch (const TCLAP::ExitException& exit) {
     return exit.getExitStatus();
   } catch (const TCLAP::ArgException& error) {
--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -42,9 +42,9 @@
 constexpr double kMovePart = 0.7;
 
 FleetOptions
-MakeOptions(const PlatformSettings& aSettings)
+MakeOptions(const PlatformSettings& aSettings, const Tuning& aTuning)
 {
-  FleetOptions options;
+  FleetOptions options = aTuning.fleet_;
   options.targetLease_ =
     std::min(options.targetLease_, aSettings.longestLease_);
   options.moveTime_ = aSettings.moveTime_;
@@ -67,7 +67,7 @@
              const FleetConfig& aConfig)
   : parts_(aParts)
   , ownership_(aOwnership)
-  , fleet_(MakeOptions(aParts.settings_), aParts.clocks_.Now())
+  , fleet_(MakeOptions(aParts.settings_, aParts.tuning_), aParts.clocks_.Now())
   , targets_(aParts.http_, aOwnership.token_, aParts.clocks_)
   , vms_(aParts.http_,
          aParts.settings_.vmsAddress_,
@@ -122,6 +122,12 @@
   return !hasEnded_ && parts_.clocks_.Now() < ownership_.validUntil_;
 }
 
+void
+Owner::Retune()
+{
+  Handle(OptionsChanged{ MakeOptions(parts_.settings_, parts_.tuning_) });
+}
+
 Awaitable<void>
 Owner::HandOver()
 {
--- a/packages/daemon/src/owner.h
+++ b/packages/daemon/src/owner.h
@@ -38,6 +38,7 @@
   int Term() const { return ownership_.term_; }
 
   void Handle(const Event& aEvent);
+  void Retune(); // the tuning has changed
   const Fleet& GetFleet() const { return fleet_; }
 
 private:
--- a/packages/daemon/src/parts.h
+++ b/packages/daemon/src/parts.h
@@ -5,6 +5,8 @@
 
 #include "cuminbridge/adapter.h"
 
+#include "tuning.h"
+
 namespace cuminbridge {
 
 struct DaemonParts
@@ -12,6 +14,7 @@
   boost::asio::io_context& io_;
   Clocks& clocks_;
   const PlatformSettings& settings_;
+  const Tuning& tuning_;
   HttpClient& http_;
   StoreClient& store_;
 };
--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -271,6 +271,13 @@
   std::uint64_t batch_ = 0;
 };
 
+// Times that its owner chose anew. Leases and other times that owners have to
+// agree on must stay as they were.
+struct OptionsChanged
+{
+  FleetOptions options_;
+};
+
 // Time has passed; comes a few times in each 100 ms. mayOrderVms_ is false when
 // the owner's lease may run out before an order would arrive.
 struct Tick
@@ -292,6 +299,7 @@
                            AdviceAnswered,
                            VmOrderAnswered,
                            ProgressStored,
+                           OptionsChanged,
                            Tick>;
 
 //-----------------------------------------------------------------------------
--- a/packages/fleet/src/reducer.cpp
+++ b/packages/fleet/src/reducer.cpp
@@ -117,6 +117,10 @@
   {
     TakeStored(state_, aEvent.batch_);
   }
+  void operator()(const OptionsChanged& aEvent)
+  {
+    state_.options_ = aEvent.options_;
+  }
   void operator()(const Tick& aEvent)
   {
     TakeTick(state_, aEvent);
