--- a/packages/core/include/cuminbridge/core.h
+++ b/packages/core/include/cuminbridge/core.h
@@ -79,7 +79,7 @@
   std::string idempotencyKey_; // empty if none
   bool idempotent_ = false;    // by its method
   bool replayable_ = false;    // no body, or the body is at hand to send again
-  bool urgent_ = false;        // goes first within its team's share
+  bool urgent_ = false;        // goes first within its account's share
 };
 
 // The caller went away before its request was sent to a target. Once sent, a
@@ -231,7 +231,7 @@
 struct LogDecision
 {
   RequestId request_ = 0;
-  std::string team_;
+  std::string account_;
   std::string pool_;
   std::string target_; // empty if refused
   std::string why_;
@@ -403,9 +403,9 @@
 
 std::vector<PoolView> ViewPools(const Entry& aEntry, TimePoint aNow);
 
-struct TeamView
+struct AccountView
 {
-  TeamPtr team_;
+  AccountPtr account_;
   int held_ = 0; // permits at this entry
   int running_ = 0;
   int waiting_ = 0;
@@ -413,7 +413,7 @@
   int issued_ = 0; // permits that exist at most, fleet-wide
 };
 
-std::vector<TeamView> ViewTeams(const Entry& aEntry, TimePoint aNow);
+std::vector<AccountView> ViewAccounts(const Entry& aEntry, TimePoint aNow);
 
 struct WaveView
 {
--- a/packages/core/src/admission.cpp
+++ b/packages/core/src/admission.cpp
@@ -7,17 +7,17 @@
 namespace cuminbridge {
 
 std::string
-TeamOfKey(const Entry& aEntry, const std::string& aKeyHash)
+AccountOfKey(const Entry& aEntry, const std::string& aKeyHash)
 {
   const Agreement& agreement = aEntry.agreement_;
-  const auto& teams = agreement.inForce_->config_->teamOfKey_;
-  const auto found = teams.find(aKeyHash);
-  if (found == teams.end()) {
+  const auto& accounts = agreement.inForce_->config_->accountOfKey_;
+  const auto found = accounts.find(aKeyHash);
+  if (found == accounts.end()) {
     return "";
   }
   for (const PendingChange& pending : agreement.pending_) {
-    const auto next = pending.config_->teamOfKey_.find(aKeyHash);
-    if (next == pending.config_->teamOfKey_.end() ||
+    const auto next = pending.config_->accountOfKey_.find(aKeyHash);
+    if (next == pending.config_->accountOfKey_.end() ||
         next->second != found->second) {
       return "";
     }
--- a/packages/core/src/admission.h
+++ b/packages/core/src/admission.h
@@ -7,9 +7,9 @@
 
 namespace cuminbridge {
 
-// The team of a key by the configuration in force and by every change that may
-// come; empty if they differ or there is none.
-std::string TeamOfKey(const Entry& aEntry, const std::string& aKeyHash);
+// The account of a key by the configuration in force and by every change that
+// may come; empty if they differ or there is none.
+std::string AccountOfKey(const Entry& aEntry, const std::string& aKeyHash);
 
 // Is the pool open to callers without a key, by all of them?
 bool IsOpen(const Entry& aEntry, const std::string& aPool);
--- a/packages/core/src/agreement.cpp
+++ b/packages/core/src/agreement.cpp
@@ -127,7 +127,7 @@
   }
   Heartbeat beat;
   beat.sequence_ = ++agreement.heartbeatSequence_;
-  beat.teams_ = ReportTeamUse(aTurn.entry_);
+  beat.accounts_ = ReportAccountUse(aTurn.entry_);
   agreement.heartbeatSentAt_[beat.sequence_] = aTurn.now_;
   if (agreement.heartbeatSentAt_.size() > kHeartbeatsRemembered) {
     agreement.heartbeatSentAt_.erase(agreement.heartbeatSentAt_.begin());
@@ -275,9 +275,9 @@
       delta.pools_.push_back(*pool);
     }
   }
-  for (const auto& [name, team] : aSnapshot.config_->teams_) {
-    if (team->changedIn_ > aSinceNumber) {
-      delta.teams_.push_back(*team);
+  for (const auto& [name, account] : aSnapshot.config_->accounts_) {
+    if (account->changedIn_ > aSinceNumber) {
+      delta.accounts_.push_back(*account);
     }
   }
   return delta;
@@ -296,8 +296,8 @@
   for (const PoolConfig& pool : aDelta.pools_) {
     builder.SetPool(std::make_shared<const PoolConfig>(pool));
   }
-  for (const TeamConfig& team : aDelta.teams_) {
-    builder.SetTeam(std::make_shared<const TeamConfig>(team));
+  for (const AccountConfig& account : aDelta.accounts_) {
+    builder.SetAccount(std::make_shared<const AccountConfig>(account));
   }
   return builder.Build();
 }
@@ -406,7 +406,7 @@
   }
   SendToPeer(aTurn, aFrame.from_, ack);
   PeerState& peer = aTurn.entry_.agreement_.peers_.at(aFrame.from_);
-  TakeTeamUse(aTurn.entry_, peer, aBeat.teams_);
+  TakeAccountUse(aTurn.entry_, peer, aBeat.accounts_);
 }
 
 void
--- a/packages/core/src/claims.cpp
+++ b/packages/core/src/claims.cpp
@@ -19,7 +19,7 @@
 std::string
 NameClaim(const Request& aRequest)
 {
-  return aRequest.team_ + "\n" + aRequest.arrived_.idempotencyKey_;
+  return aRequest.account_ + "\n" + aRequest.arrived_.idempotencyKey_;
 }
 
 std::size_t
--- a/packages/core/src/entry_state.h
+++ b/packages/core/src/entry_state.h
@@ -3,7 +3,7 @@
 // Each part has its own module with the functions that change it:
 //   Agreement  agreement.h  which configuration is in force, and freshness
 //   Proposal   proposal.h   a change of the head on its way
-//   Permits    permits.h    who may run how much of a team's limit
+//   Permits    permits.h    who may run how much of an account's limit
 //   Routing    routing.h    requests, pools, targets
 //   Claims     claims.h     Idempotency-Keys
 //   Waves      waves.h      maintenance of VMs
@@ -49,7 +49,7 @@
   std::int64_t revision_ = 0; // last said to be in force there
   std::int64_t number_ = 0;   // the ticket of it
   bool isLeaving_ = false;
-  std::map<std::string, TeamUse> teams_; // as last heard
+  std::map<std::string, AccountUse> accounts_; // as last heard
 };
 
 struct Agreement
@@ -141,7 +141,7 @@
   TimePoint resendAt_;
 };
 
-struct TeamState
+struct AccountState
 {
   std::string name_;
   int held_ = 0;    // permits here, in use or not
@@ -151,18 +151,18 @@
   int runningElsewhere_ = 0;
   int waitingElsewhere_ = 0;
   std::set<std::string> waitingPools_;
-  TeamUse reported_; // in a heartbeat, last
+  AccountUse reported_; // in a heartbeat, last
   TimePoint nextAsk_;
   PeerAsks asks_;
 };
 
 struct Permits
 {
-  std::map<std::string, TeamState, std::less<>> teams_;
+  std::map<std::string, AccountState, std::less<>> accounts_;
   std::uint64_t epoch_ = 0; // HashMembers() of the members in force
   std::map<std::uint64_t, Transfer> transfers_;
   std::uint64_t nextTransfer_ = 1;
-  std::string lastReported_; // team; the next heartbeat goes on after it
+  std::string lastReported_; // account; the next heartbeat goes on after it
   std::map<std::string, std::set<std::uint64_t>> received_; // peer#incarnation
   std::map<std::string, std::uint64_t> receivedFloor_; // all up to it count
   LedgerNote ledger_;                                  // as last heard
@@ -208,7 +208,7 @@
 struct Request
 {
   RequestArrived arrived_;
-  std::string team_; // empty for a caller without a key
+  std::string account_; // empty for a caller without a key
   RequestPhase phase_ = RequestPhase::Waiting;
   TimePoint arrivedAt_;
   TimePoint startedAt_;
@@ -235,9 +235,9 @@
   TimePoint ejectedUntil_;
 };
 
-// The requests of one team that wait for one pool, in order of arrival. Ids of
-// requests that went away stay until they come to the front.
-struct TeamQueue
+// The requests of one account that wait for one pool, in order of arrival. Ids
+// of requests that went away stay until they come to the front.
+struct AccountQueue
 {
   std::deque<RequestId> urgent_;
   std::deque<RequestId> normal_;
@@ -249,7 +249,8 @@
 {
   PoolPtr config_;
   std::vector<TargetState*> targets_;
-  std::map<std::string, TeamQueue> queues_; // by team, only those with work
+  std::map<std::string, AccountQueue>
+    queues_; // by account, only those with work
   int ejected_ = 0;
   TimePoint nextSlotAsk_;
   PeerAsks slotAsks_;
--- a/packages/core/src/permits.cpp
+++ b/packages/core/src/permits.cpp
@@ -21,31 +21,31 @@
 // Longer than a heartbeat, so that what peers report is newer than what was
 // given last.
 constexpr Duration kSpreadInterval = std::chrono::milliseconds(1500);
-// A heartbeat goes to every peer, so it must not grow with the teams.
-constexpr std::size_t kTeamsInBeat = 8;
-constexpr TeamUse kNeverReported = { -1, -1, -1 };
+// A heartbeat goes to every peer, so it must not grow with the accounts.
+constexpr std::size_t kAccountsInBeat = 8;
+constexpr AccountUse kNeverReported = { -1, -1, -1 };
 constexpr std::size_t kPeersAsked = 3;
 constexpr std::size_t kTransfersRemembered = 4096;
 
 void
-Give(Turn& aTurn, TeamState& aTeam, const std::string& aPeer, int aCount)
+Give(Turn& aTurn, AccountState& aAccount, const std::string& aPeer, int aCount)
 {
   PermitGive give;
-  give.team_ = aTeam.name_;
+  give.account_ = aAccount.name_;
   give.count_ = aCount;
   if (aCount > 0 && StartTransfer(aTurn, aPeer, std::move(give))) {
-    aTeam.held_ -= aCount;
+    aAccount.held_ -= aCount;
     aTurn.entry_.counts_["permits_given"] += static_cast<unsigned>(aCount);
   }
 }
 
 void
-FreeQuarantine(Turn& aTurn, TeamState& aTeam)
+FreeQuarantine(Turn& aTurn, AccountState& aAccount)
 {
-  while (!aTeam.quarantine_.empty() &&
-         aTeam.quarantine_.front() <= aTurn.now_) {
-    aTeam.quarantine_.pop_front();
-    OnPermitFreed(aTurn, aTeam);
+  while (!aAccount.quarantine_.empty() &&
+         aAccount.quarantine_.front() <= aTurn.now_) {
+    aAccount.quarantine_.pop_front();
+    OnPermitFreed(aTurn, aAccount);
   }
 }
 
@@ -73,8 +73,8 @@
 void
 TakeGiven(Turn& aTurn, const PermitGive& aGive)
 {
-  if (!aGive.team_.empty()) {
-    FindTeam(aTurn.entry_, aGive.team_).held_ += aGive.count_;
+  if (!aGive.account_.empty()) {
+    FindAccount(aTurn.entry_, aGive.account_).held_ += aGive.count_;
   }
   TakeSlots(aTurn.entry_, aGive.slots_);
 }
@@ -82,53 +82,54 @@
 void
 DispatchAfterGive(Turn& aTurn, const PermitGive& aGive)
 {
-  if (!aGive.team_.empty()) {
-    DispatchTeam(aTurn, aGive.team_);
+  if (!aGive.account_.empty()) {
+    DispatchAccount(aTurn, aGive.account_);
   }
   if (!aGive.slots_.empty()) {
     DispatchAll(aTurn);
   }
 }
 
-// A team over its limit: what lies idle goes to the steward, who takes it out
-// of the ledger.
+// An account over its limit: what lies idle goes to the steward, who takes it
+// out of the ledger.
 void
-ReturnSurplus(Turn& aTurn, TeamState& aTeam)
+ReturnSurplus(Turn& aTurn, AccountState& aAccount)
 {
   const std::string steward = FindSteward(aTurn.entry_, aTurn.now_);
   if (IsFrozen(aTurn.entry_, aTurn.now_) || steward.empty() ||
       steward == aTurn.entry_.options_.self_.id_) {
     return;
   }
-  Give(aTurn, aTeam, steward, IdlePermits(aTeam));
+  Give(aTurn, aAccount, steward, IdlePermits(aAccount));
 }
 
 // Permits that lie idle drift apart until each member has its part: an entry
 // that dies takes only these with it.
 void
-SpreadIdle(Turn& aTurn, TeamState& aTeam)
+SpreadIdle(Turn& aTurn, AccountState& aAccount)
 {
   const Entry& entry = aTurn.entry_;
   const auto& issued = entry.permits_.ledger_.issued_;
-  const auto found = issued.find(aTeam.name_);
-  if (found == issued.end() || aTeam.waiting_ > 0 || aTeam.running_ > 0 ||
+  const auto found = issued.find(aAccount.name_);
+  if (found == issued.end() || aAccount.waiting_ > 0 || aAccount.running_ > 0 ||
       IsFrozen(entry, aTurn.now_)) {
     return;
   }
   const auto& members = entry.agreement_.inForce_->members_;
   const int count = static_cast<int>(members.size());
   const int part = (found->second + count - 1) / count;
-  int surplus = IdlePermits(aTeam) - part;
+  int surplus = IdlePermits(aAccount) - part;
   for (const auto& [id, peer] : entry.agreement_.peers_) {
     if (surplus <= 0) {
       return;
     }
-    const auto use = peer.teams_.find(aTeam.name_);
-    const int has =
-      use == peer.teams_.end() ? 0 : use->second.idle_ + use->second.running_;
+    const auto use = peer.accounts_.find(aAccount.name_);
+    const int has = use == peer.accounts_.end()
+                      ? 0
+                      : use->second.idle_ + use->second.running_;
     const int given = std::min(surplus, part - has);
     if (given > 0 && IsHeard(entry, id, aTurn.now_)) {
-      Give(aTurn, aTeam, id, given);
+      Give(aTurn, aAccount, id, given);
       surplus -= given;
     }
   }
@@ -168,62 +169,63 @@
   return aId + "#" + std::to_string(aIncarnation);
 }
 
-TeamState&
-FindTeam(Entry& aEntry, const std::string& aName)
+AccountState&
+FindAccount(Entry& aEntry, const std::string& aName)
 {
-  TeamState& team = aEntry.permits_.teams_[aName];
-  if (team.name_.empty()) {
-    team.name_ = aName;
+  AccountState& account = aEntry.permits_.accounts_[aName];
+  if (account.name_.empty()) {
+    account.name_ = aName;
   }
-  return team;
+  return account;
 }
 
 int
-IdlePermits(const TeamState& aTeam)
+IdlePermits(const AccountState& aAccount)
 {
-  const int used = aTeam.running_ + static_cast<int>(aTeam.quarantine_.size());
-  return std::max(0, aTeam.held_ - used);
+  const int used =
+    aAccount.running_ + static_cast<int>(aAccount.quarantine_.size());
+  return std::max(0, aAccount.held_ - used);
 }
 
 bool
-IsTeamBlocked(const Entry& aEntry, const std::string& aTeam)
+IsAccountBlocked(const Entry& aEntry, const std::string& aAccount)
 {
   const Agreement& agreement = aEntry.agreement_;
   const LedgerNote& ledger = aEntry.permits_.ledger_;
-  const auto& teams = agreement.inForce_->config_->teams_;
-  const auto config = teams.find(aTeam);
-  if (config == teams.end() || !aEntry.permits_.isLedgerKnown_) {
+  const auto& accounts = agreement.inForce_->config_->accounts_;
+  const auto config = accounts.find(aAccount);
+  if (config == accounts.end() || !aEntry.permits_.isLedgerKnown_) {
     return true;
   }
   int limit = config->second->limit_;
   for (const PendingChange& pending : agreement.pending_) {
-    const auto next = pending.config_->teams_.find(aTeam);
-    if (next != pending.config_->teams_.end()) {
+    const auto next = pending.config_->accounts_.find(aAccount);
+    if (next != pending.config_->accounts_.end()) {
       limit = std::min(limit, next->second->limit_);
     }
   }
-  const auto issued = ledger.issued_.find(aTeam);
+  const auto issued = ledger.issued_.find(aAccount);
   const int count = issued == ledger.issued_.end() ? 0 : issued->second;
   return ledger.number_ < config->second->loweredIn_ || count > limit;
 }
 
 void
-AskForPermits(Turn& aTurn, TeamState& aTeam)
+AskForPermits(Turn& aTurn, AccountState& aAccount)
 {
   Entry& entry = aTurn.entry_;
-  if (aTeam.waiting_ == 0 || aTurn.now_ < aTeam.nextAsk_ ||
-      IsTeamBlocked(entry, aTeam.name_)) {
+  if (aAccount.waiting_ == 0 || aTurn.now_ < aAccount.nextAsk_ ||
+      IsAccountBlocked(entry, aAccount.name_)) {
     return;
   }
-  aTeam.nextAsk_ = aTurn.now_ + kAskInterval;
+  aAccount.nextAsk_ = aTurn.now_ + kAskInterval;
   std::vector<std::pair<int, const PeerState*>> peers;
   for (const auto& [id, peer] : entry.agreement_.peers_) {
     if (FindMember(entry, id, peer.incarnation_) == nullptr) {
       continue;
     }
-    const auto use = peer.teams_.find(aTeam.name_);
-    const int idle = use == peer.teams_.end() ? 0 : use->second.idle_;
-    const int running = use == peer.teams_.end() ? 0 : use->second.running_;
+    const auto use = peer.accounts_.find(aAccount.name_);
+    const int idle = use == peer.accounts_.end() ? 0 : use->second.idle_;
+    const int running = use == peer.accounts_.end() ? 0 : use->second.running_;
     // Idle permits count most, then running ones: some will come free.
     constexpr int kIdleWeight = 1000;
     const int noise = static_cast<int>(entry.routing_.random_(2));
@@ -241,59 +243,61 @@
     peers.resize(kPeersAsked);
   }
   for (const auto& [weight, peer] : peers) {
-    aTurn.Emit(
-      SendPeer{ peer->address_, PermitAsk{ aTeam.name_, aTeam.waiting_ } });
+    aTurn.Emit(SendPeer{ peer->address_,
+                         PermitAsk{ aAccount.name_, aAccount.waiting_ } });
   }
 }
 
 void
-OnPermitFreed(Turn& aTurn, TeamState& aTeam)
+OnPermitFreed(Turn& aTurn, AccountState& aAccount)
 {
-  DropOldAsks(aTeam.asks_, aTurn.now_);
-  if (aTeam.asks_.byPeer_.empty() || IsFrozen(aTurn.entry_, aTurn.now_) ||
-      IdlePermits(aTeam) == 0) {
+  DropOldAsks(aAccount.asks_, aTurn.now_);
+  if (aAccount.asks_.byPeer_.empty() || IsFrozen(aTurn.entry_, aTurn.now_) ||
+      IdlePermits(aAccount) == 0) {
     return;
   }
   // Own requests and asking peers take turns, so that none of them starves.
-  aTeam.asks_.isGiveTurn_ = !aTeam.asks_.isGiveTurn_;
-  if (aTeam.waiting_ > 0 && !aTeam.asks_.isGiveTurn_) {
+  aAccount.asks_.isGiveTurn_ = !aAccount.asks_.isGiveTurn_;
+  if (aAccount.waiting_ > 0 && !aAccount.asks_.isGiveTurn_) {
     return;
   }
-  Give(aTurn, aTeam, TakeNextAsk(aTeam.asks_), 1);
+  Give(aTurn, aAccount, TakeNextAsk(aAccount.asks_), 1);
 }
 
-std::map<std::string, TeamUse>
-ReportTeamUse(Entry& aEntry)
+std::map<std::string, AccountUse>
+ReportAccountUse(Entry& aEntry)
 {
   Permits& permits = aEntry.permits_;
-  std::map<std::string, TeamUse> report;
+  std::map<std::string, AccountUse> report;
   const auto visit = [&](auto aFrom, auto aTo) {
-    for (auto it = aFrom; it != aTo && report.size() < kTeamsInBeat; ++it) {
-      TeamState& team = it->second;
-      const TeamUse use{ IdlePermits(team), team.running_, team.waiting_ };
-      if (use != team.reported_) {
-        team.reported_ = use;
+    for (auto it = aFrom; it != aTo && report.size() < kAccountsInBeat; ++it) {
+      AccountState& account = it->second;
+      const AccountUse use{ IdlePermits(account),
+                            account.running_,
+                            account.waiting_ };
+      if (use != account.reported_) {
+        account.reported_ = use;
         report.emplace(it->first, use);
         permits.lastReported_ = it->first;
       }
     }
   };
-  const auto middle = permits.teams_.upper_bound(permits.lastReported_);
-  visit(middle, permits.teams_.end());
-  visit(permits.teams_.begin(), middle);
+  const auto middle = permits.accounts_.upper_bound(permits.lastReported_);
+  visit(middle, permits.accounts_.end());
+  visit(permits.accounts_.begin(), middle);
   return report;
 }
 
 void
-TakeTeamUse(Entry& aEntry,
-            PeerState& aPeer,
-            const std::map<std::string, TeamUse>& aUse)
+TakeAccountUse(Entry& aEntry,
+               PeerState& aPeer,
+               const std::map<std::string, AccountUse>& aUse)
 {
   for (const auto& [name, use] : aUse) {
-    TeamState& team = FindTeam(aEntry, name);
-    TeamUse& last = aPeer.teams_[name];
-    team.runningElsewhere_ += use.running_ - last.running_;
-    team.waitingElsewhere_ += use.waiting_ - last.waiting_;
+    AccountState& account = FindAccount(aEntry, name);
+    AccountUse& last = aPeer.accounts_[name];
+    account.runningElsewhere_ += use.running_ - last.running_;
+    account.waitingElsewhere_ += use.waiting_ - last.waiting_;
     last = use;
   }
 }
@@ -301,23 +305,23 @@
 void
 ForgetUse(Entry& aEntry, PeerState& aPeer)
 {
-  std::map<std::string, TeamUse> nothing;
-  for (const auto& [name, use] : aPeer.teams_) {
-    nothing.emplace(name, TeamUse{});
+  std::map<std::string, AccountUse> nothing;
+  for (const auto& [name, use] : aPeer.accounts_) {
+    nothing.emplace(name, AccountUse{});
   }
-  TakeTeamUse(aEntry, aPeer, nothing);
-  aPeer.teams_.clear();
+  TakeAccountUse(aEntry, aPeer, nothing);
+  aPeer.accounts_.clear();
 }
 
 void
 GiveAllIdle(Turn& aTurn)
 {
-  for (auto& [name, team] : aTurn.entry_.permits_.teams_) {
+  for (auto& [name, account] : aTurn.entry_.permits_.accounts_) {
     std::string heir = FindSteward(aTurn.entry_, aTurn.now_);
     if (heir == aTurn.entry_.options_.self_.id_) {
       heir = FindNextSteward(aTurn.entry_, aTurn.now_);
     }
-    Give(aTurn, team, heir, IdlePermits(team));
+    Give(aTurn, account, heir, IdlePermits(account));
   }
 }
 
@@ -332,8 +336,8 @@
   if (wasMember && !isMember) {
     // Taken out of the members: what was held here is void from now on. A new
     // incarnation joins with nothing.
-    for (auto& [name, team] : entry.permits_.teams_) {
-      team.held_ = 0;
+    for (auto& [name, account] : entry.permits_.accounts_) {
+      account.held_ = 0;
     }
     entry.permits_.transfers_.clear();
     ++entry.options_.self_.incarnation_;
@@ -344,8 +348,8 @@
       ForgetUse(entry, peer);
     }
   }
-  for (auto& [name, team] : entry.permits_.teams_) {
-    team.reported_ = kNeverReported; // newcomers have heard nothing yet
+  for (auto& [name, account] : entry.permits_.accounts_) {
+    account.reported_ = kNeverReported; // newcomers have heard nothing yet
   }
   const auto isGone = [&](const auto& aKnown) {
     const auto& members = entry.agreement_.inForce_->members_;
@@ -368,17 +372,17 @@
 void
 OnPermitAsk(Turn& aTurn, const PeerFrame& aFrame, const PermitAsk& aAsk)
 {
-  TeamState& team = FindTeam(aTurn.entry_, aAsk.team_);
+  AccountState& account = FindAccount(aTurn.entry_, aAsk.account_);
   if (IsFrozen(aTurn.entry_, aTurn.now_) || aAsk.count_ <= 0) {
     return;
   }
-  const int idle = IdlePermits(team);
-  const int spare = team.waiting_ > 0 ? idle / 2 : idle;
+  const int idle = IdlePermits(account);
+  const int spare = account.waiting_ > 0 ? idle / 2 : idle;
   const int given = std::min(spare, aAsk.count_);
-  Give(aTurn, team, aFrame.from_, given);
+  Give(aTurn, account, aFrame.from_, given);
   if (given < aAsk.count_) {
-    team.asks_.byPeer_[aFrame.from_] = { aAsk.count_ - given,
-                                         aTurn.now_ + kAskLifetime };
+    account.asks_.byPeer_[aFrame.from_] = { aAsk.count_ - given,
+                                            aTurn.now_ + kAskLifetime };
   }
 }
 
@@ -456,18 +460,18 @@
   if (isSpreadDue) {
     entry.permits_.nextSpread_ = aTurn.now_ + kSpreadInterval;
   }
-  for (auto& [name, team] : entry.permits_.teams_) {
+  for (auto& [name, account] : entry.permits_.accounts_) {
     if (isSpreadDue && entry.agreement_.inForce_) {
-      SpreadIdle(aTurn, team);
+      SpreadIdle(aTurn, account);
     }
-    FreeQuarantine(aTurn, team);
-    if (team.waiting_ > 0) {
-      DispatchTeam(aTurn, name);
-      AskForPermits(aTurn, team);
+    FreeQuarantine(aTurn, account);
+    if (account.waiting_ > 0) {
+      DispatchAccount(aTurn, name);
+      AskForPermits(aTurn, account);
     }
-    if (entry.agreement_.inForce_ && IdlePermits(team) > 0 &&
-        IsTeamBlocked(entry, name)) {
-      ReturnSurplus(aTurn, team);
+    if (entry.agreement_.inForce_ && IdlePermits(account) > 0 &&
+        IsAccountBlocked(entry, name)) {
+      ReturnSurplus(aTurn, account);
     }
   }
   ResendTransfers(aTurn);
--- a/packages/core/src/permits.h
+++ b/packages/core/src/permits.h
@@ -1,8 +1,8 @@
 // Internal: upper limits across entries, by permits.
 //
-// A request of a team runs only on a permit, and no more permits of a team
-// exist than its limit. The store's ledger says how many were issued; between
-// two writes of the ledger permits only move, from entry to entry, in
+// A request of an account runs only on a permit, and no more permits of an
+// account exist than its limit. The store's ledger says how many were issued;
+// between two writes of the ledger permits only move, from entry to entry, in
 // acknowledged transfers that are counted once. Nothing here rests on a clock
 // except two waits: an audit's freeze, and the run limit after which a lost
 // request is known to have ended.
@@ -28,25 +28,25 @@
 // False if it is none; else the caller must count them as given up.
 bool StartTransfer(Turn& aTurn, const std::string& aPeer, PermitGive aGive);
 
-TeamState& FindTeam(Entry& aEntry, const std::string& aName);
+AccountState& FindAccount(Entry& aEntry, const std::string& aName);
 
 // Permits that a request could start on now.
-int IdlePermits(const TeamState& aTeam);
+int IdlePermits(const AccountState& aAccount);
 
 // True while more permits may exist than the limit allows: nothing starts.
-bool IsTeamBlocked(const Entry& aEntry, const std::string& aTeam);
+bool IsAccountBlocked(const Entry& aEntry, const std::string& aAccount);
 
 // Asks peers for permits, if requests wait for them here.
-void AskForPermits(Turn& aTurn, TeamState& aTeam);
+void AskForPermits(Turn& aTurn, AccountState& aAccount);
 
 // A permit came free: hands it to an asking peer when it is their turn.
-void OnPermitFreed(Turn& aTurn, TeamState& aTeam);
+void OnPermitFreed(Turn& aTurn, AccountState& aAccount);
 
-// What the heartbeat tells of teams, and taking a peer's into account.
-std::map<std::string, TeamUse> ReportTeamUse(Entry& aEntry);
-void TakeTeamUse(Entry& aEntry,
-                 PeerState& aPeer,
-                 const std::map<std::string, TeamUse>& aUse);
+// What the heartbeat tells of accounts, and taking a peer's into account.
+std::map<std::string, AccountUse> ReportAccountUse(Entry& aEntry);
+void TakeAccountUse(Entry& aEntry,
+                    PeerState& aPeer,
+                    const std::map<std::string, AccountUse>& aUse);
 
 // A peer's use counts no more: it has gone, or started anew.
 void ForgetUse(Entry& aEntry, PeerState& aPeer);
--- a/packages/core/src/queues.cpp
+++ b/packages/core/src/queues.cpp
@@ -1,4 +1,4 @@
-// Queues of pools and teams.
+// Queues of pools and accounts.
 
 #include "queues.h"
 
@@ -25,7 +25,7 @@
   Entry& entry = aTurn.entry_;
   PoolState& pool = *FindPool(entry, aRequest.arrived_.pool_);
   aRequest.phase_ = RequestPhase::Waiting;
-  TeamQueue& queue = pool.queues_[aRequest.team_];
+  AccountQueue& queue = pool.queues_[aRequest.account_];
   auto& line = aRequest.arrived_.urgent_ ? queue.urgent_ : queue.normal_;
   if (aIsFront) {
     line.push_front(aRequest.arrived_.id_);
@@ -34,10 +34,10 @@
   }
   ++queue.count_;
   ++entry.routing_.waiting_;
-  if (!aRequest.team_.empty()) {
-    TeamState& team = FindTeam(entry, aRequest.team_);
-    ++team.waiting_;
-    team.waitingPools_.insert(aRequest.arrived_.pool_);
+  if (!aRequest.account_.empty()) {
+    AccountState& account = FindAccount(entry, aRequest.account_);
+    ++account.waiting_;
+    account.waitingPools_.insert(aRequest.arrived_.pool_);
   }
 }
 
@@ -47,17 +47,17 @@
   Entry& entry = aTurn.entry_;
   --entry.routing_.waiting_;
   PoolState* pool = FindPool(entry, aRequest.arrived_.pool_);
-  TeamQueue& queue = pool->queues_[aRequest.team_];
+  AccountQueue& queue = pool->queues_[aRequest.account_];
   --queue.count_;
-  if (!aRequest.team_.empty()) {
-    TeamState& team = FindTeam(entry, aRequest.team_);
-    --team.waiting_;
+  if (!aRequest.account_.empty()) {
+    AccountState& account = FindAccount(entry, aRequest.account_);
+    --account.waiting_;
     if (queue.count_ == 0) {
-      team.waitingPools_.erase(aRequest.arrived_.pool_);
+      account.waitingPools_.erase(aRequest.arrived_.pool_);
     }
   }
   if (queue.count_ == 0) {
-    pool->queues_.erase(aRequest.team_);
+    pool->queues_.erase(aRequest.account_);
   }
 }
 
@@ -84,7 +84,7 @@
 } // namespace
 
 std::deque<RequestId>*
-NextLine(Entry& aEntry, TeamQueue& aQueue)
+NextLine(Entry& aEntry, AccountQueue& aQueue)
 {
   TrimLine(aEntry, aQueue.urgent_);
   TrimLine(aEntry, aQueue.normal_);
--- a/packages/core/src/queues.h
+++ b/packages/core/src/queues.h
@@ -1,4 +1,4 @@
-// Internal: requests that wait, by pool and team, in order of arrival.
+// Internal: requests that wait, by pool and account, in order of arrival.
 
 #ifndef cuminbridge_core_queues_h
 #define cuminbridge_core_queues_h
@@ -21,7 +21,7 @@
 
 // The line whose front goes next, or null if none waits. Urgent work goes
 // first, but never all the time.
-std::deque<RequestId>* NextLine(Entry& aEntry, TeamQueue& aQueue);
+std::deque<RequestId>* NextLine(Entry& aEntry, AccountQueue& aQueue);
 
 } // namespace cuminbridge
 
--- a/packages/core/src/records.cpp
+++ b/packages/core/src/records.cpp
@@ -16,7 +16,7 @@
 namespace {
 
 constexpr std::string_view kPoolPrefix = "cuminbridge/config/pool/";
-constexpr std::string_view kTeamPrefix = "cuminbridge/config/team/";
+constexpr std::string_view kAccountPrefix = "cuminbridge/config/account/";
 
 } // namespace
 
@@ -49,9 +49,9 @@
     puts.push_back(
       { std::string(kPoolPrefix) + pool.name_, json(pool).dump() });
   }
-  for (const TeamConfig& team : aChange.teams_) {
+  for (const AccountConfig& account : aChange.accounts_) {
     puts.push_back(
-      { std::string(kTeamPrefix) + team.name_, json(team).dump() });
+      { std::string(kAccountPrefix) + account.name_, json(account).dump() });
   }
   return puts;
 }
@@ -91,9 +91,9 @@
       } else if (value.key_.starts_with(kPoolPrefix)) {
         builder.SetPool(
           std::make_shared<const PoolConfig>(record.get<PoolConfig>()));
-      } else if (value.key_.starts_with(kTeamPrefix)) {
-        builder.SetTeam(
-          std::make_shared<const TeamConfig>(record.get<TeamConfig>()));
+      } else if (value.key_.starts_with(kAccountPrefix)) {
+        builder.SetAccount(
+          std::make_shared<const AccountConfig>(record.get<AccountConfig>()));
       }
     }
   } catch (const json::exception& error) {
--- a/packages/core/src/records.h
+++ b/packages/core/src/records.h
@@ -2,7 +2,7 @@
 //
 //   cuminbridge/config/head         number, digest, members
 //   cuminbridge/config/pool/NAME    one pool
-//   cuminbridge/config/team/NAME    one team
+//   cuminbridge/config/account/NAME    one account
 //   cuminbridge/ticket/NUMBER       digest and text of an accepted ticket
 //   cuminbridge/ledger              permits issued
 //   cuminbridge/wave/POOL           VMs taken for maintenance
--- a/packages/core/src/reducer.cpp
+++ b/packages/core/src/reducer.cpp
@@ -156,7 +156,7 @@
   }
 }
 
-// Permits that lie idle go to the steward, so that the team loses none.
+// Permits that lie idle go to the steward, so that the account loses none.
 void
 HandOver(Turn& aTurn)
 {
--- a/packages/core/src/routing.cpp
+++ b/packages/core/src/routing.cpp
@@ -65,7 +65,7 @@
                                                      : "requests_unknown"];
   LogDecision log;
   log.request_ = id;
-  log.team_ = aRequest.team_;
+  log.account_ = aRequest.account_;
   log.pool_ = aRequest.arrived_.pool_;
   log.why_ = aDetail;
   log.waited_ = ToMilliseconds(aTurn.now_ - aRequest.arrivedAt_);
@@ -82,37 +82,38 @@
 //-----------------------------------------------------------------------------
 
 bool
-HasPermit(Turn& aTurn, const std::string& aTeam)
+HasPermit(Turn& aTurn, const std::string& aAccount)
 {
-  if (aTeam.empty()) {
-    return true; // open pools have no team and no limit
+  if (aAccount.empty()) {
+    return true; // open pools have no account and no limit
   }
-  TeamState& team = FindTeam(aTurn.entry_, aTeam);
-  if (IdlePermits(team) == 0) {
-    AskForPermits(aTurn, team);
+  AccountState& account = FindAccount(aTurn.entry_, aAccount);
+  if (IdlePermits(account) == 0) {
+    AskForPermits(aTurn, account);
     return false;
   }
-  return !IsTeamBlocked(aTurn.entry_, aTeam);
+  return !IsAccountBlocked(aTurn.entry_, aAccount);
 }
 
-// What a team runs, by its share. The smallest goes first.
+// What an account runs, by its share. The smallest goes first.
 double
-NormalizedUse(Entry& aEntry, const std::string& aTeam)
+NormalizedUse(Entry& aEntry, const std::string& aAccount)
 {
-  if (aTeam.empty()) {
+  if (aAccount.empty()) {
     return 0;
   }
-  const auto& teams = aEntry.agreement_.inForce_->config_->teams_;
-  const auto config = teams.find(aTeam);
-  const int share = config == teams.end() ? 1 : config->second->share_;
-  const TeamState& team = FindTeam(aEntry, aTeam);
-  return static_cast<double>(team.running_ + team.runningElsewhere_) / share;
+  const auto& accounts = aEntry.agreement_.inForce_->config_->accounts_;
+  const auto config = accounts.find(aAccount);
+  const int share = config == accounts.end() ? 1 : config->second->share_;
+  const AccountState& account = FindAccount(aEntry, aAccount);
+  return static_cast<double>(account.running_ + account.runningElsewhere_) /
+         share;
 }
 
-// The waiting team that is furthest below its share and has a permit; the end
-// of the queues if there is none.
+// The waiting account that is furthest below its share and has a permit; the
+// end of the queues if there is none.
 auto
-NextTeam(Turn& aTurn, PoolState& aPool, const std::set<std::string>& aSkip)
+NextAccount(Turn& aTurn, PoolState& aPool, const std::set<std::string>& aSkip)
 {
   auto best = aPool.queues_.end();
   double bestUse = 0;
@@ -142,12 +143,12 @@
   ++target.running_;
   target.isProbing_ |= aChoice.isProbe_;
   ++entry.routing_.running_;
-  if (!aRequest.team_.empty()) {
-    ++FindTeam(entry, aRequest.team_).running_;
+  if (!aRequest.account_.empty()) {
+    ++FindAccount(entry, aRequest.account_).running_;
   }
   LogDecision log;
   log.request_ = aRequest.arrived_.id_;
-  log.team_ = aRequest.team_;
+  log.account_ = aRequest.account_;
   log.pool_ = aRequest.arrived_.pool_;
   log.target_ = target.address_;
   log.why_ = aChoice.isProbe_ ? "probe" : "least loaded";
@@ -164,15 +165,16 @@
 bool
 IsStillAllowed(Turn& aTurn, const Request& aRequest)
 {
-  if (aRequest.team_.empty()) {
+  if (aRequest.account_.empty()) {
     return IsOpen(aTurn.entry_, aRequest.arrived_.pool_);
   }
-  return TeamOfKey(aTurn.entry_, aRequest.arrived_.keyHash_) == aRequest.team_;
+  return AccountOfKey(aTurn.entry_, aRequest.arrived_.keyHash_) ==
+         aRequest.account_;
 }
 
-// Starts the next request of a team. False if no target can take it.
+// Starts the next request of an account. False if no target can take it.
 bool
-StartNextOf(Turn& aTurn, PoolState& aPool, TeamQueue& aQueue)
+StartNextOf(Turn& aTurn, PoolState& aPool, AccountQueue& aQueue)
 {
   auto* line = NextLine(aTurn.entry_, aQueue);
   if (line == nullptr) {
@@ -215,17 +217,17 @@
         aTurn.now_ + entry.options_.runLimit_, aRequest.target_);
     }
   }
-  if (aRequest.team_.empty()) {
+  if (aRequest.account_.empty()) {
     return;
   }
-  TeamState& team = FindTeam(entry, aRequest.team_);
-  --team.running_;
+  AccountState& account = FindAccount(entry, aRequest.account_);
+  --account.running_;
   if (aMayStillRun) {
     // The target's lease on it ends with the run limit at the latest; until
     // then the permit stays in use.
-    team.quarantine_.push_back(aTurn.now_ + entry.options_.runLimit_);
+    account.quarantine_.push_back(aTurn.now_ + entry.options_.runLimit_);
   } else {
-    OnPermitFreed(aTurn, team);
+    OnPermitFreed(aTurn, account);
   }
 }
 
@@ -329,9 +331,9 @@
     RefuseNew(aTurn, aArrived, 404, "no such pool");
     return;
   }
-  const std::string team = TeamOfKey(entry, aArrived.keyHash_);
-  if (team.empty() && !IsOpen(entry, aArrived.pool_)) {
-    RefuseNew(aTurn, aArrived, 401, "no team has this key");
+  const std::string account = AccountOfKey(entry, aArrived.keyHash_);
+  if (account.empty() && !IsOpen(entry, aArrived.pool_)) {
+    RefuseNew(aTurn, aArrived, 401, "no account has this key");
     return;
   }
   if (entry.routing_.waiting_ >= entry.options_.queueCapacity_) {
@@ -340,7 +342,7 @@
   }
   Request& request = entry.routing_.requests_[aArrived.id_];
   request.arrived_ = aArrived;
-  request.team_ = team;
+  request.account_ = account;
   request.arrivedAt_ = aTurn.now_;
   entry.routing_.retryCredit_ = std::min(
     kMaxRetryCredit, entry.routing_.retryCredit_ + entry.options_.retryRatio_);
@@ -427,7 +429,7 @@
   }
   Request& request = found->second;
   const std::string pool = request.arrived_.pool_;
-  const std::string team = request.team_;
+  const std::string account = request.account_;
   const std::string target = request.target_;
   request.mayHaveRun_ |= aEnded.result_ == ExchangeResult::Broken;
   NoteTargetOutcome(aTurn, request, aEnded);
@@ -449,8 +451,8 @@
     }
     DispatchPool(aTurn, *state);
   }
-  if (!team.empty()) {
-    DispatchTeam(aTurn, team);
+  if (!account.empty()) {
+    DispatchAccount(aTurn, account);
   }
 }
 
@@ -461,20 +463,20 @@
     return;
   }
   std::set<std::string> skip;
-  for (auto next = NextTeam(aTurn, aPool, skip); next != aPool.queues_.end();
-       next = NextTeam(aTurn, aPool, skip)) {
-    const std::string team = next->first;
+  for (auto next = NextAccount(aTurn, aPool, skip); next != aPool.queues_.end();
+       next = NextAccount(aTurn, aPool, skip)) {
+    const std::string account = next->first;
     if (!StartNextOf(aTurn, aPool, next->second)) {
-      skip.insert(team);
+      skip.insert(account);
     }
   }
 }
 
 void
-DispatchTeam(Turn& aTurn, const std::string& aTeam)
+DispatchAccount(Turn& aTurn, const std::string& aAccount)
 {
   const std::set<std::string> pools =
-    FindTeam(aTurn.entry_, aTeam).waitingPools_;
+    FindAccount(aTurn.entry_, aAccount).waitingPools_;
   for (const std::string& name : pools) {
     PoolState* pool = FindPool(aTurn.entry_, name);
     if (pool != nullptr) {
@@ -502,7 +504,7 @@
   }
   std::vector<RequestId> late;
   for (auto& [name, pool] : entry.routing_.pools_) {
-    for (auto& [team, queue] : pool.queues_) {
+    for (auto& [account, queue] : pool.queues_) {
       for (auto* line : { &queue.urgent_, &queue.normal_ }) {
         for (const RequestId id : *line) {
           const Request* request = FindWaiting(entry, id);
@@ -519,14 +521,15 @@
   }
   for (const RequestId id : late) {
     Request& request = *FindWaiting(entry, id);
-    const bool isLimited = !request.team_.empty() &&
-                           IdlePermits(FindTeam(entry, request.team_)) == 0;
+    const bool isLimited =
+      !request.account_.empty() &&
+      IdlePermits(FindAccount(entry, request.account_)) == 0;
     CountDequeued(aTurn, request);
     RefuseKnown(aTurn,
                 request,
                 isLimited ? 429 : 503,
                 Outcome::NotRun,
-                isLimited ? "the team is at its limit" : "no target is free",
+                isLimited ? "the account is at its limit" : "no target is free",
                 kRetryAfterSeconds);
   }
 }
--- a/packages/core/src/routing.h
+++ b/packages/core/src/routing.h
@@ -15,10 +15,10 @@
 void OnClaimGranted(Turn& aTurn, RequestId aRequest);
 void OnClaimRefused(Turn& aTurn, RequestId aRequest, bool aIsHeld);
 
-// Starts what can start, in one pool, in all pools where a team waits, or in
-// all pools.
+// Starts what can start, in one pool, in all pools where an account waits, or
+// in all pools.
 void DispatchPool(Turn& aTurn, PoolState& aPool);
-void DispatchTeam(Turn& aTurn, const std::string& aTeam);
+void DispatchAccount(Turn& aTurn, const std::string& aAccount);
 void DispatchAll(Turn& aTurn);
 
 // A configuration came into force; aOld is the one before, or null.
--- a/packages/core/src/slots.cpp
+++ b/packages/core/src/slots.cpp
@@ -42,7 +42,7 @@
 WaitingIn(const PoolState& aPool)
 {
   int waiting = 0;
-  for (const auto& [team, queue] : aPool.queues_) {
+  for (const auto& [account, queue] : aPool.queues_) {
     waiting += queue.count_;
   }
   return waiting;
--- a/packages/core/src/steward.cpp
+++ b/packages/core/src/steward.cpp
@@ -53,14 +53,15 @@
 CountOwn(const Entry& aEntry)
 {
   std::map<std::string, int> held;
-  for (const auto& [name, team] : aEntry.permits_.teams_) {
+  for (const auto& [name, account] : aEntry.permits_.accounts_) {
     // A request may run on after its permit became void; count it too.
-    const int used = team.running_ + static_cast<int>(team.quarantine_.size());
-    held[name] = std::max(team.held_, used);
+    const int used =
+      account.running_ + static_cast<int>(account.quarantine_.size());
+    held[name] = std::max(account.held_, used);
   }
   for (const auto& [id, transfer] : aEntry.permits_.transfers_) {
     if (transfer.give_.count_ > 0) {
-      held[transfer.give_.team_] += transfer.give_.count_;
+      held[transfer.give_.account_] += transfer.give_.count_;
     }
   }
   // What a swap under way would give or take is counted as if it were here:
@@ -150,15 +151,15 @@
   std::map<std::string, int> issued = permits.ledger_.issued_;
   std::map<std::string, int> credit;
   std::map<std::string, int> burnt;
-  for (const auto& [name, team] : config.teams_) {
+  for (const auto& [name, account] : config.accounts_) {
     const auto current = issued.find(name);
     const int have = current == issued.end() ? 0 : current->second;
-    if (have < team->limit_) {
-      issued[name] = team->limit_;
-      credit[name] = team->limit_ - have;
-    } else if (have > team->limit_) {
-      TeamState& state = FindTeam(entry, name);
-      const int count = std::min(IdlePermits(state), have - team->limit_);
+    if (have < account->limit_) {
+      issued[name] = account->limit_;
+      credit[name] = account->limit_ - have;
+    } else if (have > account->limit_) {
+      AccountState& state = FindAccount(entry, name);
+      const int count = std::min(IdlePermits(state), have - account->limit_);
       if (count > 0) {
         issued[name] = have - count;
         burnt[name] = count;
@@ -169,16 +170,18 @@
   for (const std::string& gone : FindGone(entry)) {
     members.push_back(gone);
   }
-  const bool isLowered = std::any_of(
-    config.teams_.begin(), config.teams_.end(), [&](const auto& aTeam) {
-      return aTeam.second->loweredIn_ > permits.ledger_.number_;
-    });
+  const bool isLowered =
+    std::any_of(config.accounts_.begin(),
+                config.accounts_.end(),
+                [&](const auto& aAccount) {
+                  return aAccount.second->loweredIn_ > permits.ledger_.number_;
+                });
   std::vector<std::string> known = permits.ledgerMembers_;
   std::sort(known.begin(), known.end());
   std::sort(members.begin(), members.end());
   if (issued != permits.ledger_.issued_ || members != known || isLowered) {
     for (const auto& [name, count] : burnt) {
-      FindTeam(entry, name).held_ -=
+      FindAccount(entry, name).held_ -=
         count; // given up before the ledger says so
     }
     SwapLedger(aTurn,
@@ -205,8 +208,8 @@
       aTurn.entry_.permits_.swapIncarnation_ != self.incarnation_) {
     return;
   }
-  for (const auto& [team, count] : aCounts) {
-    FindTeam(aTurn.entry_, team).held_ += count;
+  for (const auto& [account, count] : aCounts) {
+    FindAccount(aTurn.entry_, account).held_ += count;
   }
 }
 
--- a/packages/core/src/views.cpp
+++ b/packages/core/src/views.cpp
@@ -101,7 +101,7 @@
   for (const auto& [name, pool] : aEntry.routing_.pools_) {
     PoolView view;
     view.pool_ = pool.config_;
-    for (const auto& [team, queue] : pool.queues_) {
+    for (const auto& [account, queue] : pool.queues_) {
       view.waiting_ += queue.count_;
     }
     for (const TargetState* target : pool.targets_) {
@@ -115,18 +115,19 @@
   return views;
 }
 
-std::vector<TeamView>
-ViewTeams(const Entry& aEntry, TimePoint)
+std::vector<AccountView>
+ViewAccounts(const Entry& aEntry, TimePoint)
 {
-  std::vector<TeamView> views;
+  std::vector<AccountView> views;
   if (!aEntry.agreement_.inForce_) {
     return views;
   }
-  for (const auto& [name, team] : aEntry.agreement_.inForce_->config_->teams_) {
-    TeamView view;
-    view.team_ = team;
-    const auto state = aEntry.permits_.teams_.find(name);
-    if (state != aEntry.permits_.teams_.end()) {
+  for (const auto& [name, account] :
+       aEntry.agreement_.inForce_->config_->accounts_) {
+    AccountView view;
+    view.account_ = account;
+    const auto state = aEntry.permits_.accounts_.find(name);
+    if (state != aEntry.permits_.accounts_.end()) {
       view.held_ = state->second.held_;
       view.running_ = state->second.running_;
       view.waiting_ = state->second.waiting_;
--- a/packages/core/tests/fleet_test.cpp
+++ b/packages/core/tests/fleet_test.cpp
@@ -14,13 +14,14 @@
 
 namespace {
 
-// A ticket with one pool of five VMs and one team with key "k" and a limit.
+// A ticket with one pool of five VMs and one account with key "k" and a limit.
 std::string
 MakeTicket(int aNumber, int aLimit, const std::string& aKey = "k")
 {
   return "ticket = " + std::to_string(aNumber) +
          "\n[pool.a]\nvms = [\"10.0.0.1\", \"10.0.0.2\", \"10.0.0.3\", "
-         "\"10.0.0.4\", \"10.0.0.5\"]\nmin_available = 4\n[team.t]\nkeys = [" +
+         "\"10.0.0.4\", \"10.0.0.5\"]\nmin_available = 4\n[account.t]\nkeys = "
+         "[" +
          (aKey.empty() ? "" : "\"" + HashKey(aKey) + "\"") +
          "]\nshare = 1\nlimit = " + std::to_string(aLimit) + "\n";
 }
@@ -76,7 +77,7 @@
   RequireNothingBroken(fleet);
 }
 
-TEST_CASE("a team alone reaches its limit from any one entry, and no more")
+TEST_CASE("an account alone reaches its limit from any one entry, and no more")
 {
   for (std::size_t node = 0; node < 6; ++node) {
     VirtualFleet fleet = MakeFleet(node + 1);
@@ -408,7 +409,7 @@
   VirtualFleet fleet = MakeFleet(18);
   fleet.Run(seconds(10));
   for (const VirtualNode& node : fleet.nodes_) {
-    REQUIRE(ViewTeams(*node.entry_, fleet.Now()).front().held_ == 2);
+    REQUIRE(ViewAccounts(*node.entry_, fleet.Now()).front().held_ == 2);
   }
   fleet.Kill(0);
   Burst(fleet, 4, 100);
--- a/packages/core/tests/random_test.cpp
+++ b/packages/core/tests/random_test.cpp
@@ -15,7 +15,7 @@
 
 enum class StepKind
 {
-  Work,       // requests of team t at a node
+  Work,       // requests of account t at a node
   KeyedWork,  // the same Idempotency-Key at two nodes
   Limit,      // a ticket with another limit
   SwapKey,    // a ticket that withdraws the key in use and gives the other
@@ -84,7 +84,7 @@
     fleet_.File(aNode,
                 "ticket = " + std::to_string(number) +
                   "\n[pool.a]\nvms = [\"10.0.0.1\", \"10.0.0.2\", "
-                  "\"10.0.0.3\"]\nmin_available = 1\n[team.t]\nkeys = [\"" +
+                  "\"10.0.0.3\"]\nmin_available = 1\n[account.t]\nkeys = [\"" +
                   HashKey(Key()) +
                   "\"]\nshare = 1\nlimit = " + std::to_string(limit_) + "\n");
   }
@@ -114,8 +114,8 @@
 
   int LimitInForce() const
   {
-    const auto teams = ViewTeams(*fleet_.nodes_[0].entry_, fleet_.Now());
-    return teams.empty() ? 0 : teams.front().team_->limit_;
+    const auto accounts = ViewAccounts(*fleet_.nodes_[0].entry_, fleet_.Now());
+    return accounts.empty() ? 0 : accounts.front().account_->limit_;
   }
 
 private:
@@ -232,7 +232,7 @@
     }
     RC_ASSERT(runner.fleet_.Broken().empty());
     RC_ASSERT(runner.fleet_.ReadyNodes() == 6U);
-    // No permit was lost for good: a team alone gets its whole limit again.
+    // No permit was lost for good: an account alone gets its whole limit again.
     runner.fleet_.runTime_ = milliseconds(500);
     runner.FileTicket(0);
     runner.Pass(seconds(5));
--- a/packages/core/tests/virtual_fleet.cpp
+++ b/packages/core/tests/virtual_fleet.cpp
@@ -464,19 +464,19 @@
 VirtualFleet::Begin(std::size_t aNode, const ForwardRequest& aForward)
 {
   VirtualRequest& request = requests_.at(aForward.id_);
-  const std::string team = FindTeam(request.key_);
+  const std::string account = FindAccount(request.key_);
   ++request.begun_;
-  ++running_[team];
+  ++running_[account];
   VirtualVm& vm = vms_[aForward.target_];
   ++vm.running_;
   ++vm.begun_;
   if (vm.status_ != VmStatus::Live && !leftAt_.contains(aForward.target_)) {
     Break("began on a VM that reboots");
   }
-  mostRunning_[team] = std::max(mostRunning_[team], running_[team]);
-  CheckStart(request, aForward.target_, team);
-  At(runTime_, [this, team, target = aForward.target_] {
-    --running_[team];
+  mostRunning_[account] = std::max(mostRunning_[account], running_[account]);
+  CheckStart(request, aForward.target_, account);
+  At(runTime_, [this, account, target = aForward.target_] {
+    --running_[account];
     --vms_[target].running_;
   });
   ExchangeEnded ended;
@@ -506,15 +506,16 @@
   }
 }
 
-// The team that has, or had lately, this key. By name if it is known nowhere.
+// The account that has, or had lately, this key. By name if it is known
+// nowhere.
 std::string
-VirtualFleet::FindTeam(const std::string& aKey) const
+VirtualFleet::FindAccount(const std::string& aKey) const
 {
   const std::string hash = HashKey(aKey);
   for (auto it = history_.rbegin(); it != history_.rend(); ++it) {
-    const auto& teams = it->second->config_->teamOfKey_;
-    const auto found = teams.find(hash);
-    if (found != teams.end()) {
+    const auto& accounts = it->second->config_->accountOfKey_;
+    const auto found = accounts.find(hash);
+    if (found != accounts.end()) {
       return found->second;
     }
   }
@@ -525,7 +526,7 @@
 void
 VirtualFleet::CheckStart(const VirtualRequest& aRequest,
                          const std::string& aTarget,
-                         const std::string& aTeam)
+                         const std::string& aAccount)
 {
   const std::string hash = HashKey(aRequest.key_);
   bool isKeyGood = false;
@@ -538,11 +539,11 @@
       continue;
     }
     const Config& config = *history_[i].second->config_;
-    isKeyGood |= config.teamOfKey_.contains(hash);
+    isKeyGood |= config.accountOfKey_.contains(hash);
     isVmGood |= config.poolOfVm_.contains(aTarget);
-    const auto team = config.teams_.find(aTeam);
-    if (team != config.teams_.end()) {
-      limit = std::max(limit, team->second->limit_);
+    const auto account = config.accounts_.find(aAccount);
+    if (account != config.accounts_.end()) {
+      limit = std::max(limit, account->second->limit_);
     }
   }
   if (!isKeyGood) {
@@ -551,9 +552,10 @@
   if (!isVmGood) {
     Break("began on a VM that is in no pool");
   }
-  if (running_.at(aTeam) > limit) {
-    Break("team " + aTeam + " runs " + std::to_string(running_.at(aTeam)) +
-          ", limit " + std::to_string(limit));
+  if (running_.at(aAccount) > limit) {
+    Break("account " + aAccount + " runs " +
+          std::to_string(running_.at(aAccount)) + ", limit " +
+          std::to_string(limit));
   }
   const auto left = leftAt_.find(aTarget);
   if (left != leftAt_.end() && now_ - left->second > kLeavingBound) {
@@ -572,16 +574,16 @@
 }
 
 int
-VirtualFleet::RunningOf(const std::string& aTeam) const
+VirtualFleet::RunningOf(const std::string& aAccount) const
 {
-  const auto found = running_.find(aTeam);
+  const auto found = running_.find(aAccount);
   return found == running_.end() ? 0 : found->second;
 }
 
 int
-VirtualFleet::MostRunningOf(const std::string& aTeam) const
+VirtualFleet::MostRunningOf(const std::string& aAccount) const
 {
-  const auto found = mostRunning_.find(aTeam);
+  const auto found = mostRunning_.find(aAccount);
   return found == mostRunning_.end() ? 0 : found->second;
 }
 
--- a/packages/core/tests/virtual_fleet.h
+++ b/packages/core/tests/virtual_fleet.h
@@ -95,8 +95,8 @@
     return requests_.at(aId);
   }
   std::int64_t StoreNumber() const; // last ticket accepted by the store
-  int RunningOf(const std::string& aTeam) const;
-  int MostRunningOf(const std::string& aTeam) const;
+  int RunningOf(const std::string& aAccount) const;
+  int MostRunningOf(const std::string& aAccount) const;
   void ForgetMostRunning() { mostRunning_.clear(); }
   std::size_t ReadyNodes() const;
   TimePoint Now() const { return now_; }
@@ -149,8 +149,8 @@
   void TellVm(const std::string& aAddress, std::size_t aOnly = kAllNodes);
   void CheckStart(const VirtualRequest& aRequest,
                   const std::string& aTarget,
-                  const std::string& aTeam);
-  std::string FindTeam(const std::string& aKey) const;
+                  const std::string& aAccount);
+  std::string FindAccount(const std::string& aKey) const;
   void Break(const std::string& aWhat);
 
   TimePoint now_;
@@ -162,7 +162,7 @@
   std::vector<std::pair<TimePoint, SnapshotPtr>> history_; // heads, with times
   std::map<RequestId, VirtualRequest> requests_;
   std::map<std::uint64_t, AnswerFiling> filings_;
-  std::map<std::string, int> running_; // at the targets, by team
+  std::map<std::string, int> running_; // at the targets, by account
   std::map<std::string, int> mostRunning_;
   std::map<std::string, int> jobsBegun_;
   std::map<std::string, VirtualVm> vms_;
--- a/packages/core/tests/wave_test.cpp
+++ b/packages/core/tests/wave_test.cpp
@@ -27,7 +27,7 @@
   }
   return "ticket = " + std::to_string(aNumber) + "\n[pool.a]\nvms = [" + vms +
          "]\nmin_available = " + std::to_string(aMinAvailable) +
-         "\nround = " + std::to_string(aRound) + "\n[team.t]\nkeys = [\"" +
+         "\nround = " + std::to_string(aRound) + "\n[account.t]\nkeys = [\"" +
          HashKey("k") + "\"]\nshare = 1\nlimit = 40\n";
 }
 
--- a/packages/ctl/src/control.cpp
+++ b/packages/ctl/src/control.cpp
@@ -32,7 +32,7 @@
   "  ticket show N       show an accepted ticket\n"
   "  in-force            the ticket in force, at each entry\n"
   "  pools               pools, their VMs and what they run\n"
-  "  teams               teams, their limits and what they run\n"
+  "  accounts               accounts, their limits and what they run\n"
   "  explain JOB FILE... what became of a job, from the entries' logs\n"
   "  waves               maintenance: what is taken, what waits, and why\n"
   "Exit codes: 0 done, 1 refused, 2 usage, 3 unreachable or unknown.\n\n"
@@ -195,7 +195,7 @@
     }
   }
   if (aWords.size() == 1 && (aWords[0] == "in-force" || aWords[0] == "pools" ||
-                             aWords[0] == "teams" || aWords[0] == "waves")) {
+                             aWords[0] == "accounts" || aWords[0] == "waves")) {
     return Show(aOptions, aOptions.client_.Get("/v1/" + aWords[0]));
   }
   std::cerr << "no such command; try --help\n";
--- a/packages/entry/src/log.cpp
+++ b/packages/entry/src/log.cpp
@@ -90,10 +90,10 @@
   if (!aDecision.target_.empty()) {
     // A placed request has only checked names, which need no escaping; this
     // line is written for each request.
-    logger->info(R"("what":"decision","request":{},"team":"{}","pool":"{}",)"
+    logger->info(R"("what":"decision","request":{},"account":"{}","pool":"{}",)"
                  R"("target":"{}","why":"{}","weighed":{},"waited_ms":{}}})",
                  aDecision.request_,
-                 aDecision.team_,
+                 aDecision.account_,
                  aDecision.pool_,
                  aDecision.target_,
                  aDecision.why_,
@@ -103,7 +103,7 @@
   }
   const std::string line = Dump({ { "what", "decision" },
                                   { "request", aDecision.request_ },
-                                  { "team", aDecision.team_ },
+                                  { "account", aDecision.account_ },
                                   { "pool", aDecision.pool_ },
                                   { "target", aDecision.target_ },
                                   { "why", aDecision.why_ },
--- a/packages/entry/src/operator_server.cpp
+++ b/packages/entry/src/operator_server.cpp
@@ -104,8 +104,8 @@
   if (aPath == "/v1/pools") {
     return MakeJson(200, ShowPools(entry, now));
   }
-  if (aPath == "/v1/teams") {
-    return MakeJson(200, ShowTeams(entry, now));
+  if (aPath == "/v1/accounts") {
+    return MakeJson(200, ShowAccounts(entry, now));
   }
   if (aPath == "/v1/waves") {
     return MakeJson(200, ShowWaves(entry, now));
--- a/packages/entry/src/operator_views.cpp
+++ b/packages/entry/src/operator_views.cpp
@@ -70,22 +70,22 @@
 }
 
 json
-ShowTeams(const Entry& aEntry, TimePoint aNow)
+ShowAccounts(const Entry& aEntry, TimePoint aNow)
 {
-  json teams = json::array();
-  for (const TeamView& view : ViewTeams(aEntry, aNow)) {
-    teams.push_back({ { "team", view.team_->name_ },
-                      { "keys", view.team_->keys_.size() },
-                      { "share", view.team_->share_ },
-                      { "limit", view.team_->limit_ },
-                      { "changed_in", view.team_->changedIn_ },
-                      { "permits_issued", view.issued_ },
-                      { "permits_here", view.held_ },
-                      { "running_here", view.running_ },
-                      { "running_elsewhere", view.runningElsewhere_ },
-                      { "waiting_here", view.waiting_ } });
+  json accounts = json::array();
+  for (const AccountView& view : ViewAccounts(aEntry, aNow)) {
+    accounts.push_back({ { "account", view.account_->name_ },
+                         { "keys", view.account_->keys_.size() },
+                         { "share", view.account_->share_ },
+                         { "limit", view.account_->limit_ },
+                         { "changed_in", view.account_->changedIn_ },
+                         { "permits_issued", view.issued_ },
+                         { "permits_here", view.held_ },
+                         { "running_here", view.running_ },
+                         { "running_elsewhere", view.runningElsewhere_ },
+                         { "waiting_here", view.waiting_ } });
   }
-  return { { "teams", std::move(teams) } };
+  return { { "accounts", std::move(accounts) } };
 }
 
 json
--- a/packages/entry/src/operator_views.h
+++ b/packages/entry/src/operator_views.h
@@ -12,7 +12,7 @@
 nlohmann::json ShowFiling(const AnswerFiling& aAnswer);
 nlohmann::json ShowInForce(const Entry& aEntry, TimePoint aNow);
 nlohmann::json ShowPools(const Entry& aEntry, TimePoint aNow);
-nlohmann::json ShowTeams(const Entry& aEntry, TimePoint aNow);
+nlohmann::json ShowAccounts(const Entry& aEntry, TimePoint aNow);
 nlohmann::json ShowWaves(const Entry& aEntry, TimePoint aNow);
 nlohmann::json ShowReadiness(const Entry& aEntry, TimePoint aNow);
 
--- a/packages/model/include/cuminbridge/model.h
+++ b/packages/model/include/cuminbridge/model.h
@@ -7,7 +7,7 @@
 //
 // Index of this file:
 //   [SECTION] Time
-//   [SECTION] Values: pools, teams, members, configuration
+//   [SECTION] Values: pools, accounts, members, configuration
 //   [SECTION] Tickets
 //   [SECTION] Messages between entries
 
@@ -59,7 +59,7 @@
 };
 
 //-----------------------------------------------------------------------------
-// [SECTION] Values: pools, teams, members, configuration
+// [SECTION] Values: pools, accounts, members, configuration
 //-----------------------------------------------------------------------------
 // Values are never changed after they are built: they are shared as pointers
 // to const and compared with ==.
@@ -85,8 +85,8 @@
   bool operator==(const PoolConfig&) const = default;
 };
 
-// The whole state of one team.
-struct TeamConfig
+// The whole state of one account.
+struct AccountConfig
 {
   std::string name_;
   std::vector<std::string> keys_; // "sha256:" and 64 hex digits each, sorted
@@ -95,11 +95,11 @@
   std::int64_t changedIn_ = 0;    // ticket that last changed it
   std::int64_t loweredIn_ = 0;    // ticket that last lowered the limit
 
-  bool operator==(const TeamConfig&) const = default;
+  bool operator==(const AccountConfig&) const = default;
 };
 
 using PoolPtr = std::shared_ptr<const PoolConfig>;
-using TeamPtr = std::shared_ptr<const TeamConfig>;
+using AccountPtr = std::shared_ptr<const AccountConfig>;
 
 // Everything that tickets have put in force, up to one number.
 struct Config
@@ -107,9 +107,10 @@
   std::int64_t number_ = 0; // last accepted ticket; 0 before the first
   std::string digest_;      // SHA-256 of that ticket's text
   std::map<std::string, PoolPtr, std::less<>> pools_;
-  std::map<std::string, TeamPtr, std::less<>> teams_;
-  std::unordered_map<std::string, std::string> teamOfKey_; // key hash to team
-  std::unordered_map<std::string, std::string> poolOfVm_;  // address to pool
+  std::map<std::string, AccountPtr, std::less<>> accounts_;
+  std::unordered_map<std::string, std::string>
+    accountOfKey_;                                        // key hash to account
+  std::unordered_map<std::string, std::string> poolOfVm_; // address to pool
 };
 
 using ConfigPtr = std::shared_ptr<const Config>;
@@ -124,7 +125,7 @@
 
   ConfigBuilder& SetTicket(std::int64_t aNumber, std::string aDigest);
   ConfigBuilder& SetPool(PoolPtr aPool);
-  ConfigBuilder& SetTeam(TeamPtr aTeam);
+  ConfigBuilder& SetAccount(AccountPtr aAccount);
   ConfigPtr Build(); // makes the indexes
 
 private:
@@ -163,19 +164,19 @@
 // [SECTION] Tickets
 //-----------------------------------------------------------------------------
 
-// A ticket as filed: the whole new state of the pools and teams it names.
+// A ticket as filed: the whole new state of the pools and accounts it names.
 struct Ticket
 {
   std::int64_t number_ = 0;
   std::string digest_; // SHA-256 of the text, hex
   std::string text_;
   std::vector<PoolConfig> pools_;
-  std::vector<TeamConfig> teams_;
+  std::vector<AccountConfig> accounts_;
   std::map<std::string, Place> places_; // key to where it stands, for findings
 };
 
-// Most pools and teams that one ticket may name: the whole ticket goes to the
-// store in one transaction, and the store bounds its operations.
+// Most pools and accounts that one ticket may name: the whole ticket goes to
+// the store in one transaction, and the store bounds its operations.
 inline constexpr std::size_t kMaxTicketParts = 100;
 
 // Longest ticket text, in bytes.
@@ -201,8 +202,8 @@
 // JSON of the values, for the store and for peer frames.
 void to_json(nlohmann::json& aJson, const PoolConfig& aPool);
 void from_json(const nlohmann::json& aJson, PoolConfig& aPool);
-void to_json(nlohmann::json& aJson, const TeamConfig& aTeam);
-void from_json(const nlohmann::json& aJson, TeamConfig& aTeam);
+void to_json(nlohmann::json& aJson, const AccountConfig& aAccount);
+void from_json(const nlohmann::json& aJson, AccountConfig& aAccount);
 void to_json(nlohmann::json& aJson, const Member& aMember);
 void from_json(const nlohmann::json& aJson, Member& aMember);
 
@@ -210,22 +211,22 @@
 // [SECTION] Messages between entries
 //-----------------------------------------------------------------------------
 
-// What one entry uses and wants of one team's limit.
-struct TeamUse
+// What one entry uses and wants of one account's limit.
+struct AccountUse
 {
   int idle_ = 0;    // permits held and not in use
   int running_ = 0; // requests running
   int waiting_ = 0; // requests waiting
 
-  bool operator==(const TeamUse&) const = default;
+  bool operator==(const AccountUse&) const = default;
 };
 
 // "I am here; answer me." Sent to each peer every heartbeat interval. What it
-// tells of teams are hints: some of the teams whose use has changed.
+// tells of accounts are hints: some of the accounts whose use has changed.
 struct Heartbeat
 {
   std::uint64_t sequence_ = 0;
-  std::map<std::string, TeamUse> teams_;
+  std::map<std::string, AccountUse> accounts_;
 };
 
 // The answer: what the peer had in force, and what it knew to be coming, when
@@ -247,7 +248,7 @@
   std::string digest_;
   std::vector<Member> members_;
   std::vector<PoolConfig> pools_;
-  std::vector<TeamConfig> teams_;
+  std::vector<AccountConfig> accounts_;
 };
 
 // "This change may be swapped in at any moment now; do not act against it."
@@ -290,10 +291,10 @@
   std::int64_t revision_ = 0;
 };
 
-// "I have work of this team waiting; give me permits that lie idle."
+// "I have work of this account waiting; give me permits that lie idle."
 struct PermitAsk
 {
-  std::string team_;
+  std::string account_;
   int count_ = 0;
 };
 
@@ -311,7 +312,7 @@
 {
   std::uint64_t transfer_ = 0;
   std::uint64_t epoch_ = 0;          // HashMembers() at the sender
-  std::string team_;                 // of permits; empty if these are slots
+  std::string account_;              // of permits; empty if these are slots
   int count_ = 0;                    // permits
   std::map<std::string, int> slots_; // slots by VM
 };
@@ -337,7 +338,7 @@
   int transfers_ = 0; // how many are on their way: they may count twice
 };
 
-// How many permits exist at most, by team, as of a configuration number.
+// How many permits exist at most, by account, as of a configuration number.
 struct LedgerNote
 {
   std::int64_t revision_ = 0;
@@ -350,7 +351,7 @@
 struct ClaimAsk
 {
   std::uint64_t epoch_ = 0; // votes count only within one set of members
-  std::string key_;         // team and Idempotency-Key
+  std::string key_;         // account and Idempotency-Key
   std::uint64_t request_ = 0;
 };
 
--- a/packages/model/src/config.cpp
+++ b/packages/model/src/config.cpp
@@ -9,7 +9,7 @@
   config_.number_ = aBase.number_;
   config_.digest_ = aBase.digest_;
   config_.pools_ = aBase.pools_;
-  config_.teams_ = aBase.teams_;
+  config_.accounts_ = aBase.accounts_;
 }
 
 ConfigBuilder&
@@ -28,9 +28,9 @@
 }
 
 ConfigBuilder&
-ConfigBuilder::SetTeam(TeamPtr aTeam)
+ConfigBuilder::SetAccount(AccountPtr aAccount)
 {
-  config_.teams_[aTeam->name_] = aTeam;
+  config_.accounts_[aAccount->name_] = aAccount;
   return *this;
 }
 
@@ -38,15 +38,15 @@
 ConfigBuilder::Build()
 {
   config_.poolOfVm_.clear();
-  config_.teamOfKey_.clear();
+  config_.accountOfKey_.clear();
   for (const auto& [name, pool] : config_.pools_) {
     for (const std::string& vm : pool->vms_) {
       config_.poolOfVm_.emplace(vm, name);
     }
   }
-  for (const auto& [name, team] : config_.teams_) {
-    for (const std::string& key : team->keys_) {
-      config_.teamOfKey_.emplace(key, name);
+  for (const auto& [name, account] : config_.accounts_) {
+    for (const std::string& key : account->keys_) {
+      config_.accountOfKey_.emplace(key, name);
     }
   }
   return std::make_shared<const Config>(std::move(config_));
--- a/packages/model/src/json.cpp
+++ b/packages/model/src/json.cpp
@@ -34,25 +34,25 @@
 }
 
 void
-to_json(json& aJson, const TeamConfig& aTeam)
+to_json(json& aJson, const AccountConfig& aAccount)
 {
-  aJson = { { "name", aTeam.name_ },
-            { "keys", aTeam.keys_ },
-            { "share", aTeam.share_ },
-            { "limit", aTeam.limit_ },
-            { "changed_in", aTeam.changedIn_ },
-            { "lowered_in", aTeam.loweredIn_ } };
+  aJson = { { "name", aAccount.name_ },
+            { "keys", aAccount.keys_ },
+            { "share", aAccount.share_ },
+            { "limit", aAccount.limit_ },
+            { "changed_in", aAccount.changedIn_ },
+            { "lowered_in", aAccount.loweredIn_ } };
 }
 
 void
-from_json(const json& aJson, TeamConfig& aTeam)
+from_json(const json& aJson, AccountConfig& aAccount)
 {
-  aJson.at("name").get_to(aTeam.name_);
-  aJson.at("keys").get_to(aTeam.keys_);
-  aJson.at("share").get_to(aTeam.share_);
-  aJson.at("limit").get_to(aTeam.limit_);
-  aJson.at("changed_in").get_to(aTeam.changedIn_);
-  aJson.at("lowered_in").get_to(aTeam.loweredIn_);
+  aJson.at("name").get_to(aAccount.name_);
+  aJson.at("keys").get_to(aAccount.keys_);
+  aJson.at("share").get_to(aAccount.share_);
+  aJson.at("limit").get_to(aAccount.limit_);
+  aJson.at("changed_in").get_to(aAccount.changedIn_);
+  aJson.at("lowered_in").get_to(aAccount.loweredIn_);
 }
 
 void
--- a/packages/model/src/ticket.cpp
+++ b/packages/model/src/ticket.cpp
@@ -101,26 +101,26 @@
   return pool;
 }
 
-TeamConfig
-ReadTeam(const std::string& aName, TomlTable& aTable)
+AccountConfig
+ReadAccount(const std::string& aName, TomlTable& aTable)
 {
-  TeamConfig team;
-  team.name_ = aName;
+  AccountConfig account;
+  account.name_ = aName;
   if (!IsName(aName)) {
-    aTable.Report("", "a team name is 1 to 64 letters, digits, '-' or '_'");
+    aTable.Report("", "an account name is 1 to 64 letters, digits, '-' or '_'");
   }
-  team.keys_ = aTable.ReadStrings("keys");
-  for (const std::string& key : team.keys_) {
+  account.keys_ = aTable.ReadStrings("keys");
+  for (const std::string& key : account.keys_) {
     if (!IsKeyHash(key)) {
       // The text is not repeated: it may be a key in clear.
       aTable.Report("keys", "must be \"sha256:\" and 64 hex digits (a-f)");
     }
   }
-  SortAndReportRepeats(team.keys_, aTable, "keys");
-  team.share_ = static_cast<int>(aTable.ReadInteger("share", 1, kMaxShare));
-  team.limit_ = static_cast<int>(aTable.ReadInteger("limit", 0, kMaxLimit));
+  SortAndReportRepeats(account.keys_, aTable, "keys");
+  account.share_ = static_cast<int>(aTable.ReadInteger("share", 1, kMaxShare));
+  account.limit_ = static_cast<int>(aTable.ReadInteger("limit", 0, kMaxLimit));
   aTable.ReportUnknownKeys();
-  return team;
+  return account;
 }
 
 Ticket
@@ -133,25 +133,25 @@
     ticket.pools_.push_back(ReadPool(name, table));
     ticket.places_["pool." + name] = table.PlaceOf("vms");
   }
-  for (auto& [name, table] : aTable.ReadTables("team")) {
-    ticket.teams_.push_back(ReadTeam(name, table));
-    ticket.places_["team." + name] = table.PlaceOf("keys");
+  for (auto& [name, table] : aTable.ReadTables("account")) {
+    ticket.accounts_.push_back(ReadAccount(name, table));
+    ticket.places_["account." + name] = table.PlaceOf("keys");
   }
   aTable.ReportUnknownKeys();
-  const std::size_t parts = ticket.pools_.size() + ticket.teams_.size();
+  const std::size_t parts = ticket.pools_.size() + ticket.accounts_.size();
   if (parts == 0) {
-    aTable.Report("", "names no pool and no team");
+    aTable.Report("", "names no pool and no account");
   }
   if (parts > kMaxTicketParts) {
     aTable.Report("",
                   "names more than " + std::to_string(kMaxTicketParts) +
-                    " pools and teams; file it as several tickets");
+                    " pools and accounts; file it as several tickets");
   }
   for (PoolConfig& pool : ticket.pools_) {
     pool.changedIn_ = ticket.number_;
   }
-  for (TeamConfig& team : ticket.teams_) {
-    team.changedIn_ = ticket.number_;
+  for (AccountConfig& account : ticket.accounts_) {
+    account.changedIn_ = ticket.number_;
   }
   return ticket;
 }
@@ -234,14 +234,14 @@
     },
     findings);
   CheckSingleOwner(
-    aTicket.teams_,
-    "team",
+    aTicket.accounts_,
+    "account",
     "key",
     aTicket,
-    [](const TeamConfig& aTeam) -> const auto& { return aTeam.keys_; },
+    [](const AccountConfig& aAccount) -> const auto& { return aAccount.keys_; },
     [&](const std::string& aKey) {
-      const auto found = aBase.teamOfKey_.find(aKey);
-      return found == aBase.teamOfKey_.end() ? std::string() : found->second;
+      const auto found = aBase.accountOfKey_.find(aKey);
+      return found == aBase.accountOfKey_.end() ? std::string() : found->second;
     },
     findings);
   return findings;
@@ -255,13 +255,14 @@
   for (const PoolConfig& pool : aTicket.pools_) {
     builder.SetPool(std::make_shared<const PoolConfig>(pool));
   }
-  for (TeamConfig team : aTicket.teams_) {
-    const auto old = aBase.teams_.find(team.name_);
-    if (old != aBase.teams_.end()) {
-      const bool isLower = team.limit_ < old->second->limit_;
-      team.loweredIn_ = isLower ? aTicket.number_ : old->second->loweredIn_;
+  for (AccountConfig account : aTicket.accounts_) {
+    const auto old = aBase.accounts_.find(account.name_);
+    if (old != aBase.accounts_.end()) {
+      const bool isLower = account.limit_ < old->second->limit_;
+      account.loweredIn_ = isLower ? aTicket.number_ : old->second->loweredIn_;
     }
-    builder.SetTeam(std::make_shared<const TeamConfig>(std::move(team)));
+    builder.SetAccount(
+      std::make_shared<const AccountConfig>(std::move(account)));
   }
   return builder.Build();
 }
--- a/packages/model/tests/ticket_test.cpp
+++ b/packages/model/tests/ticket_test.cpp
@@ -38,7 +38,7 @@
                           "[pool.windhoek-a]\n"
                           "vms = [\"10.1.0.12\", \"10.1.0.11\"]\n"
                           "min_available = 1\n"
-                          "[team.collections]\n"
+                          "[account.collections]\n"
                           "keys = [\"" +
                           HashKey("secret") +
                           "\"]\n"
@@ -54,7 +54,7 @@
   REQUIRE(ticket.pools_.size() == 1);
   REQUIRE(ticket.pools_[0].vms_ ==
           std::vector<std::string>{ "10.1.0.11", "10.1.0.12" });
-  REQUIRE(ticket.teams_[0].limit_ == 40);
+  REQUIRE(ticket.accounts_[0].limit_ == 40);
   REQUIRE(ticket.digest_ == Sha256Hex(kGood));
 }
 
@@ -66,7 +66,7 @@
                "[pool.\"bad name\"]\n"
                "vms = [\"host.example\", \"10.0.0.1\"]\n"
                "min_available = 3\n"
-               "[team.t]\n"
+               "[account.t]\n"
                "keys = [\"clear-text-key\"]\n"
                "share = 0\n");
   REQUIRE(findings.size() == 8);
@@ -76,9 +76,9 @@
                             "pool name",
                             "'host.example' is not an IP number",
                             "min_available: is more than the pool has VMs",
-                            "line 7, column 8, team.t.keys",
-                            "team.t.share",
-                            "team.t.limit: is missing" }) {
+                            "line 7, column 8, account.t.keys",
+                            "account.t.share",
+                            "account.t.limit: is missing" }) {
     CAPTURE(text, part);
     REQUIRE(text.find(part) != std::string::npos);
   }
@@ -112,10 +112,11 @@
   std::string same = lower;
   lower.replace(lower.find("limit = 40"), 10, "limit = 39");
   REQUIRE(
-    ApplyTicket(Parse(lower), *base)->teams_.at("collections")->loweredIn_ ==
+    ApplyTicket(Parse(lower), *base)->accounts_.at("collections")->loweredIn_ ==
     8);
   REQUIRE(
-    ApplyTicket(Parse(same), *base)->teams_.at("collections")->loweredIn_ == 0);
+    ApplyTicket(Parse(same), *base)->accounts_.at("collections")->loweredIn_ ==
+    0);
 }
 
 TEST_CASE("no text makes the reader fail otherwise than by findings")
--- a/packages/wire/src/wire.cpp
+++ b/packages/wire/src/wire.cpp
@@ -14,8 +14,8 @@
 // [SECTION] Fields of each message
 //-----------------------------------------------------------------------------
 
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(TeamUse, idle_, running_, waiting_)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Heartbeat, sequence_, teams_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(AccountUse, idle_, running_, waiting_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Heartbeat, sequence_, accounts_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(HeartbeatAck,
                                    sequence_,
                                    revision_,
@@ -28,18 +28,18 @@
                                    digest_,
                                    members_,
                                    pools_,
-                                   teams_)
+                                   accounts_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Prepare, operation_, baseRevision_, change_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PrepareAck, operation_, accepted_, revision_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(Abort, operation_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigAsk, haveRevision_, haveNumber_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigReply, inForce_, pending_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(ConfigAck, revision_)
-NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PermitAsk, team_, count_)
+NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PermitAsk, account_, count_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(PermitGive,
                                    transfer_,
                                    epoch_,
-                                   team_,
+                                   account_,
                                    count_,
                                    slots_)
 NLOHMANN_DEFINE_TYPE_NON_INTRUSIVE(SlotAsk, pool_, count_)
--- a/testing/capacity_bench.cpp
+++ b/testing/capacity_bench.cpp
@@ -26,7 +26,7 @@
 {
   int vms_;
   int pools_;
-  int teams_;
+  int accounts_;
   int entries_;
 };
 
@@ -77,13 +77,13 @@
     pools[i].changedIn_ = 1;
     builder.SetPool(std::make_shared<const PoolConfig>(pools[i]));
   }
-  for (int i = 0; i < aSize.teams_; ++i) {
-    TeamConfig team;
-    team.name_ = "team-" + std::to_string(i);
-    team.keys_ = { HashKey("key-" + std::to_string(i)) };
-    team.limit_ = std::max(8, 8 * aSize.vms_ / aSize.teams_);
-    team.changedIn_ = 1;
-    builder.SetTeam(std::make_shared<const TeamConfig>(team));
+  for (int i = 0; i < aSize.accounts_; ++i) {
+    AccountConfig account;
+    account.name_ = "account-" + std::to_string(i);
+    account.keys_ = { HashKey("key-" + std::to_string(i)) };
+    account.limit_ = std::max(8, 8 * aSize.vms_ / aSize.accounts_);
+    account.changedIn_ = 1;
+    builder.SetAccount(std::make_shared<const AccountConfig>(account));
   }
   return builder.Build();
 }
@@ -126,10 +126,10 @@
       Submit(FromPeer(i, HeartbeatAck{ 1, 10, 100, {} }));
     }
     LedgerNote note{ 5, 100, {} };
-    for (int i = 0; i < aSize.teams_; ++i) {
-      const std::string name = "team-" + std::to_string(i);
+    for (int i = 0; i < aSize.accounts_; ++i) {
+      const std::string name = "account-" + std::to_string(i);
       note.issued_[name] = 8;
-      cuminbridge::FindTeam(*entry_, name).held_ = 8;
+      cuminbridge::FindAccount(*entry_, name).held_ = 8;
     }
     Submit(FromPeer(1, note));
   }
@@ -155,18 +155,18 @@
     RequestArrived arrived;
     arrived.id_ = id;
     arrived.pool_ = "pool-" + std::to_string(id % size_.pools_);
-    arrived.keyHash_ = keys_[id % static_cast<std::size_t>(size_.teams_)];
+    arrived.keyHash_ = keys_[id % static_cast<std::size_t>(size_.accounts_)];
     arrived.replayable_ = true;
     return arrived;
   }
 
-  std::vector<std::string> keys_ = MakeKeys(size_.teams_);
+  std::vector<std::string> keys_ = MakeKeys(size_.accounts_);
 
-  static std::vector<std::string> MakeKeys(int aTeams)
+  static std::vector<std::string> MakeKeys(int aAccounts)
   {
     std::vector<std::string> keys;
-    keys.reserve(static_cast<std::size_t>(aTeams));
-    for (int i = 0; i < aTeams; ++i) {
+    keys.reserve(static_cast<std::size_t>(aAccounts));
+    for (int i = 0; i < aAccounts; ++i) {
       keys.push_back(HashKey("key-" + std::to_string(i)));
     }
     return keys;
@@ -265,12 +265,12 @@
   });
   result.beatNanoseconds_ = MeasureBeat(bench);
 
-  // As long as it gets: as many teams as a heartbeat may tell of.
+  // As long as it gets: as many accounts as a heartbeat may tell of.
   Heartbeat busy;
-  for (int i = 0; i < aSize.teams_; ++i) {
-    FindTeam(*bench.entry_, "team-" + std::to_string(i)).waiting_ = 1000;
+  for (int i = 0; i < aSize.accounts_; ++i) {
+    FindAccount(*bench.entry_, "account-" + std::to_string(i)).waiting_ = 1000;
   }
-  busy.teams_ = ReportTeamUse(*bench.entry_);
+  busy.accounts_ = ReportAccountUse(*bench.entry_);
   result.busyBeatBytes_ = FrameBytes(busy);
   result.ackBytes_ = FrameBytes(HeartbeatAck{ 1000, 10, 100, {} });
   result.ticketBytes_ = FrameBytes(MakeTicketNews(aSize, 11, 101));
@@ -297,7 +297,7 @@
               "| %5zu | %6zu | %4zu | %6zu | %7zu |\n",
               aSize.vms_,
               aSize.pools_,
-              aSize.teams_,
+              aSize.accounts_,
               aSize.entries_,
               aResult.stateBytes_ / 1024,
               aResult.requestNanoseconds_,
@@ -337,7 +337,7 @@
   if (isCheck) {
     return Check(Run(kSizes[std::size(kSizes) - 1]));
   }
-  std::printf("| VMs | pools | teams | entries | state KiB | request ns | "
+  std::printf("| VMs | pools | accounts | entries | state KiB | request ns | "
               "tick us | heartbeat us | ticket ms | idle beat B | busy beat B "
               "| ack B | ticket B | whole B |\n");
   std::printf("| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | "
--- a/testing/failures_test.sh
+++ b/testing/failures_test.sh
@@ -17,7 +17,7 @@
 vms = ["127.0.20.1", "127.0.20.2", "127.0.20.3", "127.0.20.4", "127.0.20.5"]
 min_available = 4
 round = $3
-[team.t]
+[account.t]
 keys = [$2]
 share = 1
 limit = 40
--- a/testing/measure_control.sh
+++ b/testing/measure_control.sh
@@ -25,8 +25,8 @@
   wait_ready "${numbers[@]}" || exit 1
   wait_for has_voters 1 "$count" || exit 1
   ticket=$(printf 'ticket = 1\n[pool.a]\nvms = ["127.0.20.1"]\nmin_available = 1\n'
-    for team in 1 2 3 4 5 6; do
-      printf '[team.t%s]\nkeys = []\nshare = 1\nlimit = 40\n' "$team"
+    for account in 1 2 3 4 5 6; do
+      printf '[account.t%s]\nkeys = []\nshare = 1\nlimit = 40\n' "$account"
     done)
   file_ticket 1 <<<"$ticket" >/dev/null
   sleep 5
--- a/testing/measure_latency.sh
+++ b/testing/measure_latency.sh
@@ -15,7 +15,7 @@
 [pool.a]
 vms = [$(printf '"127.0.20.%s",' 1 2 3 4 5 6 7 8 | sed 's/,$//')]
 min_available = 1
-[team.t]
+[account.t]
 keys = ["$(hash_of k)"]
 share = 1
 limit = 64
--- a/testing/path_test.sh
+++ b/testing/path_test.sh
@@ -23,7 +23,7 @@
 vms = ["127.0.20.4"]
 min_available = 1
 open = true
-[team.t]
+[account.t]
 keys = ["$(hash_of key-one)"]
 share = 1
 limit = 20
--- a/testing/standin_target.cpp
+++ b/testing/standin_target.cpp
@@ -6,7 +6,7 @@
 // its X-Job header. In the query: sleep_ms=N answers late, status=N answers
 // with that status, bytes=N answers that many bytes, echo=1 sends the body
 // back. GET /stats on any address: jobs begun, how often each, and the most
-// running at once by X-Team.
+// running at once by X-Account.
 
 #include <iostream>
 #include <map>
@@ -29,7 +29,7 @@
 {
   std::map<std::string, int> begun_; // by X-Job
   std::map<std::string, int> running_;
-  std::map<std::string, int> mostRunning_; // by X-Team
+  std::map<std::string, int> mostRunning_; // by X-Account
 };
 
 Stats gStats;
@@ -46,15 +46,15 @@
 
 struct Running
 {
-  std::string team_;
+  std::string account_;
 
-  explicit Running(std::string aTeam)
-    : team_(std::move(aTeam))
+  explicit Running(std::string aAccount)
+    : account_(std::move(aAccount))
   {
-    int& most = gStats.mostRunning_[team_];
-    most = std::max(most, ++gStats.running_[team_]);
+    int& most = gStats.mostRunning_[account_];
+    most = std::max(most, ++gStats.running_[account_]);
   }
-  ~Running() { --gStats.running_[team_]; }
+  ~Running() { --gStats.running_[account_]; }
   Running(const Running&) = delete;
   Running& operator=(const Running&) = delete;
 };
@@ -98,7 +98,7 @@
     std::optional<Running> running;
     if (!isStats) {
       ++gStats.begun_[std::string(head["X-Job"])];
-      running.emplace(std::string(head["X-Team"]));
+      running.emplace(std::string(head["X-Account"]));
     }
     std::size_t bodyBytes = 0;
     std::string echo;
