--- a/packages/ctl/src/control_client.h
+++ b/packages/ctl/src/control_client.h
@@ -30,6 +30,13 @@
   ControlReply File(const std::string& aText, bool aCheckOnly) const;
 };
 
+struct ControlOptions
+{
+  ControlClient client_;
+  std::string key_; // of a client account, for commands on jobs
+  bool isJson_ = false;
+};
+
 } // namespace cuminbridge
 
 #endif // cuminbridge_ctl_control_client_h
--- /dev/null
+++ b/packages/ctl/src/job_commands.cpp
@@ -0,0 +1,252 @@
+// Commands on jobs and on the fleet.
+
+#include "job_commands.h"
+
+#include <algorithm>
+#include <fstream>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "cuminbridge/adapter.h"
+#include "cuminbridge/ctl.h"
+#include "show.h"
+
+namespace cuminbridge {
+
+using nlohmann::json;
+
+namespace {
+
+constexpr int kOk = 200;
+constexpr int kOtherEntry = 421;
+constexpr std::int64_t kMost = 1000000000000;
+
+// Where a queue is, at the entry that was asked.
+struct QueuePlace
+{
+  std::string entry_; // its address for callers
+  std::string host_;
+  std::string prefix_;
+};
+
+HttpReply
+CallOnce(const std::string& aAddress, HttpCall aCall)
+{
+  boost::asio::io_context io;
+  HttpClient http(io, HttpClientOptions{});
+  HttpReply reply;
+  bool isOver = false;
+  boost::asio::co_spawn(
+    io,
+    [&]() -> Awaitable<void> {
+      reply = co_await http.Call(aAddress, std::move(aCall));
+      isOver = true;
+    },
+    boost::asio::detached);
+  while (!isOver) {
+    io.run_one();
+  }
+  return reply;
+}
+
+ControlReply
+ToReply(const HttpReply& aReply)
+{
+  ControlReply reply;
+  reply.status_ = aReply.IsAnswered() ? aReply.status_ : 0;
+  reply.body_ = aReply.body_.empty()
+                  ? json::object()
+                  : json::parse(aReply.body_, nullptr, false);
+  return reply;
+}
+
+std::optional<QueuePlace>
+FindQueuePlace(const ControlOptions& aOptions, const std::string& aQueue)
+{
+  const auto reply = aOptions.client_.Get("/v1/queues");
+  if (reply.status_ != kOk || !reply.body_.is_object()) {
+    std::cerr << "no entry could be reached\n";
+    return std::nullopt;
+  }
+  for (const auto& row : reply.body_.at("queues")) {
+    if (row.at("queue") == aQueue) {
+      return QueuePlace{ reply.body_.at("callers").get<std::string>(),
+                         row.at("host").get<std::string>(),
+                         row.at("prefix").get<std::string>() };
+    }
+  }
+  std::cerr << "no queue is called " << aQueue
+            << "; 'fleet queues' lists them\n";
+  return std::nullopt;
+}
+
+int
+CallQueue(const ControlOptions& aOptions,
+          const std::string& aMethod,
+          const std::string& aQueue,
+          const std::string& aId,
+          std::string aBody = "")
+{
+  const auto place = FindQueuePlace(aOptions, aQueue);
+  if (!place) {
+    return ExitUnknown;
+  }
+  auto call =
+    MakeCallerCall(aMethod, place->host_, aOptions.key_, place->prefix_ + aId);
+  call.body_ = std::move(aBody);
+  const auto reply = ToReply(CallOnce(place->entry_, std::move(call)));
+  if (aMethod == "POST" && reply.status_ == kOk) {
+    std::cout << "accepted " << aId << "\n";
+    return ExitDone;
+  }
+  return Show(aOptions, reply);
+}
+
+std::string
+DrawId()
+{
+  constexpr int kDigits = 16;
+  std::random_device random;
+  std::string id;
+  for (int digit = 0; digit < kDigits; ++digit) {
+    id += "0123456789abcdef"[random() % 16];
+  }
+  return id;
+}
+
+int
+Submit(const ControlOptions& aOptions,
+       const std::string& aQueue,
+       const std::string& aPath,
+       const std::string& aId)
+{
+  std::ifstream file(aPath);
+  if (!file) {
+    std::cerr << aPath << ": can't be opened\n";
+    return ExitUsage;
+  }
+  std::stringstream text;
+  text << file.rdbuf();
+  Findings findings;
+  const auto job = ReadJobFile(text.str(), findings);
+  if (!findings.empty()) {
+    std::cerr << aPath << ": refused\n" << FormatFindings(findings);
+    return ExitRefused;
+  }
+  return CallQueue(aOptions, "POST", aQueue, aId, FormatSubmission(job));
+}
+
+// Asks an entry, and the owner of the fleet if it names it.
+int
+ShowFleet(const ControlOptions& aOptions, const std::string& aView)
+{
+  auto reply = aOptions.client_.Get("/v1/" + aView);
+  if (reply.status_ == kOtherEntry) {
+    ControlClient owner;
+    owner.entries_ = { reply.body_.value("owner", "") };
+    reply = owner.Get("/v1/" + aView);
+  }
+  return Show(aOptions, reply);
+}
+
+Step
+ReadStep(TomlTable& aTable)
+{
+  const auto number = [&aTable](const char* aKey) {
+    return aTable.ReadInteger(aKey, 0, kMost, 0);
+  };
+  Step step;
+  step.count_ = static_cast<int>(aTable.ReadInteger("count", 1, 10000));
+  step.needs_ = { number("cpu_millis"), number("memory_mb"), number("gpus") };
+  step.estimate_ = Millis(number("estimate_ms"));
+  for (const auto& before : aTable.ReadStrings("after", false)) {
+    step.after_.push_back(std::atoi(before.c_str()) - 1);
+  }
+  step.isCheckpointing_ = aTable.ReadBool("checkpointing", false);
+  step.isGang_ = aTable.ReadBool("gang", false);
+  step.isSameRack_ = aTable.ReadBool("same_rack", false);
+  step.isSpeculative_ = aTable.ReadBool("speculative", false);
+  step.isLasting_ = aTable.ReadBool("lasting", false);
+  step.isFiller_ = aTable.ReadBool("filler", false);
+  step.label_ = aTable.ReadString("label", "");
+  step.dataRack_ = aTable.ReadString("data_rack", "");
+  step.maxPerTarget_ = static_cast<int>(number("max_per_target"));
+  step.maxUnavailable_ = static_cast<int>(number("max_unavailable"));
+  step.targetLatency_ = Millis(number("target_latency_ms"));
+  step.image_ = aTable.ReadString("image", "");
+  aTable.ReportUnknownKeys();
+  return step;
+}
+
+} // namespace
+
+Job
+ReadJobFile(std::string_view aText, Findings& aFindings)
+{
+  Job job;
+  auto table = TomlTable::Parse(aText, aFindings);
+  if (!table) {
+    return job;
+  }
+  job.spec_ = table->ReadString("spec");
+  job.repeats_ = static_cast<int>(table->ReadInteger("repeats", 0, 1000000, 0));
+  job.interval_ = Millis(table->ReadInteger("interval_ms", 0, kMost, 0));
+  job.firstRun_ = WallTime(
+    Millis(table->ReadInteger("first_run_unix_ms", 0, 100 * kMost, 0)));
+  auto steps = table->ReadTables("step");
+  std::sort(
+    steps.begin(), steps.end(), [](const auto& aLeft, const auto& aRight) {
+      return std::atoi(aLeft.first.c_str()) < std::atoi(aRight.first.c_str());
+    });
+  for (auto& [name, step] : steps) {
+    job.steps_.push_back(ReadStep(step));
+    const auto own = static_cast<int>(job.steps_.size()) - 1;
+    if (name != std::to_string(own + 1)) {
+      step.Report("", "steps are [step.1], [step.2] and so on");
+    }
+    for (const int before : job.steps_.back().after_) {
+      if (before < 0 || before >= own) {
+        step.Report("after", "must list earlier steps, as [\"1\"]");
+      }
+    }
+  }
+  if (steps.empty()) {
+    table->Report("step", "needs at least [step.1]");
+  }
+  table->ReportUnknownKeys();
+  return job;
+}
+
+std::optional<int>
+RunJobCommand(const ControlOptions& aOptions,
+              const std::vector<std::string>& aWords)
+{
+  constexpr std::size_t kSubmit = 4;
+  if (aWords.size() == 2 && aWords[0] == "fleet") {
+    return ShowFleet(aOptions, aWords[1]);
+  }
+  if (aWords.size() < 3 || aWords[0] != "job") {
+    return std::nullopt;
+  }
+  const auto& what = aWords[1];
+  const auto& queue = aWords[2];
+  if (what == "submit" && aWords.size() >= kSubmit &&
+      aWords.size() <= kSubmit + 1) {
+    const auto id = aWords.size() > kSubmit ? aWords[kSubmit] : DrawId();
+    return Submit(aOptions, queue, aWords[3], id);
+  }
+  if (what == "list" && aWords.size() == 3) {
+    return CallQueue(aOptions, "GET", queue, "");
+  }
+  if ((what == "read" || what == "cancel") && aWords.size() == kSubmit) {
+    return CallQueue(
+      aOptions, what == "read" ? "GET" : "DELETE", queue, aWords[3]);
+  }
+  return std::nullopt;
+}
+
+} // namespace cuminbridge
--- /dev/null
+++ b/packages/ctl/src/job_commands.h
@@ -0,0 +1,23 @@
+// Internal: commands on jobs and on the fleet.
+
+#ifndef cuminbridge_ctl_job_commands_h
+#define cuminbridge_ctl_job_commands_h
+
+#include "cuminbridge/findings.h"
+#include "cuminbridge/jobs.h"
+
+#include "control_client.h"
+
+namespace cuminbridge {
+
+// Nothing if the words are no such command.
+std::optional<int> RunJobCommand(const ControlOptions& aOptions,
+                                 const std::vector<std::string>& aWords);
+
+// A job in TOML, with a table for each step: [step.1], [step.2] and so on.
+// Adds a finding for each fault.
+Job ReadJobFile(std::string_view aText, Findings& aFindings);
+
+} // namespace cuminbridge
+
+#endif // cuminbridge_ctl_job_commands_h
--- /dev/null
+++ b/packages/ctl/tests/job_file_test.cpp
@@ -0,0 +1,53 @@
+// Jobs as operators write them.
+
+#include <catch2/catch.hpp>
+
+#include "job_commands.h"
+
+using namespace cuminbridge;
+
+TEST_CASE("a job file is read")
+{
+  Findings findings;
+  const auto job = ReadJobFile("spec = 'takes=300'\n"
+                               "[step.1]\ncount = 4\ncpu_millis = 1500\n"
+                               "estimate_ms = 300\n"
+                               "[step.2]\ncount = 2\nafter = ['1']\n"
+                               "lasting = true\nmax_unavailable = 1\n",
+                               findings);
+  CHECK(findings.empty());
+  CHECK(job.spec_ == "takes=300");
+  REQUIRE(job.steps_.size() == 2);
+  CHECK(job.steps_[0].count_ == 4);
+  CHECK(job.steps_[0].needs_.cpu_ == 1500);
+  CHECK(job.steps_[1].after_ == std::vector<int>{ 0 });
+  CHECK(job.steps_[1].isLasting_);
+}
+
+TEST_CASE("ten steps and more keep their order")
+{
+  std::string text = "spec = ''\n";
+  for (int step = 1; step <= 11; ++step) {
+    text += "[step." + std::to_string(step) +
+            "]\ncount = " + std::to_string(step) + "\n";
+  }
+  Findings findings;
+  const auto job = ReadJobFile(text, findings);
+  CHECK(findings.empty());
+  REQUIRE(job.steps_.size() == 11);
+  CHECK(job.steps_[9].count_ == 10);
+}
+
+TEST_CASE("all faults of a job file are found")
+{
+  Findings findings;
+  ReadJobFile("sped = 'x'\n[step.1]\ncount = 0\nafter = ['1']\n"
+              "[step.3]\ncount = 1\ncpus = 2\n",
+              findings);
+  const auto text = FormatFindings(findings);
+  for (const auto* fault :
+       { "sped", "spec", "step.1.count", "step.1.after", "step.3", "cpus" }) {
+    INFO(text);
+    CHECK(text.find(fault) != std::string::npos);
+  }
+}
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -3,6 +3,7 @@
 #include "cuminbridge/daemon.h"
 
 #include <csignal>
+#include <cstring>
 #include <fstream>
 #include <iostream>
 #include <sstream>
@@ -16,6 +17,7 @@
 #include "election.h"
 #include "intake.h"
 #include "records.h"
+#include "views.h"
 
 namespace cuminbridge {
 
@@ -234,6 +236,11 @@
     answer.body_ = IsReady() ? kStandbyReady : "no";
     co_return answer;
   }
+  if (aRequest.path_.rfind(kViewPrefix, 0) == 0) {
+    const auto view =
+      std::string_view(aRequest.path_).substr(std::strlen(kViewPrefix));
+    co_return ShowView(view, intake_, owner, settings_);
+  }
   if (aRequest.path_ != kOwnerPath) {
     answer.status_ = kNotFound;
     co_return answer;
--- a/packages/daemon/src/intake.h
+++ b/packages/daemon/src/intake.h
@@ -34,6 +34,8 @@
     ownerAddress_ = std::move(aAddress);
   }
 
+  const std::string& OwnerAddress() const { return ownerAddress_; }
+
   Awaitable<HttpAnswer> Answer(const HttpRequest& aRequest);
 
   const IntakeCounts& Counts() const { return counts_; }
--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -427,6 +427,39 @@
   Millis backlog_{ 0 }; // time that the work ahead of a new job takes
 };
 
+// What operators are shown.
+struct PoolSummary
+{
+  std::string pool_;
+  int vms_ = 0;     // as the platform lists them
+  int targets_ = 0; // that can be used now
+  int runs_ = 0;
+  int waiting_ = 0;             // work items whose turn has come
+  std::int64_t offeredCpu_ = 0; // thousandths of a core kept busy by arrivals
+
+  bool operator==(const PoolSummary&) const = default;
+};
+
+struct AccountSummary
+{
+  std::string account_;
+  Resources running_;
+  Resources limit_; // 0 in a part is no limit
+
+  bool operator==(const AccountSummary&) const = default;
+};
+
+struct WaveSummary
+{
+  std::int64_t wave_ = 0;
+  int vms_ = 0;
+  int begun_ = 0; // upkeeps
+  int down_ = 0;  // for it now
+  bool isCompleted_ = false;
+
+  bool operator==(const WaveSummary&) const = default;
+};
+
 struct FleetCounts
 {
   std::uint64_t starts_ = 0;
@@ -453,6 +486,9 @@
   // What the store is known to hold about a job; nothing if it is unknown here.
   std::optional<JobState> StoredState(const std::string& aJob) const;
   std::vector<QueueLoad> Loads() const;
+  std::vector<PoolSummary> Pools() const;
+  std::vector<AccountSummary> Accounts() const;
+  std::vector<WaveSummary> Waves() const;
   // Until then work that owners before this one left may run unseen.
   WallTime InheritedUntil() const;
   bool HasUnstored() const; // something changed that the store does not hold
--- /dev/null
+++ b/packages/fleet/src/summaries.cpp
@@ -0,0 +1,78 @@
+// What operators are shown of a fleet.
+
+#include "cuminbridge/fleet.h"
+
+#include "dispatch.h"
+#include "state.h"
+
+namespace cuminbridge {
+
+std::vector<PoolSummary>
+Fleet::Pools() const
+{
+  const auto demands = WaitingDemand(*state_);
+  std::map<std::string, PoolSummary> pools;
+  for (const auto& pool : state_->config_.pools_) {
+    auto& row = pools[pool.name_];
+    row.pool_ = pool.name_;
+    const auto demand = demands.find(pool.name_);
+    row.waiting_ = demand == demands.end() ? 0 : demand->second.items_;
+    const auto offered = state_->offered_.find(pool.name_);
+    if (offered != state_->offered_.end()) {
+      constexpr double kThousandths = 1000;
+      row.offeredCpu_ = static_cast<std::int64_t>(
+        kThousandths *
+        offered->second.At(state_->now_, offered->second.memory_));
+    }
+  }
+  for (const auto& [name, vm] : state_->vms_) {
+    ++pools[vm.pool_].vms_;
+  }
+  for (const auto& [id, target] : state_->targets_) {
+    auto& row = pools[target.report_.pool_];
+    row.targets_ += target.IsUsable(state_->now_) ? 1 : 0;
+    row.runs_ += static_cast<int>(target.runs_.size());
+  }
+  std::vector<PoolSummary> rows;
+  rows.reserve(pools.size());
+  for (auto& [name, row] : pools) {
+    row.pool_ = name;
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+std::vector<AccountSummary>
+Fleet::Accounts() const
+{
+  std::vector<AccountSummary> rows;
+  for (const auto& account : state_->config_.accounts_) {
+    AccountSummary row;
+    row.account_ = account.name_;
+    row.limit_ = account.limit_;
+    const auto running = state_->running_.find(account.name_);
+    if (running != state_->running_.end()) {
+      row.running_ = running->second;
+    }
+    rows.push_back(std::move(row));
+  }
+  return rows;
+}
+
+std::vector<WaveSummary>
+Fleet::Waves() const
+{
+  std::vector<WaveSummary> rows;
+  for (const auto& [number, wave] : state_->waves_) {
+    WaveSummary row;
+    row.wave_ = number;
+    row.vms_ = static_cast<int>(wave.wave_.vms_.size());
+    row.begun_ = static_cast<int>(wave.done_.size());
+    row.down_ = static_cast<int>(wave.down_.size());
+    row.isCompleted_ = wave.isCompleted_;
+    rows.push_back(row);
+  }
+  return rows;
+}
+
+} // namespace cuminbridge
--- a/packages/core/include/cuminbridge/core.h
+++ b/packages/forwarder/core/include/cuminbridge/core.h
@@ -25,7 +25,7 @@
 
 #include "cuminbridge/model.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 //-----------------------------------------------------------------------------
 // [SECTION] Options
@@ -430,6 +430,6 @@
 // Counts since the start, by name, for /metrics.
 std::map<std::string, std::uint64_t> ViewCounts(const Entry& aEntry);
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_core_h
--- a/packages/core/src/admission.cpp
+++ b/packages/forwarder/core/src/admission.cpp
@@ -4,7 +4,7 @@
 
 #include <algorithm>
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 std::string
 AccountOfKey(const Entry& aEntry, const std::string& aKeyHash)
@@ -41,4 +41,4 @@
                      });
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/core/src/admission.h
+++ b/packages/forwarder/core/src/admission.h
@@ -5,7 +5,7 @@
 
 #include "entry_state.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 // The account of a key by the configuration in force and by every change that
 // may come; empty if they differ or there is none.
@@ -14,6 +14,6 @@
 // Is the pool open to callers without a key, by all of them?
 bool IsOpen(const Entry& aEntry, const std::string& aPool);
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_core_admission_h
--- a/packages/core/src/agreement.cpp
+++ b/packages/forwarder/core/src/agreement.cpp
@@ -8,7 +8,7 @@
 #include "records.h"
 #include "routing.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace {
 
@@ -540,4 +540,4 @@
   }
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/core/src/agreement.h
+++ b/packages/forwarder/core/src/agreement.h
@@ -13,7 +13,7 @@
 
 #include "entry_state.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 std::size_t MajorityOf(std::size_t aMembers);
 
@@ -82,6 +82,6 @@
 void OnHeadAnswer(Turn& aTurn, const StoreAnswer& aAnswer);
 void TickAgreement(Turn& aTurn);
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_core_agreement_h
--- a/packages/core/src/claims.cpp
+++ b/packages/forwarder/core/src/claims.cpp
@@ -8,7 +8,7 @@
 #include "permits.h"
 #include "routing.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace {
 
@@ -343,4 +343,4 @@
   }
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/core/src/claims.h
+++ b/packages/forwarder/core/src/claims.h
@@ -11,7 +11,7 @@
 
 #include "entry_state.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 // Is this entry a voter in force?
 bool IsVoter(const Entry& aEntry);
@@ -40,6 +40,6 @@
 
 void TickClaims(Turn& aTurn);
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_core_claims_h
--- a/packages/core/src/entry_state.h
+++ b/packages/forwarder/core/src/entry_state.h
@@ -22,7 +22,7 @@
 #include "peer_asks.h"
 #include "records.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 //-----------------------------------------------------------------------------
 // [SECTION] Agreement
@@ -390,6 +390,6 @@
   }
 };
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_core_entry_state_h
--- a/packages/core/src/peer_asks.h
+++ b/packages/forwarder/core/src/peer_asks.h
@@ -8,7 +8,7 @@
 
 #include "cuminbridge/core.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 struct PeerAsk
 {
@@ -48,6 +48,6 @@
   return aAsks.last_;
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_core_peer_asks_h
--- a/packages/core/src/permits.cpp
+++ b/packages/forwarder/core/src/permits.cpp
@@ -12,7 +12,7 @@
 #include "steward.h"
 #include "waves.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace {
 
@@ -478,4 +478,4 @@
   TickSteward(aTurn);
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/core/src/permits.h
+++ b/packages/forwarder/core/src/permits.h
@@ -16,7 +16,7 @@
 
 #include "entry_state.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 // "id#incarnation", as the ledger and the sets of transfers name a process.
 std::string NameProcess(const std::string& aId, std::uint64_t aIncarnation);
@@ -75,6 +75,6 @@
 
 void TickPermits(Turn& aTurn);
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_core_permits_h
--- a/packages/core/src/placement.cpp
+++ b/packages/forwarder/core/src/placement.cpp
@@ -6,7 +6,7 @@
 
 #include "waves.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace {
 
@@ -180,4 +180,4 @@
   ++aTarget.ejections_;
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/core/src/placement.h
+++ b/packages/forwarder/core/src/placement.h
@@ -5,7 +5,7 @@
 
 #include "entry_state.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 struct Choice
 {
@@ -27,6 +27,6 @@
               const std::string& aVm,
               const std::string& aPool);
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_core_placement_h
--- a/packages/core/src/pools.cpp
+++ b/packages/forwarder/core/src/pools.cpp
@@ -3,7 +3,7 @@
 #include "routing.h"
 #include "slots.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace {
 
@@ -77,4 +77,4 @@
   }
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/core/src/proposal.cpp
+++ b/packages/forwarder/core/src/proposal.cpp
@@ -11,7 +11,7 @@
 #include "proposal_steps.h"
 #include "records.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace leaf = boost::leaf;
 
@@ -302,4 +302,4 @@
   return true;
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/core/src/proposal.h
+++ b/packages/forwarder/core/src/proposal.h
@@ -10,7 +10,7 @@
 
 #include "entry_state.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 void OnTicketFiled(Turn& aTurn, const TicketFiled& aFiled);
 void OnPrepare(Turn& aTurn, const PeerFrame& aFrame, const Prepare& aPrepare);
@@ -23,6 +23,6 @@
 // Starts what is due: waiting tickets, joining, removals, fences, leaving.
 void TickProposals(Turn& aTurn);
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_core_proposal_h
--- a/packages/core/src/proposal_due.cpp
+++ b/packages/forwarder/core/src/proposal_due.cpp
@@ -7,7 +7,7 @@
 #include "proposal.h"
 #include "proposal_steps.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace {
 
@@ -163,4 +163,4 @@
   }
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/core/src/proposal_steps.cpp
+++ b/packages/forwarder/core/src/proposal_steps.cpp
@@ -8,7 +8,7 @@
 #include "claims.h"
 #include "records.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace {
 
@@ -349,4 +349,4 @@
   }
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/core/src/proposal_steps.h
+++ b/packages/forwarder/core/src/proposal_steps.h
@@ -11,7 +11,7 @@
 
 #include "entry_state.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 // How often a frame is sent again that has not been answered.
 inline constexpr Duration kResendInterval = std::chrono::milliseconds(200);
@@ -49,6 +49,6 @@
 // Makes sure that a swap whose answer was lost can take effect no more.
 void StartFence(Turn& aTurn);
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_core_proposal_steps_h
--- a/packages/core/src/queues.cpp
+++ b/packages/forwarder/core/src/queues.cpp
@@ -4,7 +4,7 @@
 
 #include "permits.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace {
 
@@ -95,4 +95,4 @@
   return line.empty() ? nullptr : &line;
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/core/src/queues.h
+++ b/packages/forwarder/core/src/queues.h
@@ -5,7 +5,7 @@
 
 #include "entry_state.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 PoolState* FindPool(Entry& aEntry, std::string_view aName);
 
@@ -23,6 +23,6 @@
 // first, but never all the time.
 std::deque<RequestId>* NextLine(Entry& aEntry, AccountQueue& aQueue);
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_core_queues_h
--- a/packages/core/src/records.cpp
+++ b/packages/forwarder/core/src/records.cpp
@@ -8,7 +8,7 @@
 
 #include "records.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace leaf = boost::leaf;
 using nlohmann::json;
@@ -163,4 +163,4 @@
   }
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/core/src/records.h
+++ b/packages/forwarder/core/src/records.h
@@ -16,7 +16,7 @@
 
 #include "cuminbridge/core.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 inline constexpr std::string_view kConfigPrefix = "cuminbridge/config/";
 inline constexpr std::string_view kHeadKey = "cuminbridge/config/head";
@@ -68,6 +68,6 @@
 std::string EncodeLedger(const LedgerRecord& aLedger);
 std::optional<LedgerRecord> DecodeLedger(const std::string& aValue);
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_core_records_h
--- a/packages/core/src/reducer.cpp
+++ b/packages/forwarder/core/src/reducer.cpp
@@ -8,7 +8,7 @@
 #include "slots.h"
 #include "waves.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace {
 
@@ -254,4 +254,4 @@
   std::visit(EventVisitor{ turn }, aEvent);
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/core/src/routing.cpp
+++ b/packages/forwarder/core/src/routing.cpp
@@ -13,7 +13,7 @@
 #include "queues.h"
 #include "slots.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace {
 
@@ -534,4 +534,4 @@
   }
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/core/src/routing.h
+++ b/packages/forwarder/core/src/routing.h
@@ -5,7 +5,7 @@
 
 #include "entry_state.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 void OnRequestArrived(Turn& aTurn, const RequestArrived& aArrived);
 void OnRequestCancelled(Turn& aTurn, const RequestCancelled& aCancelled);
@@ -29,6 +29,6 @@
 // Refuses what has waited too long.
 void TickRouting(Turn& aTurn);
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_core_routing_h
--- a/packages/core/src/slots.cpp
+++ b/packages/forwarder/core/src/slots.cpp
@@ -9,7 +9,7 @@
 #include "agreement.h"
 #include "permits.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace {
 
@@ -200,4 +200,4 @@
   }
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/core/src/slots.h
+++ b/packages/forwarder/core/src/slots.h
@@ -10,7 +10,7 @@
 
 #include "entry_state.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 // Gives the target's slots out anew among the members in force.
 void AssignSlots(const Entry& aEntry, TargetState& aTarget);
@@ -27,6 +27,6 @@
 
 void TakeSlots(Entry& aEntry, const std::map<std::string, int>& aSlots);
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_core_slots_h
--- a/packages/core/src/steward.cpp
+++ b/packages/forwarder/core/src/steward.cpp
@@ -16,7 +16,7 @@
 #include "records.h"
 #include "routing.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace {
 
@@ -485,4 +485,4 @@
   }
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/core/src/steward.h
+++ b/packages/forwarder/core/src/steward.h
@@ -5,13 +5,13 @@
 
 #include "entry_state.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 // The members in force have changed: what was under way is void.
 void OnEpochChanged(Turn& aTurn);
 
 void TickSteward(Turn& aTurn);
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_core_steward_h
--- a/packages/core/src/views.cpp
+++ b/packages/forwarder/core/src/views.cpp
@@ -4,7 +4,7 @@
 #include "permits.h"
 #include "waves.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace {
 
@@ -180,4 +180,4 @@
   return counts;
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/core/src/waves.cpp
+++ b/packages/forwarder/core/src/waves.cpp
@@ -11,7 +11,7 @@
 #include "permits.h"
 #include "routing.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace {
 
@@ -548,4 +548,4 @@
   }
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/core/src/waves.h
+++ b/packages/forwarder/core/src/waves.h
@@ -11,7 +11,7 @@
 
 #include "entry_state.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 // The id of a VM's reboot in a round. The platform reboots once for each id.
 std::string NameOperation(std::int64_t aRound, const std::string& aVm);
@@ -40,6 +40,6 @@
 
 void TickWaves(Turn& aTurn);
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_core_waves_h
--- a/packages/core/tests/random_test.cpp
+++ b/packages/forwarder/core/tests/random_test.cpp
@@ -7,7 +7,7 @@
 
 #include "virtual_fleet.h"
 
-using namespace cuminbridge;
+using namespace cuminbridge::forwarder;
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
--- a/packages/core/tests/virtual_fleet.cpp
+++ b/packages/forwarder/core/tests/virtual_fleet.cpp
@@ -4,7 +4,7 @@
 
 #include "records.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace {
 
@@ -597,4 +597,4 @@
     }));
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/core/tests/virtual_fleet.h
+++ b/packages/forwarder/core/tests/virtual_fleet.h
@@ -13,7 +13,7 @@
 
 #include "cuminbridge/core.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 // How bad the network and the store are. Chances are in thousandths.
 struct Trouble
@@ -172,6 +172,6 @@
   std::uint64_t nextFiling_ = 1;
 };
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_core_tests_virtual_fleet_h
--- a/packages/entry/include/cuminbridge/entry.h
+++ b/packages/forwarder/entry/include/cuminbridge/entry.h
@@ -13,7 +13,7 @@
 
 #include "cuminbridge/core.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 // What the settings file says. docs/operators/settings.md lists each key.
 struct Settings
@@ -46,6 +46,6 @@
 // graceful shutdown, 1 if it could not start.
 int RunEntry(const Settings& aSettings);
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_entry_h
--- a/packages/entry/src/caller_server.cpp
+++ b/packages/forwarder/entry/src/caller_server.cpp
@@ -10,7 +10,7 @@
 #include "http_text.h"
 #include "log.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace beast = boost::beast;
 
@@ -358,4 +358,4 @@
   }
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/entry/src/caller_server.h
+++ b/packages/forwarder/entry/src/caller_server.h
@@ -7,7 +7,7 @@
 
 #include "entry_loop.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 struct CallerSession;
 
@@ -42,6 +42,6 @@
   bool isClosing_ = false;
 };
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_entry_caller_server_h
--- a/packages/entry/src/entry_loop.cpp
+++ b/packages/forwarder/entry/src/entry_loop.cpp
@@ -9,7 +9,7 @@
 #include "cuminbridge/wire.h"
 #include "log.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace leaf = boost::leaf;
 
@@ -296,4 +296,4 @@
     *entry_, metrics_, store_.Counts(), links_->Counts(), Now());
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/entry/src/entry_loop.h
+++ b/packages/forwarder/entry/src/entry_loop.h
@@ -10,7 +10,7 @@
 #include "cuminbridge/platform.h"
 #include "metrics.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 // What the reducer decided about a request.
 using Decision = std::variant<ForwardRequest, RefuseRequest>;
@@ -104,6 +104,6 @@
   bool isStopped_ = false;
 };
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_entry_entry_loop_h
--- a/packages/entry/src/exchange.cpp
+++ b/packages/forwarder/entry/src/exchange.cpp
@@ -5,7 +5,7 @@
 #include <boost/asio/write.hpp>
 #include <boost/beast/http.hpp>
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace beast = boost::beast;
 
@@ -232,4 +232,4 @@
   co_return exchange.outcome_;
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/entry/src/exchange.h
+++ b/packages/forwarder/entry/src/exchange.h
@@ -8,7 +8,7 @@
 #include "entry_loop.h"
 #include "http_text.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 using RequestParser = http::request_parser<http::buffer_body>;
 
@@ -40,6 +40,6 @@
                                        const std::string& aPath,
                                        const ForwardRequest& aForward);
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_entry_exchange_h
--- a/packages/entry/src/http_text.cpp
+++ b/packages/forwarder/entry/src/http_text.cpp
@@ -9,7 +9,7 @@
 #include <boost/beast/http/rfc7230.hpp>
 #include <nlohmann/json.hpp>
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace beast = boost::beast;
 
@@ -158,4 +158,4 @@
   return response;
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/entry/src/http_text.h
+++ b/packages/forwarder/entry/src/http_text.h
@@ -9,7 +9,7 @@
 
 #include "cuminbridge/core.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace http = boost::beast::http;
 
@@ -44,6 +44,6 @@
 // A problem document (RFC 9457) with the outcome.
 http::response<http::string_body> MakeProblem(const RefuseRequest& aRefusal);
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_entry_http_text_h
--- a/packages/entry/src/log.cpp
+++ b/packages/forwarder/entry/src/log.cpp
@@ -9,7 +9,7 @@
 #include <spdlog/sinks/ostream_sink.h>
 #include <spdlog/spdlog.h>
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 using nlohmann::json;
 
@@ -112,4 +112,4 @@
   logger->info("{}", std::string_view(line).substr(1));
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/entry/src/log.h
+++ b/packages/forwarder/entry/src/log.h
@@ -5,7 +5,7 @@
 
 #include "cuminbridge/core.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 // Lines are written by a thread of the log's own. If the reader is too slow,
 // the oldest lines are lost rather than the entry held up.
@@ -16,6 +16,6 @@
 void LogError(const std::string& aWhat, const std::string& aDetail);
 void WriteDecision(const LogDecision& aDecision);
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_entry_log_h
--- a/packages/entry/src/main.cpp
+++ b/packages/forwarder/entry/src/main.cpp
@@ -29,7 +29,8 @@
   text << file.rdbuf();
   return leaf::try_handle_all(
     [&]() -> leaf::result<int> {
-      BOOST_LEAF_AUTO(settings, cuminbridge::ParseSettings(text.str()));
+      BOOST_LEAF_AUTO(settings,
+                      cuminbridge::forwarder::ParseSettings(text.str()));
       if (aCheckOnly) {
         std::cout << aPath << ": good\n";
         return 0;
@@ -39,7 +40,7 @@
       settings.options_.self_.incarnation_ = static_cast<std::uint64_t>(
         std::chrono::duration_cast<std::chrono::microseconds>(now).count());
       settings.options_.randomSeed_ = settings.options_.self_.incarnation_;
-      return cuminbridge::RunEntry(settings);
+      return cuminbridge::forwarder::RunEntry(settings);
     },
     [&](const cuminbridge::Findings& aFindings) {
       std::cerr << aPath << ": refused\n"
--- a/packages/entry/src/metrics.cpp
+++ b/packages/forwarder/entry/src/metrics.cpp
@@ -4,7 +4,7 @@
 
 #include <array>
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace {
 
@@ -85,4 +85,4 @@
   return text;
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/entry/src/metrics.h
+++ b/packages/forwarder/entry/src/metrics.h
@@ -13,7 +13,7 @@
 #include "cuminbridge/link.h"
 #include "cuminbridge/platform.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 // Times of requests, in seconds, as running quantiles.
 class Latencies
@@ -43,6 +43,6 @@
                           const LinkCounts& aLinks,
                           TimePoint aNow);
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_entry_metrics_h
--- a/packages/entry/src/operator_server.cpp
+++ b/packages/forwarder/entry/src/operator_server.cpp
@@ -11,7 +11,7 @@
 #include "http_text.h"
 #include "operator_views.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace beast = boost::beast;
 using nlohmann::json;
@@ -238,4 +238,4 @@
                             ignored);
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/entry/src/operator_server.h
+++ b/packages/forwarder/entry/src/operator_server.h
@@ -5,7 +5,7 @@
 
 #include "entry_loop.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 class OperatorServer
 {
@@ -25,6 +25,6 @@
   Acceptor acceptor_;
 };
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_entry_operator_server_h
--- a/packages/entry/src/operator_views.cpp
+++ b/packages/forwarder/entry/src/operator_views.cpp
@@ -2,7 +2,7 @@
 
 #include "operator_views.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 using nlohmann::json;
 
@@ -110,4 +110,4 @@
   return { { "ready", reasons.empty() }, { "reasons", reasons } };
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/entry/src/operator_views.h
+++ b/packages/forwarder/entry/src/operator_views.h
@@ -7,7 +7,7 @@
 
 #include "cuminbridge/core.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 nlohmann::json ShowFiling(const AnswerFiling& aAnswer);
 nlohmann::json ShowInForce(const Entry& aEntry, TimePoint aNow);
@@ -16,6 +16,6 @@
 nlohmann::json ShowWaves(const Entry& aEntry, TimePoint aNow);
 nlohmann::json ShowReadiness(const Entry& aEntry, TimePoint aNow);
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_entry_operator_views_h
--- a/packages/entry/src/run_entry.cpp
+++ b/packages/forwarder/entry/src/run_entry.cpp
@@ -7,7 +7,7 @@
 #include "log.h"
 #include "operator_server.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace {
 
@@ -124,4 +124,4 @@
   return code;
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/entry/src/settings.cpp
+++ b/packages/forwarder/entry/src/settings.cpp
@@ -8,7 +8,7 @@
 #include "cuminbridge/entry.h"
 #include "cuminbridge/platform.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace leaf = boost::leaf;
 
@@ -236,4 +236,4 @@
   return settings;
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/entry/tests/settings_test.cpp
+++ b/packages/forwarder/entry/tests/settings_test.cpp
@@ -9,6 +9,7 @@
 #include "http_text.h"
 
 using namespace cuminbridge;
+using namespace cuminbridge::forwarder;
 namespace leaf = boost::leaf;
 
 namespace {
--- a/packages/link/include/cuminbridge/link.h
+++ b/packages/forwarder/link/include/cuminbridge/link.h
@@ -25,7 +25,7 @@
 
 #include <boost/asio/io_context.hpp>
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 struct LinkOptions
 {
@@ -77,6 +77,6 @@
   std::shared_ptr<Impl> impl_;
 };
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_link_h
--- a/packages/link/src/link.cpp
+++ b/packages/forwarder/link/src/link.cpp
@@ -13,7 +13,7 @@
 #include <websocketpp/config/asio_no_tls_client.hpp>
 #include <websocketpp/server.hpp>
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace {
 
@@ -330,4 +330,4 @@
   return impl_->counts_;
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/model/include/cuminbridge/model.h
+++ b/packages/forwarder/model/include/cuminbridge/model.h
@@ -33,7 +33,7 @@
 
 #include "cuminbridge/findings.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 //-----------------------------------------------------------------------------
 // [SECTION] Time
@@ -430,6 +430,6 @@
                                  WaveReply,
                                  Goodbye>;
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_model_h
--- a/packages/model/src/clock.cpp
+++ b/packages/forwarder/model/src/clock.cpp
@@ -4,7 +4,7 @@
 
 #include "cuminbridge/model.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 TimePoint
 BootClock::Now() const
@@ -15,4 +15,4 @@
                    std::chrono::nanoseconds(now.tv_nsec));
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/model/src/config.cpp
+++ b/packages/forwarder/model/src/config.cpp
@@ -2,7 +2,7 @@
 
 #include "cuminbridge/model.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 ConfigBuilder::ConfigBuilder(const Config& aBase)
 {
@@ -52,4 +52,4 @@
   return std::make_shared<const Config>(std::move(config_));
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/model/src/digest.cpp
+++ b/packages/forwarder/model/src/digest.cpp
@@ -7,7 +7,7 @@
 
 #include "cuminbridge/model.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 std::string
 Sha256Hex(std::string_view aText)
@@ -43,4 +43,4 @@
   return XXH64(text.data(), text.size(), 0);
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/model/src/json.cpp
+++ b/packages/forwarder/model/src/json.cpp
@@ -4,7 +4,7 @@
 
 #include "cuminbridge/model.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 using nlohmann::json;
 
@@ -75,4 +75,4 @@
   aJson.at("voter").get_to(aMember.isVoter_);
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/model/src/ticket.cpp
+++ b/packages/forwarder/model/src/ticket.cpp
@@ -8,7 +8,7 @@
 
 #include "cuminbridge/model.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace leaf = boost::leaf;
 
@@ -267,4 +267,4 @@
   return builder.Build();
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/model/tests/ticket_test.cpp
+++ b/packages/forwarder/model/tests/ticket_test.cpp
@@ -8,6 +8,7 @@
 #include "cuminbridge/model.h"
 
 using namespace cuminbridge;
+using namespace cuminbridge::forwarder;
 namespace leaf = boost::leaf;
 
 namespace {
--- a/packages/platform/include/cuminbridge/platform.h
+++ b/packages/forwarder/platform/include/cuminbridge/platform.h
@@ -41,7 +41,7 @@
 
 #include "cuminbridge/core.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 //-----------------------------------------------------------------------------
 // [SECTION] Types of the network
@@ -192,6 +192,6 @@
   std::unordered_map<std::string, std::deque<Idle>> idle_;
 };
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_platform_h
--- a/packages/platform/src/http_call.cpp
+++ b/packages/forwarder/platform/src/http_call.cpp
@@ -9,7 +9,7 @@
 #include <boost/asio/ip/address.hpp>
 #include <boost/beast/http.hpp>
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace http = boost::beast::http;
 
@@ -94,4 +94,4 @@
   co_return reply;
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/platform/src/http_call.h
+++ b/packages/forwarder/platform/src/http_call.h
@@ -7,7 +7,7 @@
 
 #include "cuminbridge/platform.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 // Is a connection that lay idle still open, with nothing unread?
 bool IsStillOpen(Stream& aStream);
@@ -26,6 +26,6 @@
                               std::string aPath,
                               std::string aBody);
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_platform_http_call_h
--- a/packages/platform/src/store_client.cpp
+++ b/packages/forwarder/platform/src/store_client.cpp
@@ -7,7 +7,7 @@
 
 #include "http_call.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 using nlohmann::json;
 
@@ -247,4 +247,4 @@
     [](std::exception_ptr) {});
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/platform/src/target_pool.cpp
+++ b/packages/forwarder/platform/src/target_pool.cpp
@@ -2,7 +2,7 @@
 
 #include "http_call.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace {
 
@@ -64,4 +64,4 @@
   }
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/platform/src/vm_list_client.cpp
+++ b/packages/forwarder/platform/src/vm_list_client.cpp
@@ -5,7 +5,7 @@
 
 #include "http_call.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 using nlohmann::json;
 
@@ -116,4 +116,4 @@
     [](std::exception_ptr) {});
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/wire/include/cuminbridge/wire.h
+++ b/packages/forwarder/wire/include/cuminbridge/wire.h
@@ -12,7 +12,7 @@
 
 #include "cuminbridge/model.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 // Frames of other versions are refused.
 inline constexpr int kWireVersion = 1;
@@ -34,6 +34,6 @@
 // On failure the LEAF error carries a std::string that says what is wrong.
 boost::leaf::result<Frame> DecodeFrame(std::string_view aBytes);
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_wire_h
--- a/packages/wire/src/wire.cpp
+++ b/packages/forwarder/wire/src/wire.cpp
@@ -5,7 +5,7 @@
 #include <boost/leaf/error.hpp>
 #include <nlohmann/json.hpp>
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace leaf = boost::leaf;
 using nlohmann::json;
@@ -200,4 +200,4 @@
   }
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/packages/wire/tests/wire_test.cpp
+++ b/packages/forwarder/wire/tests/wire_test.cpp
@@ -5,7 +5,7 @@
 
 #include "cuminbridge/wire.h"
 
-using namespace cuminbridge;
+using namespace cuminbridge::forwarder;
 
 namespace {
 
--- a/testing/capacity_bench.cpp
+++ b/testing/forwarder/capacity_bench.cpp
@@ -18,7 +18,7 @@
 #include "permits.h"
 #include "steward.h"
 
-using namespace cuminbridge;
+using namespace cuminbridge::forwarder;
 
 namespace {
 
@@ -129,7 +129,7 @@
     for (int i = 0; i < aSize.accounts_; ++i) {
       const std::string name = "account-" + std::to_string(i);
       note.issued_[name] = 8;
-      cuminbridge::FindAccount(*entry_, name).held_ = 8;
+      cuminbridge::forwarder::FindAccount(*entry_, name).held_ = 8;
     }
     Submit(FromPeer(1, note));
   }
--- a/testing/failures_test.sh
+++ b/testing/forwarder/failures_test.sh
@@ -66,7 +66,7 @@
 [ "$peak" -lt 65536 ] || expect "resident memory of entry 4 in KiB" "below 65536" "$peak"
 
 # A graceful shutdown under load cuts nothing.
-"$BUILD/testing/load" 127.0.10.5:8080 "/q/a/x?sleep_ms=20" 30 3000 0 "$KEY" >"$WORK/load-5" &
+"$BUILD/testing/forwarder/load" 127.0.10.5:8080 "/q/a/x?sleep_ms=20" 30 3000 0 "$KEY" >"$WORK/load-5" &
 load=$!
 call 5 GET '/q/a/x?sleep_ms=3000' -H "$KEY" -o /dev/null -w '%{http_code}' >"$WORK/slow" &
 slow=$!
@@ -85,7 +85,7 @@
 wait_ready 5 || exit 1
 
 # An entry killed under load: the others go on, and it joins again, empty.
-"$BUILD/testing/load" 127.0.10.6:8080 /q/a/x 10 4000 1000 "$KEY" >"$WORK/load-6" &
+"$BUILD/testing/forwarder/load" 127.0.10.6:8080 /q/a/x 10 4000 1000 "$KEY" >"$WORK/load-6" &
 load=$!
 sleep 1
 end entry-1 KILL
@@ -106,7 +106,7 @@
 load_while_replacing() { # ASKED NUMBER...
   local asked=$1 number load
   shift
-  "$BUILD/testing/load" "127.0.10.$asked:8080" /q/a/x 10 1000000 500 "$KEY" >"$WORK/load" &
+  "$BUILD/testing/forwarder/load" "127.0.10.$asked:8080" /q/a/x 10 1000000 500 "$KEY" >"$WORK/load" &
   load=$!
   for number in "$@"; do
     replace "$number" || expect "entry $number joins again" yes no
--- a/testing/fleet.sh
+++ b/testing/forwarder/fleet.sh
@@ -25,14 +25,14 @@
   kill "-${2:-TERM}" "${PIDS[$1]}" 2>/dev/null || true
 }
 
-start_store() { start store "$BUILD/testing/standin_store" "$STORE"; }
+start_store() { start store "$BUILD/testing/forwarder/standin_store" "$STORE"; }
 
 start_platform() { # [VMS], each an address
   local vms=("$@")
   [ ${#vms[@]} -gt 0 ] || vms=(127.0.20.{1..10})
   start_store
-  start vms "$BUILD/testing/standin_vms" "$VM_LIST"
-  start targets "$BUILD/testing/standin_target" "$TARGET_PORT" "${vms[@]}"
+  start vms "$BUILD/testing/forwarder/standin_vms" "$VM_LIST"
+  start targets "$BUILD/testing/forwarder/standin_target" "$TARGET_PORT" "${vms[@]}"
   wait_for curl -sf "http://$VM_LIST/stats"
   wait_for curl -sf "http://$STORE/stats"
   wait_for curl -sf "http://${vms[0]}:$TARGET_PORT/stats"
@@ -74,7 +74,7 @@
   local number
   for number in "$@"; do
     write_settings "$number"
-    start "entry-$number" "$BUILD/packages/entry/cuminbridge_forwarder" \
+    start "entry-$number" "$BUILD/packages/forwarder/entry/cuminbridge_forwarder" \
       --settings "$WORK/entry-$number.toml"
   done
 }
--- a/testing/load.cpp
+++ b/testing/forwarder/load.cpp
@@ -20,7 +20,7 @@
 
 namespace {
 
-using namespace cuminbridge;
+using namespace cuminbridge::forwarder;
 namespace http = boost::beast::http;
 using SteadyClock = std::chrono::steady_clock;
 
--- a/testing/measure_latency.sh
+++ b/testing/forwarder/measure_latency.sh
@@ -1,6 +1,6 @@
 #!/usr/bin/env bash
 # Added latency and throughput of one entry, against the same client straight to
-# the same target, in one run. Usage: BUILD=build/release testing/measure_latency.sh
+# the same target, in one run. Usage: BUILD=build/release testing/forwarder/measure_latency.sh
 set -u
 . "$(dirname "$0")/fleet.sh"
 trap stop_fleet EXIT
@@ -21,8 +21,8 @@
 limit = 64
 EOF
 ticks() { cut -d' ' -f14,15 "/proc/${PIDS[entry-1]}/stat" | tr ' ' '+' | bc; }
-direct() { "$BUILD/testing/load" "127.0.20.1:$TARGET_PORT" /x "$@"; }
-through() { "$BUILD/testing/load" 127.0.10.1:8080 /q/a/x "$@" "$KEY"; }
+direct() { "$BUILD/testing/forwarder/load" "127.0.20.1:$TARGET_PORT" /x "$@"; }
+through() { "$BUILD/testing/forwarder/load" 127.0.10.1:8080 /q/a/x "$@" "$KEY"; }
 through 8 20000 0 >/dev/null # warm
 for turn in 1 2 3; do
   echo "turn $turn"
--- a/testing/standin_server.cpp
+++ b/testing/forwarder/standin_server.cpp
@@ -7,7 +7,7 @@
 
 #include "cuminbridge/platform.h"
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 namespace {
 
@@ -90,4 +90,4 @@
   return 0;
 }
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
--- a/testing/standin_server.h
+++ b/testing/forwarder/standin_server.h
@@ -6,7 +6,7 @@
 #include <functional>
 #include <string>
 
-namespace cuminbridge {
+namespace cuminbridge::forwarder {
 
 struct StandinRequest
 {
@@ -28,6 +28,6 @@
 // Serves until SIGTERM. Returns an exit code.
 int RunStandin(const std::string& aAddress, const StandinHandler& aHandler);
 
-} // namespace cuminbridge
+} // namespace cuminbridge::forwarder
 
 #endif // cuminbridge_testing_standin_server_h
--- a/testing/standin_store.cpp
+++ b/testing/forwarder/standin_store.cpp
@@ -19,8 +19,8 @@
 
 namespace {
 
-using cuminbridge::StandinAnswer;
-using cuminbridge::StandinRequest;
+using cuminbridge::forwarder::StandinAnswer;
+using cuminbridge::forwarder::StandinRequest;
 using nlohmann::json;
 
 struct Value
@@ -179,13 +179,14 @@
     return 2;
   }
   Store store;
-  return cuminbridge::RunStandin(argv[1], [&](const StandinRequest& aRequest) {
-    try {
-      return store.Handle(aRequest);
-    } catch (const std::exception& error) {
-      return StandinAnswer{
-        400, json({ { "error", error.what() } }).dump(), 0, false
-      };
-    }
-  });
+  return cuminbridge::forwarder::RunStandin(
+    argv[1], [&](const StandinRequest& aRequest) {
+      try {
+        return store.Handle(aRequest);
+      } catch (const std::exception& error) {
+        return StandinAnswer{
+          400, json({ { "error", error.what() } }).dump(), 0, false
+        };
+      }
+    });
 }
--- a/testing/standin_target.cpp
+++ b/testing/forwarder/standin_target.cpp
@@ -19,7 +19,7 @@
 
 namespace {
 
-using namespace cuminbridge;
+using namespace cuminbridge::forwarder;
 namespace http = boost::beast::http;
 
 constexpr unsigned kHttp11 = 11;
--- a/testing/standin_vms.cpp
+++ b/testing/forwarder/standin_vms.cpp
@@ -16,8 +16,8 @@
 
 namespace {
 
-using cuminbridge::StandinAnswer;
-using cuminbridge::StandinRequest;
+using cuminbridge::forwarder::StandinAnswer;
+using cuminbridge::forwarder::StandinRequest;
 using nlohmann::json;
 
 struct VmList
@@ -97,11 +97,12 @@
     return 2;
   }
   VmList list;
-  return cuminbridge::RunStandin(argv[1], [&](const StandinRequest& aRequest) {
-    try {
-      return list.Handle(aRequest);
-    } catch (const std::exception&) {
-      return StandinAnswer{ 400, "{}", 0, false };
-    }
-  });
+  return cuminbridge::forwarder::RunStandin(
+    argv[1], [&](const StandinRequest& aRequest) {
+      try {
+        return list.Handle(aRequest);
+      } catch (const std::exception&) {
+        return StandinAnswer{ 400, "{}", 0, false };
+      }
+    });
 }
--- a/testing/jobs_fleet.sh
+++ b/testing/jobs_fleet.sh
@@ -39,8 +39,9 @@
 cloud.address=$NET.2:7400
 bounds.migrate_s=0.4
 CONF
+  touch "$WORK/tuning.toml"
   start "entry-$1" "$BUILD/packages/daemon/cuminbridge" \
-    --settings "$WORK/entry-$1.conf"
+    --settings "$WORK/entry-$1.conf" --tuning "$WORK/tuning.toml"
 }
 
 wait_for() { # TRIES COMMAND...
@@ -77,6 +78,15 @@
 
 is_state() { [ "$(state "$1" "$2" "$3")" = "{\"state\":\"$4\"}" ]; }
 
+# The operators' command line, through one entry, with a client account's key.
+ctl() { # ENTRY WORDS...
+  local entry=$1
+  shift
+  echo "$KEY" >"$WORK/key"
+  "$BUILD/packages/ctl/cuminbridgectl" -e "$NET.10$entry:7000" \
+    -k "$WORK/key" "$@"
+}
+
 # The entry that owns the fleet, by its last log line about it.
 owner() {
   local name
--- a/testing/jobs_test.sh
+++ b/testing/jobs_test.sh
@@ -60,6 +60,58 @@
 expect "nothing of these was kept" 410 \
   "$(ask 1 GET /quotes/00000000000000a4 -o /dev/null -w '%{http_code}')"
 
+# The same by the operators' command line, through any entry.
+cat >"$WORK/job.toml" <<JOB
+spec = "takes=200"
+[step.1]
+count = 2
+cpu_millis = 1000
+estimate_ms = 200
+[step.2]
+count = 1
+cpu_millis = 2000
+after = ["1"]
+JOB
+expect "a job file is handed in" "accepted 00000000000000c1" \
+  "$(ctl 2 job submit quotes "$WORK/job.toml" 00000000000000c1)"
+is_read() { [ "$(ctl 3 job read quotes 00000000000000c1)" = "state: completed" ]; }
+if wait_for 200 is_read; then echo "good: it is read as completed"; else
+  echo "FAILED: $(ctl 3 job read quotes 00000000000000c1)"
+  failures=$((failures + 1))
+fi
+expect "how many wait" "waiting: 0" "$(ctl 1 job list quotes)"
+echo 'spec = 1' >"$WORK/bad.toml"
+expect "a bad job file is refused" 1 \
+  "$(ctl 1 job submit quotes "$WORK/bad.toml" >/dev/null 2>&1 || echo $?)"
+expect "a wrong key on the command line" 1 \
+  "$(KEY=stolen ctl 1 job read quotes 00000000000000c1 >/dev/null 2>&1 || echo $?)"
+for entry in 1 2 3; do
+  expect "entry $entry shows the three pools" 3 \
+    "$(ctl $entry fleet pools | grep -cE 'planning|dispatch|spare')"
+done
+expect "accounts with their limits" 1 "$(ctl 2 fleet accounts | grep -c depots)"
+expect "the queues" 3 "$(ctl 3 fleet queues | grep -c demo.example)"
+expect "the owner" "owner: $(owner)" "$(ctl 1 fleet owner | grep '^owner')"
+
+# Settings of our own: checked, and read again on SIGHUP.
+expect "settings that are good" good \
+  "$("$BUILD/packages/daemon/cuminbridge" --check --settings "$WORK/entry-1.conf")"
+echo '[fleet]
+run_wait_ms = 300' >"$WORK/tuning.toml"
+end entry-1 HUP
+is_reloaded() { grep -q 'fleet.run_wait_ms 400 -> 300' "$WORK/entry-1.log"; }
+if wait_for 50 is_reloaded; then echo "good: SIGHUP changes a setting"; else
+  echo "FAILED: SIGHUP changed nothing"
+  failures=$((failures + 1))
+fi
+echo 'run_wait_ms = 300' >"$WORK/tuning.toml"
+end entry-1 HUP
+is_refused() { grep -q '"event":"tuning_refused"' "$WORK/entry-1.log"; }
+if wait_for 50 is_refused; then echo "good: bad settings change nothing"; else
+  echo "FAILED: bad settings were not refused"
+  failures=$((failures + 1))
+fi
+
 # The owner is killed while work runs: another one finishes it, once.
 expect "a long job" 200 "$(submit 1 rounds 00000000000000b1 "$LONG")"
 wait_for 100 is_state 2 rounds 00000000000000b1 serving
