--- a/packages/fleet/src/relocate.cpp
+++ b/packages/fleet/src/relocate.cpp
@@ -89,7 +89,7 @@
 PaceOf(FleetState& aState, const Target& aTarget, const Run& aRun)
 {
   const auto ref = FindItem(aState, aRun.item_);
-  if (!ref.item_ || !aRun.isOurs_ || aRun.isLasting_ || aRun.isFiller_ ||
+  if (!ref.item_ || !aRun.progressFrom_ || aRun.isLasting_ || aRun.isFiller_ ||
       aRun.phase_ != RunPhase::Running || ref.spec_->isGang_ ||
       ref.spec_->isSameRack_) {
     return std::nullopt;
@@ -98,8 +98,9 @@
                         ref.spec_->dataRack_ != aTarget.report_.rack_;
   const double factor = isRemote ? aState.options_.remoteFactor_ : 1;
   const auto expected = ExpectRun(aState, *ref.job_, *ref.spec_);
-  return RunPace{ aState.now_ - aRun.sentAt_,
+  return RunPace{ aState.now_ - *aRun.progressFrom_,
                   std::chrono::duration_cast<Millis>(factor * expected),
+                  aRun.percentThen_,
                   aRun.percent_ };
 }
 
--- a/packages/fleet/src/run_pace.cpp
+++ b/packages/fleet/src/run_pace.cpp
@@ -29,10 +29,10 @@
       continue;
     }
     expected += std::min(
-      1.0,
+      (kWhole - run.percentThen_) / kWhole,
       static_cast<double>(run.age_.count()) /
         static_cast<double>(std::max<std::int64_t>(1, run.expected_.count())));
-    done += run.percent_ / kWhole;
+    done += (run.percent_ - run.percentThen_) / kWhole;
   }
   return expected < kEnough ? std::nullopt : std::optional(done / expected);
 }
@@ -46,9 +46,9 @@
   const double anew = kGain * static_cast<double>(aRun.expected_.count()) +
                       static_cast<double>(kRestart.count());
   constexpr double kStandsStill = 0.1; // percent, in place of none
-  const double left = static_cast<double>(aRun.age_.count()) *
-                      (kWhole - aRun.percent_) /
-                      std::max(kStandsStill, 1.0 * aRun.percent_);
+  const double left =
+    static_cast<double>(aRun.age_.count()) * (kWhole - aRun.percent_) /
+    std::max(kStandsStill, 1.0 * (aRun.percent_ - aRun.percentThen_));
   return left > anew;
 }
 
--- a/packages/fleet/src/run_pace.h
+++ b/packages/fleet/src/run_pace.h
@@ -12,9 +12,10 @@
 
 struct RunPace
 {
-  Millis age_{ 0 };      // since its start
+  Millis age_{ 0 };      // since it was first seen, or started
   Millis expected_{ 0 }; // its whole run time, as learned
-  int percent_ = 0;      // of its work, as its target lists it
+  int percentThen_ = 0;  // of its work, when it was first seen
+  int percent_ = 0;      // ... and now, as its target lists it
 
   bool operator==(const RunPace&) const = default;
 };
--- a/packages/fleet/src/runs.cpp
+++ b/packages/fleet/src/runs.cpp
@@ -108,6 +108,7 @@
   run.run_ = std::max(aRun, LowestRun(aState) + 1);
   run.sentAt_ = aState.now_;
   run.isOurs_ = true;
+  run.progressFrom_ = aState.now_;
   aTarget.leaseUntil_ =
     std::max(aTarget.leaseUntil_,
              ClockOf(aState, aTarget) + aState.options_.targetLease_.count());
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -107,6 +107,10 @@
   Instant stopSentAt_;
   std::optional<Instant> stoppedAt_; // the stop was answered
   int percent_ = 0;
+  // How far it was, and when, for its pace: at its start, or when the target
+  // first listed a run of the owner before.
+  std::optional<Instant> progressFrom_;
+  int percentThen_ = 0;
   std::string checkpoint_;
   std::int64_t usage_ = 0;
   int pace_ = 100;
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -158,6 +158,8 @@
   run.percent_ = aSeen.percent_;
   run.checkpoint_ = aSeen.checkpoint_;
   run.usage_ = aSeen.usage_;
+  run.progressFrom_ = aState.now_;
+  run.percentThen_ = aSeen.percent_;
   if (isWanted) {
     AddRun(aState, aTarget, std::move(run));
     aState.Log("run_adopted",
@@ -182,6 +184,10 @@
   aRun.percent_ = aSeen.percent_;
   aRun.usage_ = aSeen.usage_;
   aRun.isPresumed_ = false;
+  if (!aRun.progressFrom_) {
+    aRun.progressFrom_ = aNow;
+    aRun.percentThen_ = aSeen.percent_;
+  }
   if (!aSeen.checkpoint_.empty()) {
     aRun.checkpoint_ = aSeen.checkpoint_;
   }
--- a/packages/fleet/tests/slow_test.cpp
+++ b/packages/fleet/tests/slow_test.cpp
@@ -73,24 +73,24 @@
 TEST_CASE("one long run alone is no sign of a slow target")
 {
   const Millis expected(600);
-  CHECK_FALSE(SpeedOf({ { Millis(500), expected, 10 } }));
+  CHECK_FALSE(SpeedOf({ { Millis(500), expected, 0, 10 } }));
   // Three of four are on time.
-  const auto speed = SpeedOf({ { Millis(400), expected, 66 },
-                               { Millis(400), expected, 66 },
-                               { Millis(400), expected, 66 },
-                               { Millis(600), expected, 20 } });
+  const auto speed = SpeedOf({ { Millis(400), expected, 0, 66 },
+                               { Millis(400), expected, 0, 66 },
+                               { Millis(400), expected, 0, 66 },
+                               { Millis(600), expected, 0, 20 } });
   REQUIRE(speed);
   CHECK(*speed > kSlowSpeed);
-  CHECK_FALSE(IsWorthReplacing({ Millis(400), expected, 66 }));
-  CHECK(IsWorthReplacing({ Millis(600), expected, 20 }));
+  CHECK_FALSE(IsWorthReplacing({ Millis(400), expected, 0, 66 }));
+  CHECK(IsWorthReplacing({ Millis(600), expected, 0, 20 }));
 }
 
 TEST_CASE("what stands still shows as no speed")
 {
-  const auto speed = SpeedOf({ { Millis(700), Millis(600), 0 } });
+  const auto speed = SpeedOf({ { Millis(700), Millis(600), 0, 0 } });
   REQUIRE(speed);
   CHECK(*speed == 0);
-  CHECK(IsWorthReplacing({ Millis(700), Millis(600), 0 }));
+  CHECK(IsWorthReplacing({ Millis(700), Millis(600), 0, 0 }));
 }
 
 TEST_CASE("run times are not learned from runs of the owner before")
@@ -105,3 +105,22 @@
   CHECK(world.StoredState(kJob) == JobState::Completed);
   CHECK(world.LearnedQueues() == 0);
 }
+
+TEST_CASE("a run of the owner before that stands still begins again elsewhere")
+{
+  World world(1);
+  world.AddTargets("a", 3);
+  world.BeginOwner();
+  world.RunFor(Millis(1000));
+  for (const auto& id : world.TargetIds()) {
+    world.SlowTarget(id, 0);
+  }
+  world.Submit(MakeJob(kJob, "a", { 2 }));
+  world.RunFor(Millis(150)); // started, and not found slow yet
+  for (const auto& id : world.TargetIds()) {
+    world.SlowTarget(id, 1); // for what is started from now on
+  }
+  world.BeginOwner(FormerOwner::Ended);
+  CHECK(TimeToComplete(world) < Millis(10000));
+  CHECK(world.Broken().empty());
+}
--- a/packages/fleet/tests/world.cpp
+++ b/packages/fleet/tests/world.cpp
@@ -120,7 +120,9 @@
   loaded.targets_ = known_;
   loaded.former_ = term_ == 1 ? FormerOwner::HandedOver : aFormer;
   loaded.term_ = term_;
+  loaded.inheritedUntil_ = inheritedUntil_;
   Feed(*owner, loaded);
+  inheritedUntil_ = owner->fleet_.InheritedUntil();
   TickOwner(owner);
   ListTargets(owner);
 }
@@ -274,9 +276,12 @@
   };
   if (isLate) {
     const auto span = static_cast<double>((kLatestEnd - kLatestStart).count());
+    // What a process has not carried out yet ends with it.
+    const auto life = targets_.at(aTarget)->born_;
     At(kLatestStart + Millis(static_cast<std::int64_t>(Draw() * span)),
-       [this, aTarget, aCarry] {
-         if (targets_.at(aTarget)->cutUntil_ <= now_) {
+       [this, aTarget, aCarry, life] {
+         const auto& target = *targets_.at(aTarget);
+         if (target.cutUntil_ <= now_ && target.born_ == life) {
            aCarry();
          }
        });
--- a/packages/fleet/tests/world.h
+++ b/packages/fleet/tests/world.h
@@ -119,6 +119,7 @@
   std::set<std::string> cancelled_;
   std::map<std::string, Progress> progress_;
   std::vector<KnownTarget> known_;
+  WallTime inheritedUntil_; // as the last owner recorded it
 
   // What really happened, for the checks.
   std::map<ItemName, int> runningNow_;
