A start that came to a new process under the same id is not taken for lapsed

Trace: a target restarts with its id and a clock that begins anew; a start for the process before comes to the new one, with a deadline on the former clock; the owner hears of the restart, forgets that deadline, and after one unanswered renewal takes the lease for lapsed. Also, starts without an answer were given up on the first list. Change: the deadline is kept, at most the longest lease that targets grant beyond the new clock; a start's own answer shows a new clock; only confirmed runs are presumed gone with a process.

--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -47,6 +47,7 @@
   FleetOptions options = aTuning.fleet_;
   options.targetLease_ =
     std::min(options.targetLease_, aSettings.longestLease_);
+  options.longestLease_ = aSettings.longestLease_;
   options.moveTime_ = aSettings.moveTime_;
   options.vmOrderLease_ = aSettings.vmOrderLease_;
   options.keepEnded_ = aSettings.keepEnded_;
--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -46,6 +46,8 @@
   // change of owner takes (2 s lease in the store, then reading it), and short,
   // as work on a silent target is started elsewhere only after it.
   Millis targetLease_{ 4000 };
+  // A target shortens longer leases to this, from the settings.
+  Millis longestLease_{ 10000 };
   // A target answers a renewal at the next end, or after this.
   Millis holdWait_{ 1000 };
   // The same where runs end by themselves: an answer that is lost then holds up
--- a/packages/fleet/src/runs.cpp
+++ b/packages/fleet/src/runs.cpp
@@ -62,6 +62,17 @@
   }
 }
 
+bool
+IsOtherClock(const FleetState& aState,
+             const Target& aTarget,
+             std::int64_t aClockMs)
+{
+  // Answers are late by less than this.
+  constexpr std::int64_t kLatestMs = 2000;
+  return aClockMs > 0 && aTarget.clockMs_ != 0 &&
+         aClockMs + kLatestMs < ClockOf(aState, aTarget);
+}
+
 Run*
 FindRun(Target& aTarget, const ItemName& aItem, std::int64_t aRun)
 {
@@ -230,6 +241,13 @@
     return;
   }
   auto& target = found->second;
+  if (IsOtherClock(aState, target, aAnswer.clockMs_)) {
+    // It has restarted and nobody has told yet: its runs count on this clock.
+    target.clockMs_ = 0;
+    target.leaseUntil_ =
+      std::min(target.leaseUntil_,
+               aAnswer.clockMs_ + aState.options_.longestLease_.count());
+  }
   TakeClock(aState, target, aAnswer.clockMs_);
   auto* run = FindRun(target, aAnswer.item_, aAnswer.run_);
   if (!run) {
--- a/packages/fleet/src/runs.h
+++ b/packages/fleet/src/runs.h
@@ -11,6 +11,12 @@
 std::int64_t ClockOf(const FleetState& aState, const Target& aTarget);
 void TakeClock(FleetState& aState, Target& aTarget, std::int64_t aClockMs);
 
+// Whether a clock that a target told is not the one it had: its process is
+// another one.
+bool IsOtherClock(const FleetState& aState,
+                  const Target& aTarget,
+                  std::int64_t aClockMs);
+
 Run* FindRun(Target& aTarget, const ItemName& aItem, std::int64_t aRun);
 
 // Sends the start of an item on a target and reserves its room there.
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -41,8 +41,12 @@
   return ClockOf(aState, aTarget) >= aTarget.leaseUntil_ + kLapseSlack.count();
 }
 
+// Another process has begun at the target: it knows nothing of before.
 void
-BeginLife(FleetState& aState, Target& aTarget, std::int64_t aBorn)
+BeginLife(FleetState& aState,
+          Target& aTarget,
+          std::int64_t aBorn,
+          std::int64_t aClockMs)
 {
   if (aTarget.born_ != 0) {
     aState.Log("target_restarted",
@@ -51,13 +55,20 @@
                aTarget.report_.id_,
                std::to_string(aTarget.born_) + " -> " + std::to_string(aBorn));
   }
+  const auto sentUntil = aTarget.leaseUntil_;
   aTarget.born_ = aBorn;
   aTarget.endsTaken_ = 0;
   aTarget.endsStored_ = 0;
   aTarget.endsInBatch_ = 0;
   aTarget.endsTold_ = 0;
   aTarget.clockMs_ = 0;
-  aTarget.leaseUntil_ = 0;
+  TakeClock(aState, aTarget, aClockMs);
+  // A start that was meant for the process before may have come to this one,
+  // with a deadline on the former clock. Targets shorten what is too long.
+  aTarget.leaseUntil_ =
+    aTarget.runs_.empty()
+      ? 0
+      : std::min(sentUntil, aClockMs + aState.options_.longestLease_.count());
   aTarget.contact_ = Contact::Unseen;
   aTarget.nextHold_ = aState.now_;
   aTarget.isGone_ = false;
@@ -66,6 +77,11 @@
   aTarget.idleSince_ = aState.now_;
   aTarget.failuresInRow_ = 0;
   aTarget.slowUntil_ = aState.now_;
+  for (auto& run : aTarget.runs_) {
+    // Gone unless the new process lists it. A start that is not answered yet
+    // may still come to it.
+    run.isPresumed_ = run.isPresumed_ || run.confirmedAt_.has_value();
+  }
 }
 
 // A run that the owner before us started and did not record: newer than all
@@ -216,8 +232,10 @@
       }
       return false;
     }();
+    const bool isOlder =
+      !run.confirmedAt_ || *run.confirmedAt_ < aAnswer.sentAt_;
     const bool wasThere =
-      run.isPresumed_ ||
+      (run.isPresumed_ && isOlder) ||
       (run.confirmedAt_ && *run.confirmedAt_ < aAnswer.sentAt_) ||
       (run.stoppedAt_ && *run.stoppedAt_ < aAnswer.sentAt_);
     if (!isListed && wasThere) {
@@ -239,10 +257,7 @@
 TakeLists(FleetState& aState, Target& aTarget, const HoldAnswered& aAnswer)
 {
   if (aTarget.born_ != aAnswer.born_) {
-    BeginLife(aState, aTarget, aAnswer.born_);
-    for (auto& run : aTarget.runs_) {
-      run.isPresumed_ = true; // gone unless the new life lists it
-    }
+    BeginLife(aState, aTarget, aAnswer.born_, aAnswer.clockMs_);
   }
   TakeClock(aState, aTarget, aAnswer.clockMs_);
   aTarget.wasSeen_ = true;
@@ -401,10 +416,7 @@
     const bool isNewReport =
       isNewLife || target.report_.sequence_ != report.sequence_;
     if (isNewLife && report.born_ > target.born_) {
-      BeginLife(aState, target, report.born_);
-      for (auto& run : target.runs_) {
-        run.isPresumed_ = true; // gone unless the new life lists it
-      }
+      BeginLife(aState, target, report.born_, report.clockMs_);
     }
     if (!target.report_.isDraining_ && report.isDraining_) {
       aState.Log("target_draining",
--- a/packages/fleet/tests/fleet_test.cpp
+++ b/packages/fleet/tests/fleet_test.cpp
@@ -152,6 +152,27 @@
   CHECK(world.Starts(IdOf(0)) == 6);
 }
 
+TEST_CASE("a start that came to a new process is not taken for lapsed")
+{
+  // The process keeps its id, and its clock begins anew.
+  World world(1);
+  world.AddTargets("a", 1);
+  world.BeginOwner();
+  world.RunFor(Millis(10000));
+  const auto only = world.TargetIds().front();
+  world.RestartTarget(only);
+  auto job = MakeJob(IdOf(0), "a", { 3 });
+  job.steps_[0].estimate_ = Millis(9000);
+  world.Submit(job);
+  world.RunFor(Millis(60));
+  CHECK(world.RunningOn(only) == 3);
+  world.CutTarget(only, Millis(8000));
+  world.AddTargets("a", 1);
+  world.RunFor(kWhile);
+  CheckNothingBroken(world);
+  CheckAllCompleted(world, 1);
+}
+
 TEST_CASE("lasting work goes on elsewhere once a silent target has lapsed")
 {
   World world(5);
--- a/packages/fleet/tests/history_test.cpp
+++ b/packages/fleet/tests/history_test.cpp
@@ -22,7 +22,10 @@
 
 // 11, 45, 86: a run that stood still outlived its owner, and the next one did
 // not judge runs that it had not started.
-constexpr std::array<unsigned, 3> kFailedBefore = { 11, 45, 86 };
+// 387, 1088, 3433, 4092, 6710: a start came to a new process under the same id,
+// with a deadline on the former clock; its lease was taken for lapsed.
+constexpr std::array<unsigned, 8> kFailedBefore = { 11,   45,   86,   387,
+                                                    1088, 3433, 4092, 6710 };
 
 unsigned
 ReadNumber(const char* aName, unsigned aUsual)
--- a/packages/fleet/tests/world.h
+++ b/packages/fleet/tests/world.h
@@ -101,6 +101,7 @@
   void BreakGang(const ItemName& aMember, std::int64_t aRun);
   void Break(const std::string& aWhat);
   std::int64_t ClockOf(const VirtualTarget& aTarget) const;
+  std::int64_t Shorten(std::int64_t aLease, const VirtualTarget& aTarget) const;
   double Draw();
   Millis Duration(const ItemName& aItem) const;
 
--- a/packages/fleet/tests/world_targets.cpp
+++ b/packages/fleet/tests/world_targets.cpp
@@ -34,6 +34,13 @@
            static_cast<double>((now_ - aTarget.bornAt_).count()) * kSlowClock);
 }
 
+std::int64_t
+World::Shorten(std::int64_t aLease, const VirtualTarget& aTarget) const
+{
+  return std::min(aLease,
+                  ClockOf(aTarget) + FleetOptions{}.longestLease_.count());
+}
+
 Millis
 World::Duration(const ItemName& aItem) const
 {
@@ -284,7 +291,7 @@
     Advance(*other); // leases lapse also where nobody asks
   }
   CheckStart(target, aStart);
-  target.lease_ = std::max(target.lease_, aStart.leaseUntil_);
+  target.lease_ = std::max(target.lease_, Shorten(aStart.leaseUntil_, target));
   VirtualRun run;
   run.item_ = aStart.item_;
   run.run_ = aStart.run_;
@@ -371,7 +378,7 @@
     return answer;
   }
   target.token_ = aToken;
-  target.lease_ = std::max(target.lease_, aHold.leaseUntil_);
+  target.lease_ = std::max(target.lease_, Shorten(aHold.leaseUntil_, target));
   NoteEnds(target, aHold.lastSeen_);
   answer.outcome_ = HoldOutcome::Answered;
   for (const auto& run : target.runs_) {
