An owner that may have a successor starts nothing on processes that are new to it

Trace: an owner is cut off from the store, its successor hears of an end and notes it; the target restarts and so forgets the successor's token; the former owner, within its allowance, sees the restart and starts the item there anew. Change: a process that began while the owner's lease may have run out is not used until the lease is renewed.

--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -281,7 +281,8 @@
 };
 
 // Time has passed; comes a few times in each 100 ms. mayOrderVms_ is false when
-// the owner's lease may run out before an order would arrive.
+// the owner's lease may run out before an order would arrive, or has: then
+// another owner may have taken over.
 struct Tick
 {
   WallTime timeOfDay_;
--- a/packages/fleet/src/reducer.cpp
+++ b/packages/fleet/src/reducer.cpp
@@ -56,6 +56,12 @@
 {
   aState.timeOfDay_ = aTick.timeOfDay_;
   aState.timeOfDayAt_ = aState.now_;
+  if (aTick.mayOrderVms_ && !aState.mayOrderVms_) {
+    // The lease was renewed: no other owner has taken over.
+    for (auto& [id, target] : aState.targets_) {
+      target.isUnfenced_ = false;
+    }
+  }
   aState.mayOrderVms_ = aTick.mayOrderVms_;
   if (aState.now_ < aState.nextSweep_) {
     return;
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -132,6 +132,9 @@
   bool isInherited_ = false; // the owner before us used it
   bool wasSeen_ = false;     // it has told us what runs there
   bool isGone_ = false;      // its process has ended
+  // Its process began while another owner may have taken over: it does not know
+  // that owner's token yet, and so would take starts of this one.
+  bool isUnfenced_ = false;
   Contact contact_ = Contact::Unseen;
   std::int64_t born_ = 0;
 
@@ -161,9 +164,9 @@
 
   bool IsUsable(Instant aNow) const
   {
-    return isListed_ && isRecorded_ && !isGone_ && contact_ == Contact::Good &&
-           !report_.isDraining_ && !isCordoned_ && avoidUntil_ <= aNow &&
-           leavingUntil_ <= aNow;
+    return isListed_ && isRecorded_ && !isGone_ && !isUnfenced_ &&
+           contact_ == Contact::Good && !report_.isDraining_ && !isCordoned_ &&
+           avoidUntil_ <= aNow && leavingUntil_ <= aNow;
   }
 };
 
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -72,6 +72,7 @@
   aTarget.contact_ = Contact::Unseen;
   aTarget.nextHold_ = aState.now_;
   aTarget.isGone_ = false;
+  aTarget.isUnfenced_ = !aState.mayOrderVms_;
   aTarget.isCordoned_ = false;
   aTarget.leavingUntil_ = aState.now_;
   aTarget.idleSince_ = aState.now_;
--- a/packages/fleet/tests/world.cpp
+++ b/packages/fleet/tests/world.cpp
@@ -104,6 +104,9 @@
   if (owner_) {
     owner_->cutOffAt_ = now_;
     owner_->hasEnded_ = owner_->hasEnded_ || aFormer != FormerOwner::Unknown;
+    if (!owner_->hasEnded_) {
+      Feed(*owner_, Tick{ WallTime(now_.time_since_epoch()), false });
+    }
   }
   ++term_;
   token_ += 100;
