Renewals that came to a new process count for its lease too

Finding: random history 9929: 'again after its end was noted', by the same way as the starts: a renewal for the process before, with a deadline on its clock.

--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -63,12 +63,11 @@
   aTarget.endsTold_ = 0;
   aTarget.clockMs_ = 0;
   TakeClock(aState, aTarget, aClockMs);
-  // A start that was meant for the process before may have come to this one,
-  // with a deadline on the former clock. Targets shorten what is too long.
+  // A start or a renewal that was meant for the process before may have come to
+  // this one, with a deadline on the former clock. Targets shorten what is too
+  // long.
   aTarget.leaseUntil_ =
-    aTarget.runs_.empty()
-      ? 0
-      : std::min(sentUntil, aClockMs + aState.options_.longestLease_.count());
+    std::min(sentUntil, aClockMs + aState.options_.longestLease_.count());
   aTarget.contact_ = Contact::Unseen;
   aTarget.nextHold_ = aState.now_;
   aTarget.isGone_ = false;
--- a/packages/fleet/tests/history_test.cpp
+++ b/packages/fleet/tests/history_test.cpp
@@ -24,8 +24,12 @@
 // not judge runs that it had not started.
 // 387, 1088, 3433, 4092, 6710: a start came to a new process under the same id,
 // with a deadline on the former clock; its lease was taken for lapsed.
-constexpr std::array<unsigned, 8> kFailedBefore = { 11,   45,   86,   387,
-                                                    1088, 3433, 4092, 6710 };
+// 8337, 7398, 9879: a former owner started items on a process that did not know
+// its successor's token.
+// 9929: a renewal came to a new process in the same way as the starts above.
+constexpr std::array<unsigned, 12> kFailedBefore = { 11,   45,   86,   387,
+                                                     1088, 3433, 4092, 6710,
+                                                     7398, 8337, 9879, 9929 };
 
 unsigned
 ReadNumber(const char* aName, unsigned aUsual)
