No lease on a young process is taken for lapsed by a deadline of another clock

Trace: an owner sends deadlines on the clock of a process that has restarted, up to the longest lease; its successor reckons with the usual lease.

--- a/packages/fleet/src/runs.cpp
+++ b/packages/fleet/src/runs.cpp
@@ -62,6 +62,15 @@
   }
 }
 
+std::int64_t
+ExtendLease(const FleetState& aState, Target& aTarget)
+{
+  const auto until =
+    ClockOf(aState, aTarget) + aState.options_.targetLease_.count();
+  aTarget.leaseUntil_ = std::max(aTarget.leaseUntil_, until);
+  return until;
+}
+
 bool
 IsOtherClock(const FleetState& aState,
              const Target& aTarget,
@@ -120,9 +129,6 @@
   run.sentAt_ = aState.now_;
   run.isOurs_ = true;
   run.progressFrom_ = aState.now_;
-  aTarget.leaseUntil_ =
-    std::max(aTarget.leaseUntil_,
-             ClockOf(aState, aTarget) + aState.options_.targetLease_.count());
   StartRun effect;
   effect.target_ = aTarget.report_.id_;
   effect.address_ = aTarget.report_.address_;
@@ -131,7 +137,7 @@
   effect.spec_ = aRef.job_->job_.spec_;
   effect.checkpoint_ = aRef.item_->checkpoint_;
   effect.ticket_ = std::move(aTicket);
-  effect.leaseUntil_ = aTarget.leaseUntil_;
+  effect.leaseUntil_ = ExtendLease(aState, aTarget);
   AddRun(aState, aTarget, std::move(run));
   aState.attended_.insert(aTarget.report_.id_);
   ++aState.counts_.starts_;
--- a/packages/fleet/src/runs.h
+++ b/packages/fleet/src/runs.h
@@ -17,6 +17,10 @@
                   const Target& aTarget,
                   std::int64_t aClockMs);
 
+// The deadline of a lease that is sent now. What the target may have been sent
+// before is no reason to send more: the next owner reckons with the usual time.
+std::int64_t ExtendLease(const FleetState& aState, Target& aTarget);
+
 Run* FindRun(Target& aTarget, const ItemName& aItem, std::int64_t aRun);
 
 // Sends the start of an item on a target and reserves its room there.
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -141,7 +141,7 @@
   // Its clock was at least clockMs_ at clockAt_.
   std::int64_t clockMs_ = 0;
   Instant clockAt_;
-  std::int64_t leaseUntil_ = 0; // latest sent, on its clock
+  std::int64_t leaseUntil_ = 0; // latest that it may have, on its clock
 
   std::vector<Run> runs_;
   Resources used_;
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -253,6 +253,24 @@
   }
 }
 
+// An owner before us that had not heard of a restart has sent deadlines on the
+// clock of the process before: for as long as they may reach, no lease on a
+// young process is taken for lapsed.
+void
+AllowForFormerClock(const FleetState& aState,
+                    Target& aTarget,
+                    std::int64_t aClockMs)
+{
+  const auto& options = aState.options_;
+  const WallTime born{ Millis(aTarget.born_) };
+  const bool isYoung =
+    aState.TimeOfDay() - born < options.ownerAllowance_ + options.longestLease_;
+  if (aState.term_ > 1 && !aTarget.wasSeen_ && isYoung) {
+    aTarget.leaseUntil_ =
+      std::max(aTarget.leaseUntil_, aClockMs + options.longestLease_.count());
+  }
+}
+
 void
 TakeLists(FleetState& aState, Target& aTarget, const HoldAnswered& aAnswer)
 {
@@ -260,6 +278,7 @@
     BeginLife(aState, aTarget, aAnswer.born_, aAnswer.clockMs_);
   }
   TakeClock(aState, aTarget, aAnswer.clockMs_);
+  AllowForFormerClock(aState, aTarget, aAnswer.clockMs_);
   aTarget.wasSeen_ = true;
   if (aTarget.contact_ != Contact::Good) {
     if (aTarget.contact_ == Contact::Silent) {
@@ -351,10 +370,7 @@
   // A silent target is only asked: renewing without an answer would put off
   // the time at which all that ran there has surely lapsed.
   if (aTarget.clockMs_ != 0 && aTarget.contact_ != Contact::Silent) {
-    aTarget.leaseUntil_ =
-      std::max(aTarget.leaseUntil_,
-               ClockOf(aState, aTarget) + aState.options_.targetLease_.count());
-    effect.leaseUntil_ = aTarget.leaseUntil_;
+    effect.leaseUntil_ = ExtendLease(aState, aTarget);
   }
   effect.limit_ = aTarget.contact_ == Contact::Good
                     ? effect.wait_ + aState.options_.holdGrace_
--- a/packages/fleet/tests/world.cpp
+++ b/packages/fleet/tests/world.cpp
@@ -66,8 +66,8 @@
     auto target = std::make_unique<VirtualTarget>();
     target->id_ = aPool + "-" + std::to_string(targets_.size());
     target->pool_ = aPool;
-    target->born_ = static_cast<std::int64_t>(targets_.size()) + 1;
     target->bornAt_ = now_ - Millis(5000);
+    target->born_ = target->bornAt_.time_since_epoch().count();
     target->capacity_ = { 8000, 32000, 0 };
     targets_[target->id_] = std::move(target);
   }
@@ -185,8 +185,8 @@
   target.voidEnds_ = 0;
   target.token_ = 0;
   target.lease_ = 0;
-  target.born_ += 1000;
   target.bornAt_ = now_;
+  target.born_ = std::max(target.born_ + 1, now_.time_since_epoch().count());
   target.sequence_ = 0;
 }
 
