--- a/packages/fleet/tests/fleet_bench.cpp
+++ b/packages/fleet/tests/fleet_bench.cpp
@@ -17,13 +17,6 @@
 constexpr int kPerPool = 64; // targets
 constexpr int kRounds = 200;
 
-std::string
-IdOf(int aNumber)
-{
-  auto text = std::to_string(aNumber);
-  return std::string(16 - text.size(), '0') + text;
-}
-
 HoldAnswered
 MakeHold(int aTarget, Instant aNow)
 {
--- a/packages/fleet/tests/history_test.cpp
+++ b/packages/fleet/tests/history_test.cpp
@@ -38,13 +38,6 @@
   return text ? static_cast<unsigned>(std::strtoul(text, nullptr, 10)) : aUsual;
 }
 
-std::string
-IdOf(int aNumber)
-{
-  const auto text = std::to_string(aNumber);
-  return std::string(16 - text.size(), '0') + text;
-}
-
 class History
 {
 public:
--- a/packages/fleet/tests/world.cpp
+++ b/packages/fleet/tests/world.cpp
@@ -439,4 +439,12 @@
   return job;
 }
 
+std::string
+IdOf(int aNumber)
+{
+  constexpr std::size_t kDigits = 16;
+  const auto text = std::to_string(aNumber);
+  return std::string(kDigits - text.size(), '0') + text;
+}
+
 } // namespace cuminbridge
--- a/packages/fleet/tests/world.h
+++ b/packages/fleet/tests/world.h
@@ -134,6 +134,9 @@
   std::vector<std::string> broken_;
 };
 
+// The id of a numbered job.
+std::string IdOf(int aNumber);
+
 // A job with one step for each count, each after the one before.
 Job MakeJob(const std::string& aId,
             const std::string& aPool,
