--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -182,7 +182,9 @@
 {
   const auto began = clocks_.Now();
   auto answer = co_await intake_.Answer(aRequest);
-  metrics_.answers_.Add(clocks_.Now() - began);
+  const auto took = clocks_.Now() - began;
+  metrics_.answers_.Add(took);
+  metrics_.answersByTime_.Add(took);
   co_return answer;
 }
 
--- a/packages/daemon/src/daemon_metrics.cpp
+++ b/packages/daemon/src/daemon_metrics.cpp
@@ -2,6 +2,7 @@
 
 #include "daemon_metrics.h"
 
+#include <algorithm>
 #include <array>
 #include <sstream>
 
@@ -92,6 +93,36 @@
   return out.str();
 }
 
+void
+Histogram::Add(Millis aTime)
+{
+  const auto* bound =
+    std::lower_bound(kBoundsMs.begin(), kBoundsMs.end(), aTime.count());
+  ++counts_[static_cast<std::size_t>(bound - kBoundsMs.begin())];
+  sumMs_ += aTime.count();
+}
+
+std::string
+Histogram::Format(const std::string& aName) const
+{
+  std::ostringstream out;
+  out << "# TYPE " << aName << " histogram\n";
+  std::uint64_t count = 0;
+  for (std::size_t bucket = 0; bucket < counts_.size(); ++bucket) {
+    count += counts_[bucket];
+    out << aName << "_bucket{le=\"";
+    if (bucket < kBoundsMs.size()) {
+      out << static_cast<double>(kBoundsMs[bucket]) / kMillis;
+    } else {
+      out << "+Inf";
+    }
+    out << "\"} " << count << '\n';
+  }
+  out << aName << "_sum " << static_cast<double>(sumMs_) / kMillis << '\n'
+      << aName << "_count " << count << '\n';
+  return out.str();
+}
+
 std::string
 FormatMetrics(const DaemonMetrics& aMetrics,
               const Intake& aIntake,
@@ -131,7 +162,8 @@
            "is_owner",
            "1 if this process owns the fleet",
            aOwner != nullptr ? 1 : 0);
-  out << aMetrics.answers_.Format("cuminbridge_answer_seconds");
+  out << aMetrics.answers_.Format("cuminbridge_answer_seconds")
+      << aMetrics.answersByTime_.Format("cuminbridge_answer_duration_seconds");
   if (aOwner) {
     AddFleet(out, *aOwner);
   }
--- a/packages/daemon/src/daemon_metrics.h
+++ b/packages/daemon/src/daemon_metrics.h
@@ -3,6 +3,8 @@
 #ifndef cuminbridge_daemon_metrics_h
 #define cuminbridge_daemon_metrics_h
 
+#include <array>
+
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/count.hpp>
 #include <boost/accumulators/statistics/extended_p_square.hpp>
@@ -30,9 +32,28 @@
   boost::accumulators::accumulator_set<double, Tags> times_;
 };
 
+// Times in buckets that can be added up over entries, as quantiles can't.
+class Histogram
+{
+public:
+  void Add(Millis aTime);
+  // Prometheus lines of a histogram in seconds.
+  std::string Format(const std::string& aName) const;
+
+private:
+  // Callers wait 3 s; the store's usual answer takes 4 ms.
+  static constexpr std::array<std::int64_t, 8> kBoundsMs = { 2,    5,   10,
+                                                             25,   100, 500,
+                                                             1000, 3000 };
+
+  std::array<std::uint64_t, kBoundsMs.size() + 1> counts_{};
+  std::int64_t sumMs_ = 0;
+};
+
 struct DaemonMetrics
 {
-  Quantiles answers_; // from a caller's request to its answer
+  Quantiles answers_;       // from a caller's request to its answer
+  Histogram answersByTime_; // the same
 };
 
 // aOwner is null in a process that does not own the fleet.
--- a/packages/daemon/src/election.cpp
+++ b/packages/daemon/src/election.cpp
@@ -16,6 +16,9 @@
 // An owner looks for a stronger entry this often. Owning 350 targets takes 0.1
 // of a core, which an entry with 0.12 falls behind with within seconds.
 constexpr Millis kYieldInterval(1000);
+// Each time doubled up to this, as a stronger entry that does not take the
+// fleet would have it change hands without end.
+constexpr Millis kLongestYieldInterval(60000);
 constexpr Millis kAskLimit(200); // a ready entry answers within milliseconds
 
 } // namespace
@@ -23,6 +26,7 @@
 Election::Election(DaemonParts aParts, Intake& aIntake)
   : parts_(aParts)
   , intake_(aIntake)
+  , yieldInterval_(kYieldInterval)
 {
 }
 
@@ -135,7 +139,7 @@
   if (parts_.clocks_.Now() < nextYield_ || !CurrentOwner()) {
     co_return;
   }
-  nextYield_ = parts_.clocks_.Now() + kYieldInterval;
+  nextYield_ = parts_.clocks_.Now() + yieldInterval_;
   if (!co_await HasStrongerReady() || !CurrentOwner() || isStopping_) {
     co_return;
   }
@@ -147,6 +151,8 @@
               "with " + std::to_string(parts_.settings_.cpuShare_) +
                 " of a core to a stronger entry" },
             parts_.clocks_.Now());
+  yieldInterval_ = std::min(2 * yieldInterval_, kLongestYieldInterval);
+  nextYield_ = parts_.clocks_.Now() + yieldInterval_;
   co_await owner->HandOver();
 }
 
--- a/packages/daemon/src/election.h
+++ b/packages/daemon/src/election.h
@@ -32,6 +32,7 @@
   Intake& intake_;
   std::shared_ptr<Owner> owner_;
   Instant nextYield_;
+  Millis yieldInterval_;
   bool isStopping_ = false;
 };
 
--- /dev/null
+++ b/packages/daemon/tests/metrics_test.cpp
@@ -0,0 +1,22 @@
+// Histograms as Prometheus reads them.
+
+#include <catch2/catch.hpp>
+
+#include "daemon_metrics.h"
+
+using namespace cuminbridge;
+
+TEST_CASE("buckets count all that is no longer than their bound")
+{
+  Histogram histogram;
+  for (const int time : { 1, 2, 3, 100, 101, 4000 }) {
+    histogram.Add(Millis(time));
+  }
+  const auto text = histogram.Format("x");
+  CHECK(text.find("x_bucket{le=\"0.002\"} 2\n") != std::string::npos);
+  CHECK(text.find("x_bucket{le=\"0.1\"} 4\n") != std::string::npos);
+  CHECK(text.find("x_bucket{le=\"3\"} 5\n") != std::string::npos);
+  CHECK(text.find("x_bucket{le=\"+Inf\"} 6\n") != std::string::npos);
+  CHECK(text.find("x_sum 4.207\n") != std::string::npos);
+  CHECK(text.find("x_count 6\n") != std::string::npos);
+}
--- a/packages/daemon/tests/owner_test.cpp
+++ b/packages/daemon/tests/owner_test.cpp
@@ -47,6 +47,9 @@
   const WaveRecord wave{ WallTime(Millis(17)), { "vm-1", "vm-2" } };
   const std::vector<KnownTarget> targets = { { "t", "10.0.0.1:1", "p" } };
   const std::vector<KnownOrder> orders = { { "vm", WallTime(Millis(5)) } };
+  const std::vector<KnownTurn> turns = {
+    { "p", WallTime(Millis(9)), Millis(16000), 75000 }
+  };
   const auto make = [](const std::string& aKey, std::string aValue) {
     StoreReply reply;
     reply.status_ = StoreStatus::Done;
@@ -61,6 +64,7 @@
   stored.waves_ = make("upkeep/4", WriteWaveRecord(wave));
   stored.targets_ = make(kTargetsKey, WriteKnownTargets(targets));
   stored.orders_ = make(kOrdersKey, WriteKnownOrders(orders));
+  stored.turns_ = make(kTurnsKey, WriteKnownTurns(turns));
   std::vector<std::string> unreadable;
   const auto loaded = ReadStoredFleet(stored, unreadable);
   CHECK(loaded.jobs_ == std::vector<Job>{ job });
@@ -69,5 +73,6 @@
   CHECK(loaded.waves_.at(4) == wave);
   CHECK(loaded.targets_ == targets);
   CHECK(loaded.orders_ == orders);
+  CHECK(loaded.turns_ == turns);
   CHECK(unreadable == std::vector<std::string>{ "in/job/c" });
 }
