--- a/packages/fleet/src/fleet_waves.h
+++ b/packages/fleet/src/fleet_waves.h
@@ -9,7 +9,8 @@
 
 void TakeWaves(FleetState& aState, const WavesSeen& aSeen);
 // Orders upkeep and empties targets, as PlanWave() decides.
-void PlanWaves(FleetState& aState);
+// Idle VMs of the pools that lack VMs are left to them while there is time.
+void PlanWaves(FleetState& aState, const std::set<std::string>& aNeedyPools);
 WaveRecord RecordOf(const WaveState& aWave);
 // Whether the VM is down for a wave that is not over.
 bool IsInOpenWave(const FleetState& aState, const std::string& aVm);
