--- a/packages/fleet/src/fleet_waves.cpp
+++ b/packages/fleet/src/fleet_waves.cpp
@@ -45,9 +45,7 @@
 }
 
 WaveView
-MakeWaveView(FleetState& aState,
-             const WaveState& aWave,
-             const std::set<std::string>& aNeedyPools)
+MakeWaveView(FleetState& aState, const WaveState& aWave)
 {
   WaveView view;
   view.total_ = static_cast<int>(aWave.wave_.vms_.size());
@@ -65,7 +63,6 @@
     WaveVm vm;
     vm.name_ = name;
     vm.isUp_ = IsUp(aState, name);
-    vm.isNeeded_ = aNeedyPools.count(aState.vms_.at(name).pool_) != 0;
     vm.isOrdered_ = HasOpenOrder(aState, name) || !MayOrder(aState, name);
     if (const auto* target = TargetOfVm(aState, name)) {
       vm.isCordoned_ = target->isCordoned_;
@@ -82,9 +79,7 @@
 }
 
 void
-PlanOneWave(FleetState& aState,
-            WaveState& aWave,
-            const std::set<std::string>& aNeedyPools)
+PlanOneWave(FleetState& aState, WaveState& aWave)
 {
   for (auto down = aWave.down_.begin(); down != aWave.down_.end();) {
     const auto order = aState.vmOrders_.find(down->first);
@@ -95,7 +90,7 @@
       order == aState.vmOrders_.end() && !IsKnownVm(aState, down->first);
     down = isBack || isNoMore ? aWave.down_.erase(down) : std::next(down);
   }
-  const auto view = MakeWaveView(aState, aWave, aNeedyPools);
+  const auto view = MakeWaveView(aState, aWave);
   const auto plan = PlanWave(view);
   for (const auto& vm : plan.upkeep_) {
     VmOrder order;
@@ -196,12 +191,12 @@
 }
 
 void
-PlanWaves(FleetState& aState, const std::set<std::string>& aNeedyPools)
+PlanWaves(FleetState& aState)
 {
   MarkDue(aState);
   for (auto& [number, wave] : aState.waves_) {
     if (!wave.isCompleted_) {
-      PlanOneWave(aState, wave, aNeedyPools);
+      PlanOneWave(aState, wave);
     }
   }
 }
--- a/packages/fleet/src/fleet_waves.h
+++ b/packages/fleet/src/fleet_waves.h
@@ -9,8 +9,7 @@
 
 void TakeWaves(FleetState& aState, const WavesSeen& aSeen);
 // Orders upkeep and empties targets, as PlanWave() decides.
-// Idle VMs of the pools that lack VMs are left to them while there is time.
-void PlanWaves(FleetState& aState, const std::set<std::string>& aNeedyPools);
+void PlanWaves(FleetState& aState);
 WaveRecord RecordOf(const WaveState& aWave);
 // Whether the VM is down for a wave that is not over.
 bool IsInOpenWave(const FleetState& aState, const std::string& aVm);
--- a/packages/fleet/src/vms.cpp
+++ b/packages/fleet/src/vms.cpp
@@ -123,30 +123,12 @@
   return rows;
 }
 
-std::set<std::string>
-FindNeedy(const std::vector<PoolView>& aPools)
-{
-  std::set<std::string> needy;
-  for (const auto& pool : aPools) {
-    if (!pool.isStandby_ && MissingCpu(pool, MoveOptions{}) > 0) {
-      needy.insert(pool.name_);
-    }
-  }
-  return needy;
-}
-
 void
-PlanAllMoves(FleetState& aState, std::vector<PoolView> aPools)
+PlanAllMoves(FleetState& aState)
 {
-  for (auto& pool : aPools) {
-    // Waves may have taken some since they were looked at.
-    std::erase_if(pool.idle_, [&aState](const IdleVm& aVm) {
-      return HasOpenOrder(aState, aVm.name_);
-    });
-  }
   MoveOptions options;
   options.mostAtOnce_ = aState.options_.movesInPlan_;
-  for (const auto& move : PlanMoves(std::move(aPools), options)) {
+  for (const auto& move : PlanMoves(MakePoolViews(aState), options)) {
     VmOrder order;
     order.pool_ = move.pool_;
     SendOrder(aState, move.vm_, std::move(order));
@@ -175,9 +157,8 @@
   }
   aState.nextPlan_ = aState.now_ + aState.options_.planInterval_;
   CloseOrders(aState);
-  auto pools = MakePoolViews(aState);
-  PlanWaves(aState, FindNeedy(pools));
-  PlanAllMoves(aState, std::move(pools));
+  PlanWaves(aState);
+  PlanAllMoves(aState);
 }
 
 } // namespace cuminbridge
--- a/packages/fleet/src/waves.cpp
+++ b/packages/fleet/src/waves.cpp
@@ -16,8 +16,6 @@
 // Idle VMs are taken at a faster one, but not all together: they are what the
 // next turn of demand needs.
 constexpr double kIdlePart = 0.4;
-// Behind a pace that ends after this part, it takes any idle VM.
-constexpr double kPressingPart = 0.7;
 constexpr Millis kIdleAhead(500); // a wave begins with what this time allows
 
 // VMs whose upkeep should have begun, at a pace that ends after aPart of the
@@ -41,7 +39,6 @@
   const int begun = aWave.total_ - static_cast<int>(aWave.waiting_.size());
   const int ahead = CountDue(aWave, aWave.age_ + kIdleAhead, kIdlePart) - begun;
   int room = std::min(aWave.maxDown_ - aWave.down_, ahead);
-  const bool isPressing = CountDue(aWave, aWave.age_, kPressingPart) > begun;
   int cordoned = 0;
   std::vector<const WaveVm*> busy;
   for (const auto& vm : aWave.waiting_) {
@@ -49,9 +46,7 @@
     if (vm.isOrdered_ || !vm.isUp_) {
       continue;
     }
-    // What a pool lacks stays while the wave has time.
-    const bool mayGo = !vm.isNeeded_ || vm.isCordoned_ || isPressing;
-    if (vm.runs_ == 0 && room > 0 && mayGo) {
+    if (vm.runs_ == 0 && room > 0) {
       plan.upkeep_.push_back(vm.name_);
       --room;
     } else if (!vm.isCordoned_ && vm.runs_ > 0) {
--- a/packages/fleet/src/waves.h
+++ b/packages/fleet/src/waves.h
@@ -17,7 +17,6 @@
   bool isUp_ = false;       // as the platform lists it
   bool isOrdered_ = false;  // an order for it is on its way
   bool isCordoned_ = false; // nothing new is placed there
-  bool isNeeded_ = false;   // its pool lacks VMs now
   int runs_ = 0;            // on its target
   int lastingRuns_ = 0;     // of these
 
