--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -334,6 +334,21 @@
   }
 }
 
+// Logs that a service was lost or is there again; aHas holds what was known.
+void
+Owner::NoteContact(const char* aService, bool& aHas, bool aIsAnswered)
+{
+  if (aHas != aIsAnswered) {
+    aHas = aIsAnswered;
+    WriteLine({ std::string(aService) + (aIsAnswered ? "_reached" : "_lost"),
+                "",
+                "",
+                "",
+                "" },
+              parts_.clocks_.Now());
+  }
+}
+
 Awaitable<void>
 Owner::PollVms()
 {
@@ -341,6 +356,7 @@
   while (!hasEnded_ && !parts_.settings_.vmsAddress_.empty()) {
     const auto asked = parts_.clocks_.Now();
     auto vms = co_await vms_.List();
+    NoteContact("vm_service", hasVmService_, vms.has_value());
     if (vms && !hasEnded_) {
       Handle(VmsSeen{ std::move(*vms), asked });
     }
@@ -481,56 +497,58 @@
   // has no effects that call out.
   const auto self = weak_from_this().lock();
   std::visit(
-    Overloaded{ [&](StartRun& aStart) {
-                 if (isHandingOver_) {
-                   return;
-                 }
-                 Spawn([self, start = std::move(aStart)]() -> Awaitable<void> {
-                   self->Handle(co_await self->targets_.Start(start));
-                 });
-               },
-                [&](StopRun& aStop) {
-                  Spawn([self, stop = std::move(aStop)]() -> Awaitable<void> {
-                    self->Handle(co_await self->targets_.Stop(stop));
-                  });
-                },
-                [&](HoldTarget& aHold) {
-                  Spawn([self, hold = std::move(aHold)]() -> Awaitable<void> {
-                    self->Handle(co_await self->targets_.Hold(hold));
-                  });
-                },
-                [&](PaceRun& aPace) {
-                  Spawn([self, pace = std::move(aPace)]() -> Awaitable<void> {
-                    co_await self->targets_.Pace(pace);
-                  });
-                },
-                [&](AskAdvice& aAsk) {
-                  Spawn([self, ask = std::move(aAsk)]() -> Awaitable<void> {
-                    self->Handle(co_await self->advice_.Ask(ask));
-                  });
-                },
-                [&](MoveVm& aMove) {
-                  if (isHandingOver_) {
-                    return;
-                  }
-                  Spawn([self, move = std::move(aMove)]() -> Awaitable<void> {
-                    self->Handle(co_await self->vms_.Move(move));
-                  });
-                },
-                [&](UpkeepVm& aUpkeep) {
-                  if (isHandingOver_) {
-                    return;
-                  }
-                  Spawn(
-                    [self, upkeep = std::move(aUpkeep)]() -> Awaitable<void> {
-                      self->Handle(co_await self->vms_.Upkeep(upkeep));
-                    });
-                },
-                [&](StoreProgress& aStore) { Store(aStore); },
-                [&](StoreWave& aWave) { Store(aWave); },
-                [&](ForgetJobs& aForget) { Forget(aForget); },
-                [&](LogLine& aLine) { WriteLine(aLine, parts_.clocks_.Now()); },
-                [&](Abdicate&) { End("a target has seen a newer owner"); } },
+    Overloaded{
+      [&](StartRun& aStart) {
+        if (isHandingOver_) {
+          return;
+        }
+        Spawn([self, start = std::move(aStart)]() -> Awaitable<void> {
+          self->Handle(co_await self->targets_.Start(start));
+        });
+      },
+      [&](StopRun& aStop) {
+        Spawn([self, stop = std::move(aStop)]() -> Awaitable<void> {
+          self->Handle(co_await self->targets_.Stop(stop));
+        });
+      },
+      [&](HoldTarget& aHold) {
+        Spawn([self, hold = std::move(aHold)]() -> Awaitable<void> {
+          self->Handle(co_await self->targets_.Hold(hold));
+        });
+      },
+      [&](PaceRun& aPace) {
+        Spawn([self, pace = std::move(aPace)]() -> Awaitable<void> {
+          co_await self->targets_.Pace(pace);
+        });
+      },
+      [&](AskAdvice& aAsk) {
+        Spawn([self, ask = std::move(aAsk)]() -> Awaitable<void> {
+          const auto answer = co_await self->advice_.Ask(ask);
+          self->NoteContact("advice", self->hasAdvice_, answer.isAnswered_);
+          self->Handle(answer);
+        });
+      },
+      [&](MoveVm& aMove) {
+        if (isHandingOver_) {
+          return;
+        }
+        Spawn([self, move = std::move(aMove)]() -> Awaitable<void> {
+          self->Handle(co_await self->vms_.Move(move));
+        });
+      },
+      [&](UpkeepVm& aUpkeep) {
+        if (isHandingOver_) {
+          return;
+        }
+        Spawn([self, upkeep = std::move(aUpkeep)]() -> Awaitable<void> {
+          self->Handle(co_await self->vms_.Upkeep(upkeep));
+        });
+      },
+      [&](StoreProgress& aStore) { Store(aStore); },
+      [&](StoreWave& aWave) { Store(aWave); },
+      [&](ForgetJobs& aForget) { Forget(aForget); },
+      [&](LogLine& aLine) { WriteLine(aLine, parts_.clocks_.Now()); },
+      [&](Abdicate&) { End("a target has seen a newer owner"); } },
     aEffect);
 }
 
--- a/packages/daemon/src/owner.h
+++ b/packages/daemon/src/owner.h
@@ -48,6 +48,7 @@
   Awaitable<void> WatchIntake(std::int64_t aRevision);
   Awaitable<void> PollTargets();
   Awaitable<void> PollVms();
+  void NoteContact(const char* aService, bool& aHas, bool aIsAnswered);
   Awaitable<void> PollWaves();
   Awaitable<void> TellLoad();
   Awaitable<void> RunTicks();
@@ -68,6 +69,8 @@
   AdviceClient advice_;
   ChainWriter writer_;
   bool hasEnded_ = false;
+  bool hasVmService_ = false;
+  bool hasAdvice_ = false;
   bool hasLoaded_ = false;     // it knows what lay in the store
   bool isHandingOver_ = false; // nothing new is started
 };
