--- a/packages/forwarder/entry/include/cuminbridge/entry.h
+++ b/packages/forwarder/entry/include/cuminbridge/entry.h
@@ -15,7 +15,7 @@
 
 namespace cuminbridge::forwarder {
 
-// What the settings file says. docs/operators/settings.md lists each key.
+// What the settings file says. docs/forwarder/settings.md lists each key.
 struct Settings
 {
   EntryOptions options_; // id and peer address are the peers' listen address
