--- a/packages/forwarder/core/src/agreement.h
+++ b/packages/forwarder/core/src/agreement.h
@@ -6,7 +6,7 @@
 // it knows itself, may act on what it has, whether the store can be reached or
 // not. A direct read of the head is worth as much. Without either, evidence
 // runs out after EntryOptions::evidenceLifetime_ and nothing more starts.
-// docs/design/agreement.md has the argument in full.
+// docs/forwarder/design/agreement.md has the argument in full.
 
 #ifndef cuminbridge_core_agreement_h
 #define cuminbridge_core_agreement_h
--- a/packages/forwarder/core/src/claims.h
+++ b/packages/forwarder/core/src/claims.h
@@ -3,8 +3,8 @@
 // A claim needs the votes of a majority of the voters, which are members that
 // have learned what was granted before they came. A vote is never given twice,
 // and never before the voter has heard, from enough of the others, what was
-// granted before the last change of members. docs/design/claims.md has the ways
-// weighed and the argument.
+// granted before the last change of members. docs/forwarder/design/claims.md
+// has the ways weighed and the argument.
 
 #ifndef cuminbridge_core_claims_h
 #define cuminbridge_core_claims_h
--- a/packages/forwarder/core/src/permits.h
+++ b/packages/forwarder/core/src/permits.h
@@ -9,7 +9,7 @@
 //
 // The steward writes the ledger: it issues up to the limit, takes back what a
 // lowered limit leaves over, and after a member has gone counts what is left.
-// docs/design/limits.md has the ways weighed and the argument.
+// docs/forwarder/design/limits.md has the ways weighed and the argument.
 
 #ifndef cuminbridge_core_permits_h
 #define cuminbridge_core_permits_h
--- a/packages/forwarder/core/src/slots.h
+++ b/packages/forwarder/core/src/slots.h
@@ -3,7 +3,8 @@
 // The slots of a target are shared out among the members by rendezvous
 // hashing, so every entry knows its part without a message, and a change of
 // members moves few of them. Idle slots then go where work waits, by the same
-// transfers as permits. docs/design/placement.md has the ways weighed.
+// transfers as permits. docs/forwarder/design/placement.md has the ways
+// weighed.
 
 #ifndef cuminbridge_core_slots_h
 #define cuminbridge_core_slots_h
--- a/packages/forwarder/core/src/waves.h
+++ b/packages/forwarder/core/src/waves.h
@@ -4,7 +4,7 @@
 // round has to be rebooted once. One entry plans a pool; should two think so,
 // the compare-and-swap of the pool's wave record settles it, as it does the
 // budget: a VM is taken only by a swap of the record that the count was made
-// from. docs/design/maintenance.md has the ways weighed.
+// from. docs/forwarder/design/maintenance.md has the ways weighed.
 
 #ifndef cuminbridge_core_waves_h
 #define cuminbridge_core_waves_h
