--- a/packages/fleet/tests/one_target_test.cpp
+++ b/packages/fleet/tests/one_target_test.cpp
@@ -85,6 +85,20 @@
   std::uint64_t batch_ = 1; // the last one stored
 };
 
+// A VM that is up; without a target unless one is named.
+Vm
+MakeVm(const std::string& aName,
+       const std::string& aPool,
+       const std::string& aTarget = "")
+{
+  Vm vm;
+  vm.name_ = aName;
+  vm.pool_ = aPool;
+  vm.target_ = aTarget;
+  vm.state_ = VmState::Up;
+  return vm;
+}
+
 } // namespace
 
 TEST_CASE("a VM is not taken down while its target is only missing in the list")
@@ -102,11 +116,7 @@
   one.Pass(Millis(50));
   one.Hold({ run });
   one.Send(TargetsSeen{}); // the list has lost it
-  Vm vm;
-  vm.name_ = "vm";
-  vm.pool_ = "a";
-  vm.target_ = "t";
-  vm.state_ = VmState::Up;
+  auto vm = MakeVm("vm", "a", "t");
   one.Send(WavesSeen{ { { 1, { "vm" }, Millis(20000), 1 } } });
   one.ListVms({ vm }, 10, { run });
   CHECK(one.Count<UpkeepVm>() == 0);
@@ -124,11 +134,7 @@
   // Found by reading: while the store is away an order waits for its record,
   // and the target may be used again meanwhile.
   OneTarget one;
-  Vm vm;
-  vm.name_ = "vm";
-  vm.pool_ = "a";
-  vm.target_ = "t";
-  vm.state_ = VmState::Up;
+  auto vm = MakeVm("vm", "a", "t");
   one.Send(WavesSeen{ { { 1, { "vm" }, Millis(20000), 1 } } });
   one.Send(VmsSeen{ { vm }, one.now_ });
   one.Pass(Millis(250)); // the order waits for batch 2
@@ -149,10 +155,7 @@
 {
   // Found by reading: an order without an answer is in no record of the wave.
   OneTarget one;
-  Vm vm;
-  vm.name_ = "free";
-  vm.pool_ = "standby";
-  vm.state_ = VmState::Up;
+  const auto vm = MakeVm("free", "standby");
   Vm down = vm;
   down.name_ = "down";
   down.state_ = VmState::Upkeep;
