Count calls, connections and bytes by kind of call

Change: HttpClient counts calls, new connections and bytes by kind; the metrics show them, and an owner logs each kind every 5 s.

--- a/packages/daemon/src/caller_api.cpp
+++ b/packages/daemon/src/caller_api.cpp
@@ -126,6 +126,7 @@
   constexpr Millis kNotifyTimeout(
     300); // by then the owner's watch has reported it
   HttpCall call;
+  call.kind_ = "peer_notify";
   call.method_ = "POST";
   call.path_ = aPath;
   call.body_ = std::move(aBody);
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -224,6 +224,7 @@
   answer.body_ = FormatMetrics(metrics_,
                                callerApi_,
                                store_.Calls(),
+                               http_.GetTraffic(),
                                election_.CurrentOwner(),
                                clocks_.Now() - storeAnsweredAt_);
   co_return answer;
--- a/packages/daemon/src/daemon_metrics.cpp
+++ b/packages/daemon/src/daemon_metrics.cpp
@@ -66,6 +66,29 @@
   }
 }
 
+void
+AddTraffic(std::ostream& aOut, const Traffic& aTraffic)
+{
+  struct Column
+  {
+    const char* name_;
+    std::uint64_t TrafficCount::*value_;
+  };
+  constexpr std::array<Column, 4> kColumns = {
+    { { "http_calls_total", &TrafficCount::calls_ },
+      { "http_connections_total", &TrafficCount::connections_ },
+      { "http_sent_bytes_total", &TrafficCount::bytesSent_ },
+      { "http_received_bytes_total", &TrafficCount::bytesReceived_ } }
+  };
+  for (const auto& column : kColumns) {
+    aOut << "# TYPE cuminbridge_" << column.name_ << " counter\n";
+    for (const auto& [kind, count] : aTraffic) {
+      aOut << "cuminbridge_" << column.name_ << "{kind=\"" << kind << "\"} "
+           << count.*column.value_ << '\n';
+    }
+  }
+}
+
 } // namespace
 
 Quantiles::Quantiles()
@@ -128,6 +151,7 @@
 FormatMetrics(const DaemonMetrics& aMetrics,
               const CallerApi& aCallerApi,
               const StoreCallCounts& aStore,
+              const Traffic& aTraffic,
               const Owner* aOwner,
               Millis aStoreAge)
 {
@@ -147,6 +171,7 @@
   AddCounter(out, "store_refused_total", "calls refused", aStore.refused_);
   AddCounter(
     out, "store_unanswered_total", "calls without answer", aStore.unanswered_);
+  AddTraffic(out, aTraffic);
   AddCounter(out,
              "log_lines_left_out_total",
              "lines beyond the log's limit",
--- a/packages/daemon/src/daemon_metrics.h
+++ b/packages/daemon/src/daemon_metrics.h
@@ -64,6 +64,7 @@
 std::string FormatMetrics(const DaemonMetrics& aMetrics,
                           const CallerApi& aCallerApi,
                           const StoreCallCounts& aStore,
+                          const Traffic& aTraffic,
                           const Owner* aOwner,
                           Millis aStoreAge);
 
--- a/packages/daemon/src/election.cpp
+++ b/packages/daemon/src/election.cpp
@@ -127,6 +127,7 @@
       continue;
     }
     HttpCall call;
+    call.kind_ = "peer_ask";
     call.method_ = "GET";
     call.path_ = kStandbyPath;
     call.limit_ = kStandbyTimeout;
--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -26,6 +26,7 @@
 constexpr Millis kVmPollInterval(400);
 constexpr Millis kWavePollInterval(1000);
 constexpr Millis kLoadPublishInterval(1000); // callers may read counts 2 s old
+constexpr Millis kTrafficLogInterval(5000);
 constexpr Millis kRetryPause(100);
 // Longest watch of submissions: a watch whose connection is dead is replaced
 // after it.
@@ -235,6 +236,7 @@
   }
   constexpr Millis kTimeout(250); // a peer answers within a few milliseconds
   HttpCall call;
+  call.kind_ = "peer_ask";
   call.path_ = kOwnerPath;
   call.limit_ = kTimeout;
   const auto reply =
@@ -303,6 +305,7 @@
   Spawn([self] { return self->PollWaves(); });
   Spawn([self] { return self->PublishLoad(); });
   Spawn([self] { return self->RunTicks(); });
+  Spawn([self] { return self->LogTraffic(); });
 }
 
 Awaitable<void>
@@ -501,6 +504,39 @@
   }
 }
 
+// Logs what the calls of each kind have cost since the line before.
+Awaitable<void>
+Owner::LogTraffic()
+{
+  const auto self = shared_from_this();
+  auto before = context_.http_.GetTraffic();
+  while (!hasEnded_) {
+    co_await Sleep(context_.io_, kTrafficLogInterval);
+    const auto traffic = context_.http_.GetTraffic();
+    for (const auto& [kind, count] : traffic) {
+      const auto& last = before[kind];
+      if (count == last) {
+        continue;
+      }
+      WriteLine({ "traffic",
+                  "",
+                  "",
+                  "",
+                  kind + ": " + std::to_string(count.calls_ - last.calls_) +
+                    " calls, " +
+                    std::to_string(count.connections_ - last.connections_) +
+                    " new connections, " +
+                    std::to_string(count.bytesSent_ - last.bytesSent_) +
+                    " bytes sent, " +
+                    std::to_string(count.bytesReceived_ - last.bytesReceived_) +
+                    " received in " +
+                    std::to_string(kTrafficLogInterval.count()) + " ms" },
+                context_.clocks_.Now());
+    }
+    before = traffic;
+  }
+}
+
 void
 Owner::Handle(const Event& aEvent)
 {
--- a/packages/daemon/src/owner.h
+++ b/packages/daemon/src/owner.h
@@ -59,6 +59,7 @@
   Awaitable<void> PollWaves();
   Awaitable<void> PublishLoad();
   Awaitable<void> RunTicks();
+  Awaitable<void> LogTraffic();
 
   bool HandleSubmission(const StoreItem& aItem); // false if it can't be decoded
   void Execute(Effect aEffect);
--- a/packages/web/include/cuminbridge/web.h
+++ b/packages/web/include/cuminbridge/web.h
@@ -25,6 +25,7 @@
 #include <cstdint>
 #include <deque>
 #include <functional>
+#include <map>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -55,8 +56,23 @@
   std::string body_; // JSON; empty sends no body
   HttpHeaders headers_;
   std::chrono::milliseconds limit_{ 1000 }; // for the whole call
+  const char* kind_ = "other"; // under which HttpClient counts it; a literal
 };
 
+// What the calls of one kind have cost since the client was created. Bytes are
+// those of requests and responses with their headers, without those of TCP.
+struct TrafficCount
+{
+  std::uint64_t calls_ = 0;
+  std::uint64_t connections_ = 0; // opened for them
+  std::uint64_t bytesSent_ = 0;
+  std::uint64_t bytesReceived_ = 0;
+
+  bool operator==(const TrafficCount&) const = default;
+};
+
+using Traffic = std::map<std::string, TrafficCount, std::less<>>; // by kind
+
 // The outcome of a call. Only after Refused and NotSent is it safe to send the
 // call again although it is not idempotent.
 enum class CallOutcome
@@ -99,6 +115,8 @@
   // Addresses with a connection in use or idle, or a call that waits for one.
   std::size_t CountAddresses() const { return pools_.size(); }
 
+  const Traffic& GetTraffic() const { return traffic_; }
+
 private:
   struct Pool;
 
@@ -111,6 +129,7 @@
   HttpClientOptions options_;
   std::chrono::steady_clock::time_point nextSweep_;
   std::unordered_map<std::string, std::shared_ptr<Pool>> pools_;
+  Traffic traffic_;
 };
 
 //-----------------------------------------------------------------------------
--- a/packages/web/src/client.cpp
+++ b/packages/web/src/client.cpp
@@ -143,6 +143,8 @@
 {
   HttpReply reply;
   Sweep();
+  auto& traffic = traffic_[aCall.kind_];
+  ++traffic.calls_;
   const auto deadline = steady_clock::now() + aCall.limit_;
   auto& entry = pools_[aAddress];
   if (!entry) {
@@ -170,6 +172,7 @@
     }
   }
   if (!stream) {
+    ++traffic.connections_;
     stream = std::make_unique<tcp_stream>(io_);
     stream->expires_at(
       std::min(deadline, steady_clock::now() + options_.connectTimeout_));
@@ -202,6 +205,7 @@
   stream->expires_at(deadline);
   const auto [writeError, written] =
     co_await http::async_write(*stream, request, kAsTuple);
+  traffic.bytesSent_ += written;
   if (writeError) {
     co_return reply;
   }
@@ -210,6 +214,7 @@
   parser.body_limit(kMaxResponseBytes);
   const auto [readError, got] =
     co_await http::async_read(*stream, buffer, parser, kAsTuple);
+  traffic.bytesReceived_ += got;
   if (readError) {
     co_return reply;
   }
--- a/packages/web/tests/web_test.cpp
+++ b/packages/web/tests/web_test.cpp
@@ -22,6 +22,7 @@
     aIo,
     [&]() -> Awaitable<void> {
       HttpCall call;
+      call.kind_ = "probe";
       call.method_ = "POST";
       call.path_ = "/x?y=1";
       call.body_ = "{}";
@@ -62,6 +63,13 @@
   CHECK(requests == 3);
   CHECK(client.CountAddresses() == 1);
   CHECK(server.IsIdle());
+
+  const auto& traffic = client.GetTraffic().at("probe");
+  CHECK(traffic.calls_ == 3);
+  CHECK(traffic.connections_ == 1);
+  CHECK(traffic.bytesSent_ % 3 == 0); // three requests of the same size
+  CHECK(traffic.bytesSent_ > 3 * std::string("POST/x?y=1{}").size());
+  CHECK(traffic.bytesReceived_ > 3 * std::string("POST/x?y=1{}value").size());
 }
 
 TEST_CASE("a call to an unused address is refused, and its pool is removed")
