Watch targets and configuration, store targets one by one, few connections

Cause: the owner read 540 targets whole 2.5 times a second, every entry read the 10 kB configuration 2.5 times a second, each new target made the owner write the list of all of them, and eight starts on one target opened eight connections. The number of a write did not name its owner: a late write of one owner could pass for a write of the next with the same number.

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -27,8 +27,9 @@
 
 constexpr int kExitSettings = 2;
 // A configuration version must be in force 2 s after its write was
-// acknowledged, also when some calls to the store are lost.
-constexpr Millis kConfigPollInterval(400);
+// acknowledged, also when a watch of it is lost.
+constexpr Millis kConfigWatchWait(700);
+constexpr Millis kConfigRetry(100);
 // An entry is not ready for callers once the store has not answered for this
 // long.
 constexpr Millis kStoreTimeout(1500);
@@ -100,7 +101,8 @@
   int Run();
 
 private:
-  Awaitable<void> PollConfig();
+  Awaitable<void> WatchConfig();
+  void ApplyConfig(const StoreItem& aItem);
   Awaitable<void> ShutDown();
   void WaitForSignals();
   void ReloadTuning();
@@ -224,7 +226,9 @@
   answer.body_ = FormatMetrics(metrics_,
                                callerApi_,
                                store_.Calls(),
-                               http_.GetTraffic(),
+                               election_.CurrentOwner()
+                                 ? election_.CurrentOwner()->GetTraffic()
+                                 : http_.GetTraffic(),
                                election_.CurrentOwner(),
                                clocks_.Now() - storeAnsweredAt_);
   co_return answer;
@@ -276,14 +280,48 @@
   co_return answer;
 }
 
+void
+Daemon::ApplyConfig(const StoreItem& aItem)
+{
+  if (aItem.isRemoved_ || aItem.revision_ <= configRevision_) {
+    return;
+  }
+  configRevision_ = aItem.revision_;
+  auto config = ReadConfig(aItem.value_);
+  if (!config) {
+    Log("config_unreadable",
+        "configuration at store revision " + std::to_string(configRevision_) +
+          " can't be decoded; the configuration in force stays");
+    return;
+  }
+  Log("config_seen",
+      "configuration version " + std::to_string(config->version_) +
+        ", store revision " + std::to_string(configRevision_));
+  if (auto* owner = election_.CurrentOwner()) {
+    owner->Handle(ConfigSeen{ *config });
+  }
+  callerApi_.SetConfig(std::move(*config));
+}
+
+// Reads the configuration once, then watches it: it is too large to read again
+// and again. It is read anew once the store has discarded the history since the
+// last change.
 Awaitable<void>
-Daemon::PollConfig()
+Daemon::WatchConfig()
 {
   bool isReached = false;
+  bool mustRead = true;
+  std::int64_t after = 0; // the watch reports changes after this revision
   while (!isStopping_) {
-    const auto reply = co_await store_.Get(kConfigKey);
-    const bool isNowReached =
-      reply.IsDone() || reply.status_ == StoreStatus::Missing;
+    StoreReply reply;
+    if (mustRead) {
+      reply = co_await store_.Get(kConfigKey);
+    } else {
+      reply = co_await store_.Watch(kConfigKey, after, kConfigWatchWait);
+    }
+    const bool isNowReached = reply.IsDone() ||
+                              reply.status_ == StoreStatus::Missing ||
+                              reply.status_ == StoreStatus::Expired;
     if (isNowReached != isReached) {
       isReached = isNowReached;
       Log(isReached ? "store_reached" : "store_lost",
@@ -293,24 +331,19 @@
     if (isNowReached) {
       storeAnsweredAt_ = clocks_.Now();
     }
-    if (reply.IsDone() && reply.items_.front().revision_ > configRevision_) {
-      configRevision_ = reply.items_.front().revision_;
-      if (auto config = ReadConfig(reply.items_.front().value_)) {
-        Log("config_seen",
-            "configuration version " + std::to_string(config->version_) +
-              ", store revision " + std::to_string(configRevision_));
-        if (auto* owner = election_.CurrentOwner()) {
-          owner->Handle(ConfigSeen{ *config });
-        }
-        callerApi_.SetConfig(std::move(*config));
-      } else {
-        Log("config_unreadable",
-            "configuration at store revision " +
-              std::to_string(configRevision_) +
-              " can't be decoded; the configuration in force stays");
+    for (const auto& item : reply.items_) {
+      if (item.key_ == kConfigKey) {
+        ApplyConfig(item);
       }
     }
-    co_await Sleep(io_, kConfigPollInterval);
+    if (reply.IsDone()) {
+      after = NextWatchRevision(after, reply, mustRead);
+      mustRead = configRevision_ == 0;
+    }
+    mustRead = mustRead || reply.status_ == StoreStatus::Expired;
+    if (!reply.IsDone()) {
+      co_await Sleep(io_, kConfigRetry);
+    }
   }
 }
 
@@ -396,7 +429,7 @@
     }
   }
   WaitForSignals();
-  asio::co_spawn(io_, PollConfig(), asio::detached);
+  asio::co_spawn(io_, WatchConfig(), asio::detached);
   asio::co_spawn(io_, election_.Register(), asio::detached);
   asio::co_spawn(io_, election_.Run(), asio::detached);
   io_.run();
--- a/packages/daemon/src/fenced_writer.cpp
+++ b/packages/daemon/src/fenced_writer.cpp
@@ -64,7 +64,10 @@
 Awaitable<bool>
 FencedWriter::Write(StoreWrite aWrite)
 {
-  const auto number = std::to_string(++lastNumber_);
+  // The token makes the value unique among all owners: the chain of the next
+  // owner counts from 1 again.
+  const auto number =
+    std::to_string(token_) + '.' + std::to_string(++lastNumber_);
   aWrite.conditions_.push_back({ kOwnerKey, token_ });
   aWrite.conditions_.push_back({ kChainKey, revision_ });
   aWrite.puts_.push_back({ kChainKey, number, 0 });
--- a/packages/daemon/src/fenced_writer.h
+++ b/packages/daemon/src/fenced_writer.h
@@ -55,7 +55,7 @@
   std::deque<PendingWrite> pending_;
   boost::asio::steady_timer wakeTimer_; // Queue() and Stop() cancel it
   std::int64_t revision_;               // of the chain key
-  std::uint64_t lastNumber_ = 0;        // value of the chain key, counts writes
+  std::uint64_t lastNumber_ = 0;        // counts writes
   bool isWriting_ = false;
   bool isStopped_ = false;
 };
--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -2,6 +2,9 @@
 
 #include "owner.h"
 
+#include <algorithm>
+#include <cstring>
+
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -22,8 +25,11 @@
 constexpr Millis kRenewInterval(300); // a fifth of kOwnerLease
 constexpr Millis kTickInterval(10);
 // A target that reports that it drains must get no new work 2 s later.
-constexpr Millis kTargetPollInterval(400);
+constexpr Millis kTargetWatchPause(300);
+constexpr Millis kTargetWatchWait(500);
 constexpr Millis kVmPollInterval(400);
+// While no VM has an order and no wave is open, only the platform changes VMs.
+constexpr Millis kIdleVmPollInterval(900);
 constexpr Millis kWavePollInterval(1000);
 constexpr Millis kLoadPublishInterval(1000); // callers may read counts 2 s old
 constexpr Millis kTrafficLogInterval(5000);
@@ -67,6 +73,17 @@
   return options;
 }
 
+// Few connections to each target: one carries the renewal that waits, and calls
+// that come together queue for the others rather than open new ones.
+HttpClientOptions
+MakeTargetHttpOptions()
+{
+  constexpr std::size_t kConnections = 4;
+  HttpClientOptions options;
+  options.maxConnections_ = kConnections;
+  return options;
+}
+
 const char*
 DescribePrevious(PreviousOwner aState)
 {
@@ -90,7 +107,8 @@
   , ownership_(aOwnership)
   , fleet_(MakeOptions(aContext.settings_, aContext.tuning_),
            aContext.clocks_.Now())
-  , targets_(aContext.http_, aOwnership.token_, aContext.clocks_)
+  , targetHttp_(aContext.io_, MakeTargetHttpOptions())
+  , targets_(targetHttp_, aOwnership.token_, aContext.clocks_)
   , vms_(aContext.http_,
          aContext.settings_.vmServiceAddress_,
          aContext.settings_.name_,
@@ -123,7 +141,7 @@
   const auto self = shared_from_this();
   Spawn([self] { return self->Renew(); });
   Spawn([self] { return self->Load(); });
-  Spawn([self] { return self->PollTargets(); });
+  Spawn([self] { return self->WatchTargets(); });
   Spawn([self] { return self->writer_.Run(); });
 }
 
@@ -248,6 +266,23 @@
   co_return isEnded ? PreviousOwner::Ended : PreviousOwner::Unknown;
 }
 
+// The targets of the record of earlier versions get keys of their own. The
+// record is removed last, so that the next owner finds them at any time.
+void
+Owner::ReplaceOldTargetRecord(const StoredFleet& aStored,
+                              const JobsLoaded& aLoaded)
+{
+  if (!aStored.oldTargets_.IsDone()) {
+    return;
+  }
+  std::vector<StoreWrite::Put> puts;
+  for (const auto& target : aLoaded.targets_) {
+    puts.push_back({ kTargetsPrefix + target.id_, EncodeTarget(target), 0 });
+  }
+  writer_.QueueAll(std::move(puts), {});
+  writer_.Queue({ {}, { kOldTargetsKey }, {} });
+}
+
 Awaitable<void>
 Owner::Load()
 {
@@ -259,11 +294,13 @@
     stored.submissions_ = co_await store.List(kSubmissionPrefix);
     stored.progress_ = co_await store.List(kProgressPrefix);
     stored.waves_ = co_await store.List(kMaintenancePrefix);
-    stored.targets_ = co_await store.Get(kTargetsKey);
+    stored.targets_ = co_await store.List(kTargetsPrefix);
+    stored.oldTargets_ = co_await store.Get(kOldTargetsKey);
     stored.vmOrders_ = co_await store.Get(kVmOrdersKey);
     stored.demandPeaks_ = co_await store.Get(kDemandPeaksKey);
     isRead = stored.submissions_.IsDone() && stored.progress_.IsDone() &&
-             stored.waves_.IsDone() && IsReadOrMissing(stored.targets_) &&
+             stored.waves_.IsDone() && stored.targets_.IsDone() &&
+             IsReadOrMissing(stored.oldTargets_) &&
              IsReadOrMissing(stored.vmOrders_) &&
              IsReadOrMissing(stored.demandPeaks_);
     if (!isRead) {
@@ -291,6 +328,7 @@
                 DescribePrevious(previousState) },
             context_.clocks_.Now());
   Handle(Tick{ context_.clocks_.TimeOfDay(), false });
+  ReplaceOldTargetRecord(stored, loaded);
   Handle(loaded);
   const OwnerRecord record{ ownership_.term_,
                             PeerAddress(context_.settings_),
@@ -341,30 +379,63 @@
   }
 }
 
+// Applies one item of a list or a watch of the targets.
+void
+Owner::UpdateTarget(const StoreItem& aItem)
+{
+  const auto id = aItem.key_.substr(std::strlen(kTargetPrefix));
+  if (aItem.isRemoved_) {
+    reports_.erase(id);
+    return;
+  }
+  if (auto report = ReadTarget(aItem.key_, aItem.value_)) {
+    reports_[id] = std::move(*report);
+    return;
+  }
+  reports_.erase(id);
+  if (unreadableTargets_.insert(aItem.key_).second) {
+    WriteLine({ "target_unreadable",
+                "",
+                "",
+                aItem.key_,
+                "can't be decoded; the target is not used" },
+              context_.clocks_.Now());
+  }
+}
+
+// Lists the targets once, then watches them. Reports come many times a second,
+// so the pause between two watches gathers them.
 Awaitable<void>
-Owner::PollTargets()
+Owner::WatchTargets()
 {
   const auto self = shared_from_this();
-  std::set<std::string> unreadable;
+  std::int64_t after = 0;
+  bool mustList = true;
   while (!hasEnded_) {
-    const auto reply = co_await context_.store_.List(kTargetPrefix);
+    StoreReply reply;
+    if (mustList) {
+      reply = co_await context_.store_.List(kTargetPrefix);
+    } else {
+      reply =
+        co_await context_.store_.Watch(kTargetPrefix, after, kTargetWatchWait);
+    }
     if (reply.IsDone() && !hasEnded_) {
-      TargetsSeen seen;
+      if (mustList) {
+        reports_.clear();
+      }
       for (const auto& item : reply.items_) {
-        if (auto report = ReadTarget(item.key_, item.value_)) {
-          seen.targets_.push_back(std::move(*report));
-        } else if (unreadable.insert(item.key_).second) {
-          WriteLine({ "target_unreadable",
-                      "",
-                      "",
-                      item.key_,
-                      "can't be decoded; the target is not used" },
-                    context_.clocks_.Now());
-        }
+        UpdateTarget(item);
+      }
+      after = NextWatchRevision(after, reply, mustList);
+      TargetsSeen seen;
+      for (const auto& [id, report] : reports_) {
+        seen.targets_.push_back(report);
       }
       Handle(seen);
     }
-    co_await Sleep(context_.io_, kTargetPollInterval);
+    mustList =
+      reply.status_ == StoreStatus::Expired || (mustList && !reply.IsDone());
+    co_await Sleep(context_.io_, kTargetWatchPause);
   }
 }
 
@@ -397,7 +468,14 @@
     if (vms && !hasEnded_) {
       Handle(VmsSeen{ std::move(*vms), requestedAt });
     }
-    co_await Sleep(context_.io_, kVmPollInterval);
+    const auto waves = fleet_.Waves();
+    const bool isChanging =
+      fleet_.HasVmOrders() ||
+      std::any_of(waves.begin(), waves.end(), [](const WaveSummary& aWave) {
+        return !aWave.isCompleted_;
+      });
+    co_await Sleep(context_.io_,
+                   isChanging ? kVmPollInterval : kIdleVmPollInterval);
   }
 }
 
@@ -428,8 +506,8 @@
 Owner::Store(const StoreProgress& aEffect)
 {
   std::vector<StoreWrite::Put> puts;
-  if (aEffect.hasTargets_) {
-    puts.push_back({ kTargetsKey, EncodeTargets(aEffect.targets_), 0 });
+  for (const auto& target : aEffect.newTargets_) {
+    puts.push_back({ kTargetsPrefix + target.id_, EncodeTarget(target), 0 });
   }
   if (aEffect.hasOrders_) {
     puts.push_back({ kVmOrdersKey, EncodeVmOrders(aEffect.orders_), 0 });
@@ -441,6 +519,9 @@
   for (const auto& [job, progress] : aEffect.jobs_) {
     puts.push_back({ kProgressPrefix + job, EncodeProgress(progress), 0 });
   }
+  for (const auto& target : aEffect.removedTargets_) {
+    writer_.Queue({ {}, { kTargetsPrefix + target }, {} });
+  }
   const auto batch = aEffect.batch_;
   writer_.QueueAll(std::move(puts),
                    [this, batch] { Handle(ProgressStored{ batch }); });
@@ -504,15 +585,24 @@
   }
 }
 
+Traffic
+Owner::GetTraffic() const
+{
+  auto traffic = context_.http_.GetTraffic();
+  const auto& toTargets = targetHttp_.GetTraffic();
+  traffic.insert(toTargets.begin(), toTargets.end());
+  return traffic;
+}
+
 // Logs what the calls of each kind have cost since the line before.
 Awaitable<void>
 Owner::LogTraffic()
 {
   const auto self = shared_from_this();
-  auto before = context_.http_.GetTraffic();
+  auto before = GetTraffic();
   while (!hasEnded_) {
     co_await Sleep(context_.io_, kTrafficLogInterval);
-    const auto traffic = context_.http_.GetTraffic();
+    const auto traffic = GetTraffic();
     for (const auto& [kind, count] : traffic) {
       const auto& last = before[kind];
       if (count == last) {
--- a/packages/daemon/src/owner.h
+++ b/packages/daemon/src/owner.h
@@ -7,6 +7,7 @@
 #include <memory>
 
 #include "fenced_writer.h"
+#include "records.h"
 
 namespace cuminbridge {
 
@@ -45,13 +46,18 @@
   void Handle(const Event& aEvent);
   void ApplyTuning(); // call it after the tuning has changed
   const Fleet& GetFleet() const { return fleet_; }
+  // Of this entry, with the calls to targets of this term.
+  Traffic GetTraffic() const;
 
 private:
   Awaitable<void> Load();
+  void ReplaceOldTargetRecord(const StoredFleet& aStored,
+                              const JobsLoaded& aLoaded);
   Awaitable<PreviousOwner> AskPreviousOwner();
   Awaitable<void> Renew();
   Awaitable<void> WatchSubmissions(std::int64_t aRevision);
-  Awaitable<void> PollTargets();
+  void UpdateTarget(const StoreItem& aItem);
+  Awaitable<void> WatchTargets();
   Awaitable<void> PollVms();
   void LogReachability(const char* aService,
                        bool& aIsReachable,
@@ -72,10 +78,13 @@
   DaemonContext context_;
   Ownership ownership_;
   Fleet fleet_;
+  HttpClient targetHttp_; // its connections end with the term
   TargetClient targets_;
   VmClient vms_;
   AdviceClient advice_;
   FencedWriter writer_;
+  std::map<std::string, TargetReport> reports_; // of the targets, by id
+  std::set<std::string> unreadableTargets_;     // keys that were logged
   bool hasEnded_ = false;
   bool isVmServiceReachable_ = false;
   bool isAdviceReachable_ = false;
--- a/packages/daemon/src/records.cpp
+++ b/packages/daemon/src/records.cpp
@@ -75,6 +75,23 @@
   }
 }
 
+void
+DecodeTargets(const StoreReply& aReply,
+              JobsLoaded& aLoaded,
+              std::vector<std::string>& aUnreadable)
+{
+  for (const auto& item : aReply.items_) {
+    const auto space = item.value_.find(' ');
+    if (space == std::string::npos) {
+      aUnreadable.push_back(item.key_);
+      continue;
+    }
+    aLoaded.targets_.emplace_back(WithoutPrefix(item.key_, kTargetsPrefix),
+                                  item.value_.substr(0, space),
+                                  item.value_.substr(space + 1));
+  }
+}
+
 // The value of one key, as a JSON list. Calls aDecodeRow for each row.
 template<typename DecodeRow>
 void
@@ -141,13 +158,9 @@
 }
 
 std::string
-EncodeTargets(const std::vector<StoredTarget>& aTargets)
+EncodeTarget(const StoredTarget& aTarget)
 {
-  json rows = json::array();
-  for (const auto& target : aTargets) {
-    rows.push_back({ target.id_, target.address_, target.pool_ });
-  }
-  return rows.dump();
+  return aTarget.address_ + ' ' + aTarget.pool_;
 }
 
 std::string
@@ -181,7 +194,8 @@
   DecodeSubmissions(aStored.submissions_, loaded, aUnreadable);
   DecodeProgressRecords(aStored.progress_, loaded, aUnreadable);
   DecodeWaves(aStored.waves_, loaded, aUnreadable);
-  DecodeRows(aStored.targets_, aUnreadable, [&loaded](const json& aRow) {
+  DecodeTargets(aStored.targets_, loaded, aUnreadable);
+  DecodeRows(aStored.oldTargets_, aUnreadable, [&loaded](const json& aRow) {
     loaded.targets_.emplace_back(aRow.at(0).get<std::string>(),
                                  aRow.at(1).get<std::string>(),
                                  aRow.at(2).get<std::string>());
--- a/packages/daemon/src/records.h
+++ b/packages/daemon/src/records.h
@@ -34,8 +34,11 @@
 inline constexpr const char* kProgressPrefix = "progress/";
 // VMs of wave N whose maintenance has begun: "upkeep/N".
 inline constexpr const char* kMaintenancePrefix = "upkeep/";
-// Targets that the owner uses.
-inline constexpr const char* kTargetsKey = "targets";
+// Each target that the owner uses: "targets/ID".
+inline constexpr const char* kTargetsPrefix = "targets/";
+// All of them in one record, as earlier versions stored them. It is read, then
+// removed.
+inline constexpr const char* kOldTargetsKey = "targets";
 // Recent orders for VMs.
 inline constexpr const char* kVmOrdersKey = "orders";
 // The latest demand peak of each pool.
@@ -76,7 +79,7 @@
 std::string EncodeEntry(const EntryRecord& aEntry);
 
 std::string EncodeWaveRecord(const WaveRecord& aRecord);
-std::string EncodeTargets(const std::vector<StoredTarget>& aTargets);
+std::string EncodeTarget(const StoredTarget& aTarget);
 std::string EncodeVmOrders(const std::vector<StoredOrder>& aOrders);
 std::string EncodeDemandPeaks(const std::vector<StoredDemandPeak>& aPeaks);
 
@@ -86,7 +89,8 @@
   StoreReply submissions_;
   StoreReply progress_;
   StoreReply waves_;
-  StoreReply targets_;     // one key, which may be missing
+  StoreReply targets_;
+  StoreReply oldTargets_;  // one key, which is usually missing
   StoreReply vmOrders_;    // one key, which may be missing
   StoreReply demandPeaks_; // one key, which may be missing
 };
--- a/packages/daemon/tests/owner_test.cpp
+++ b/packages/daemon/tests/owner_test.cpp
@@ -64,7 +64,7 @@
   stored.submissions_.items_.push_back({ "in/job/c", "damaged", 3, 3, false });
   stored.progress_ = makeReply("progress/a", EncodeProgress(progress));
   stored.waves_ = makeReply("upkeep/4", EncodeWaveRecord(wave));
-  stored.targets_ = makeReply(kTargetsKey, EncodeTargets(targets));
+  stored.targets_ = makeReply("targets/t", EncodeTarget(targets.front()));
   stored.vmOrders_ = makeReply(kVmOrdersKey, EncodeVmOrders(orders));
   stored.demandPeaks_ = makeReply(kDemandPeaksKey, EncodeDemandPeaks(peaks));
   std::vector<std::string> unreadable;
@@ -78,3 +78,16 @@
   CHECK(loaded.demandPeaks_ == peaks);
   CHECK(unreadable == std::vector<std::string>{ "in/job/c" });
 }
+
+TEST_CASE("targets in the single record of earlier versions are read")
+{
+  StoredFleet stored;
+  stored.oldTargets_.status_ = StoreStatus::Done;
+  stored.oldTargets_.items_.push_back(
+    { kOldTargetsKey, R"([["t","10.0.0.1:1","p"]])", 1, 1, false });
+  std::vector<std::string> unreadable;
+  const auto loaded = DecodeStoredFleet(stored, unreadable);
+  CHECK(loaded.targets_ ==
+        std::vector<StoredTarget>{ { "t", "10.0.0.1:1", "p" } });
+  CHECK(unreadable.empty());
+}
--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -390,8 +390,8 @@
 {
   std::uint64_t batch_ = 0;
   std::vector<std::pair<std::string, Progress>> jobs_;
-  bool hasTargets_ = false; // targets_ replaces the stored list of targets
-  std::vector<StoredTarget> targets_;
+  std::vector<StoredTarget> newTargets_;    // used from now on
+  std::vector<std::string> removedTargets_; // ids of those not used any more
   bool hasOrders_ = false; // orders_ replaces the stored list of recent orders
   std::vector<StoredOrder> orders_;
   bool hasDemandPeaks_ = false; // demandPeaks_ replaces the stored list
@@ -518,6 +518,7 @@
   // not ask.
   WallTime InheritedUntil() const;
   bool HasUnstoredChanges() const;
+  bool HasVmOrders() const; // some have not been completed
   const FleetCounts& Counts() const;
   const FleetState& State() const { return *state_; } // for tests
 
--- a/packages/fleet/src/jobs.cpp
+++ b/packages/fleet/src/jobs.cpp
@@ -315,6 +315,7 @@
   for (const auto& stored : aLoaded.targets_) {
     auto& target = aState.targets_[stored.id_];
     target.isInherited_ = true;
+    target.isRecorded_ = true;
     if (!target.isListed_) {
       target.report_.id_ = stored.id_;
       target.report_.address_ = stored.address_;
--- a/packages/fleet/src/reducer.cpp
+++ b/packages/fleet/src/reducer.cpp
@@ -220,7 +220,14 @@
 Fleet::HasUnstoredChanges() const
 {
   return state_->batch_ != 0 || !state_->dirtyJobs_.empty() ||
-         state_->mustStoreTargets_ || state_->mustStoreOrders_;
+         !state_->unrecordedTargets_.empty() ||
+         !state_->removedTargets_.empty() || state_->mustStoreOrders_;
+}
+
+bool
+Fleet::HasVmOrders() const
+{
+  return !state_->vmOrders_.empty();
 }
 
 const FleetCounts&
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -268,8 +268,9 @@
   std::vector<std::pair<std::string, JobState>> batchStates_; // jobs in batch_
   Instant nextStore_;     // no batch before this, unless isUrgent_
   bool isUrgent_ = false; // a job has ended or a VM is ordered: store at once
-  bool mustStoreTargets_ = false;
-  std::vector<std::string> batchTargets_; // targets in batch_
+  std::set<std::string> unrecordedTargets_; // to store in the next batch
+  std::set<std::string> removedTargets_;    // to remove in the next batch
+  std::vector<std::string> batchTargets_;   // new targets in batch_
 
   std::map<std::string, Instant> lastDispatch_; // by pool
   std::set<std::string> dirtyPools_; // a change may allow work to start there
--- a/packages/fleet/src/storing.cpp
+++ b/packages/fleet/src/storing.cpp
@@ -48,7 +48,9 @@
 void
 StoreChanges(FleetState& aState)
 {
-  const bool isIdle = aState.dirtyJobs_.empty() && !aState.mustStoreTargets_ &&
+  const bool isIdle = aState.dirtyJobs_.empty() &&
+                      aState.unrecordedTargets_.empty() &&
+                      aState.removedTargets_.empty() &&
                       !aState.mustStoreOrders_ && !aState.mustStoreDemandPeaks_;
   if (!aState.hasJobs_ || aState.batch_ != 0 || isIdle ||
       (aState.now_ < aState.nextStore_ && !aState.isUrgent_)) {
@@ -63,17 +65,20 @@
     aState.batchStates_.emplace_back(id, job.state_);
     effect.jobs_.emplace_back(id, ProgressOf(aState, job));
   }
-  aState.batchTargets_.clear();
-  effect.hasTargets_ = aState.mustStoreTargets_;
   for (auto& [id, target] : aState.targets_) {
     target.endsInBatch_ = target.endsApplied_;
-    if (effect.hasTargets_ && (target.isListed_ || !target.runs_.empty())) {
-      effect.targets_.emplace_back(
-        id, target.report_.address_, target.report_.pool_);
-      aState.batchTargets_.push_back(id);
-    }
   }
-  aState.mustStoreTargets_ = false;
+  aState.batchTargets_.clear();
+  for (const auto& id : aState.unrecordedTargets_) {
+    const auto& report = aState.targets_[id].report_;
+    effect.newTargets_.emplace_back(id, report.address_, report.pool_);
+    aState.batchTargets_.push_back(id);
+    aState.removedTargets_.erase(id);
+  }
+  aState.unrecordedTargets_.clear();
+  effect.removedTargets_.assign(aState.removedTargets_.begin(),
+                                aState.removedTargets_.end());
+  aState.removedTargets_.clear();
   AddOrdersToBatch(aState, effect);
   aState.dirtyJobs_.clear();
   aState.isUrgent_ = false;
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -480,7 +480,7 @@
     }
     if (!target.isRecorded_ || target.report_.address_ != report.address_) {
       target.isRecorded_ = false;
-      aState.mustStoreTargets_ = true;
+      aState.unrecordedTargets_.insert(report.id_);
     }
     target.report_ = report;
     target.isListed_ = true;
@@ -494,7 +494,8 @@
                           aState.now_ < InheritedWorkExpiry(aState);
     if (!target.isListed_ && !target.isInherited_ && target.runs_.empty() &&
         !target.isRenewalPending_) {
-      aState.mustStoreTargets_ = aState.mustStoreTargets_ || target.isRecorded_;
+      aState.unrecordedTargets_.erase(it->first);
+      aState.removedTargets_.insert(it->first);
       it = aState.targets_.erase(it);
     } else {
       ++it;
--- a/packages/fleet/tests/simulated_fleet.cpp
+++ b/packages/fleet/tests/simulated_fleet.cpp
@@ -121,7 +121,9 @@
   }
   loaded.progress_ = progress_;
   loaded.cancelled_ = cancelled_;
-  loaded.targets_ = storedTargets_;
+  for (const auto& [id, target] : storedTargets_) {
+    loaded.targets_.push_back(target);
+  }
   loaded.previousOwner_ = term_ == 1 ? PreviousOwner::HandedOver : aFormer;
   loaded.term_ = term_;
   loaded.inheritedUntil_ = inheritedUntil_;
@@ -337,8 +339,11 @@
         }
       }
     }
-    if (aStore.hasTargets_) {
-      storedTargets_ = aStore.targets_;
+    for (const auto& target : aStore.newTargets_) {
+      storedTargets_[target.id_] = target;
+    }
+    for (const auto& id : aStore.removedTargets_) {
+      storedTargets_.erase(id);
     }
     Deliver(*owner, ProgressStored{ aStore.batch_ });
   });
--- a/packages/fleet/tests/simulated_fleet.h
+++ b/packages/fleet/tests/simulated_fleet.h
@@ -129,7 +129,7 @@
   std::map<std::string, Job> jobs_;
   std::set<std::string> cancelled_;
   std::map<std::string, Progress> progress_;
-  std::vector<StoredTarget> storedTargets_;
+  std::map<std::string, StoredTarget> storedTargets_; // by id
   WallTime inheritedUntil_; // as the latest owner recorded it
 
   // What happened on the targets, whatever the owners know of it.
--- a/packages/web/include/cuminbridge/web.h
+++ b/packages/web/include/cuminbridge/web.h
@@ -56,6 +56,9 @@
   std::string body_; // JSON; empty sends no body
   HttpHeaders headers_;
   std::chrono::milliseconds limit_{ 1000 }; // for the whole call
+  // Does not wait for a connection while all allowed ones to the address are in
+  // use, but opens one more.
+  bool isUrgent_ = false;
   const char* kind_ = "other"; // under which HttpClient counts it; a literal
 };
 
--- a/packages/web/src/client.cpp
+++ b/packages/web/src/client.cpp
@@ -151,7 +151,7 @@
     entry = std::make_shared<Pool>();
   }
   const auto pool = entry;
-  while (pool->inUse_ >= options_.maxConnections_) {
+  while (!aCall.isUrgent_ && pool->inUse_ >= options_.maxConnections_) {
     auto timer = std::make_shared<asio::steady_timer>(io_, deadline);
     pool->waiting_.push_back(timer);
     const auto [waitError] = co_await timer->async_wait(kAsTuple);
