--- a/packages/daemon/src/caller_api.cpp
+++ b/packages/daemon/src/caller_api.cpp
@@ -29,6 +29,8 @@
 constexpr Millis kAnswerTimeout(2200);
 constexpr Millis kRetryPause(60);
 constexpr Millis kWaitingMaxAge(500); // older counts are read again
+// Counts that are older than this are no answer: callers may rely on them.
+constexpr Millis kWaitingLimit(3000);
 
 HttpResponse
 Problem(int aStatus, std::string_view aMessage)
@@ -72,10 +74,45 @@
   }
 }
 
+void
+CallerApi::SetCellCount(int aCount)
+{
+  for (int cell = 0; cell < aCount; ++cell) {
+    cells_.push_back({ CellKeys(cell), nullptr, "" });
+  }
+}
+
+void
+CallerApi::SetOwner(int aCell, std::shared_ptr<Owner> aOwner)
+{
+  cells_[static_cast<std::size_t>(aCell)].owner_ = std::move(aOwner);
+}
+
+void
+CallerApi::SetOwnerAddress(int aCell, std::string aAddress)
+{
+  cells_[static_cast<std::size_t>(aCell)].ownerAddress_ = std::move(aAddress);
+}
+
+const std::string&
+CallerApi::OwnerAddress(int aCell) const
+{
+  static const std::string kNone;
+  return aCell < CellCount()
+           ? cells_[static_cast<std::size_t>(aCell)].ownerAddress_
+           : kNone;
+}
+
+CallerApi::CellState&
+CallerApi::CellOfJob(const std::string& aId)
+{
+  return cells_[static_cast<std::size_t>(CellOf(aId, CellCount()))];
+}
+
 Awaitable<HttpResponse>
 CallerApi::Answer(const HttpRequest& aRequest)
 {
-  if (config_.version_ == 0) {
+  if (config_.version_ == 0 || cells_.empty()) {
     co_return Problem(kUnavailable, "no configuration yet");
   }
   const auto path =
@@ -118,9 +155,11 @@
 // Does not wait for an answer and does not retry: the owner also watches the
 // store.
 void
-CallerApi::NotifyOwner(const char* aPath, std::string aBody)
+CallerApi::NotifyOwner(const CellState& aCell,
+                       const char* aPath,
+                       std::string aBody)
 {
-  if (ownerAddress_.empty()) {
+  if (aCell.ownerAddress_.empty()) {
     return;
   }
   constexpr Millis kNotifyTimeout(
@@ -131,9 +170,10 @@
   call.path_ = aPath;
   call.body_ = std::move(aBody);
   call.limit_ = kNotifyTimeout;
-  boost::asio::co_spawn(context_.io_,
-                        context_.http_.Call(ownerAddress_, std::move(call)),
-                        boost::asio::detached);
+  boost::asio::co_spawn(
+    context_.io_,
+    context_.http_.Call(aCell.ownerAddress_, std::move(call)),
+    boost::asio::detached);
 }
 
 Awaitable<HttpResponse>
@@ -157,8 +197,9 @@
   job.stretch_ = aQueue.stretch_;
   job.allowance_ = aQueue.allowance_;
   job.accepted_ = context_.clocks_.TimeOfDay();
+  const auto& cell = CellOfJob(job.id_);
   StoreWrite write;
-  const std::string key = kJobPrefix + job.id_;
+  const auto key = cell.keys_.Of(kJobPrefix) + job.id_;
   write.conditions_.push_back({ key, 0 });
   write.puts_.push_back({ key, EncodeJob(job), 0 });
   bool mayBeStored = false;
@@ -179,10 +220,11 @@
                ? ", stored at revision " + std::to_string(reply.revision_)
                : ", already stored by an earlier submission") },
         context_.clocks_.Now());
-      if (reply.IsDone() && owner_ && owner_->IsLeaseValid()) {
-        owner_->Handle(JobArrived{ std::move(job) });
+      if (reply.IsDone() && cell.owner_ && cell.owner_->IsLeaseValid()) {
+        cell.owner_->Handle(JobArrived{ std::move(job) });
       } else if (reply.IsDone()) {
-        NotifyOwner(kNotifyJobPath, std::move(write.puts_.front().value_));
+        NotifyOwner(
+          cell, kNotifyJobPath, std::move(write.puts_.front().value_));
       }
       co_return HttpResponse{};
     }
@@ -217,8 +259,9 @@
 CallerApi::Read(std::string aId)
 {
   ++counts_.reads_;
-  if (owner_ && !owner_->HasEnded()) {
-    if (const auto state = owner_->GetFleet().StoredState(aId)) {
+  const auto& cell = CellOfJob(aId);
+  if (cell.owner_ && !cell.owner_->HasEnded()) {
+    if (const auto state = cell.owner_->GetFleet().StoredState(aId)) {
       HttpResponse answer;
       answer.body_ = FormatJobState(*state);
       co_return answer;
@@ -227,7 +270,8 @@
   if (context_.store_.IsUnreachable()) {
     co_return Problem(kUnavailable, "the store can't be reached from here");
   }
-  const auto progress = co_await context_.store_.Get(kProgressPrefix + aId);
+  const auto progress =
+    co_await context_.store_.Get(cell.keys_.Of(kProgressPrefix) + aId);
   if (progress.IsDone()) {
     const auto record = DecodeProgress(progress.items_.front().value_);
     HttpResponse answer;
@@ -235,7 +279,8 @@
     co_return answer;
   }
   if (progress.status_ == StoreStatus::Missing) {
-    const auto job = co_await context_.store_.Get(kJobPrefix + aId);
+    const auto job =
+      co_await context_.store_.Get(cell.keys_.Of(kJobPrefix) + aId);
     if (job.IsDone()) {
       HttpResponse answer;
       answer.body_ = FormatJobState(JobState::Queued);
@@ -253,25 +298,27 @@
 {
   const auto startedAt = context_.clocks_.Now();
   ++counts_.cancels_;
+  const auto& cell = CellOfJob(aId);
   bool mayBeStored = false;
   while (mayBeStored || !context_.store_.IsUnreachable()) {
-    const auto job = co_await context_.store_.Get(kJobPrefix + aId);
+    const auto job =
+      co_await context_.store_.Get(cell.keys_.Of(kJobPrefix) + aId);
     if (job.status_ == StoreStatus::Missing) {
       co_return Problem(kGone, "no such job");
     }
     if (job.IsDone()) {
       StoreWrite write;
-      const std::string key = kCancelPrefix + aId;
+      const auto key = cell.keys_.Of(kCancelPrefix) + aId;
       write.conditions_.push_back({ key, 0 });
       write.puts_.push_back({ key, "{}", 0 });
       const auto reply = co_await context_.store_.Write(write);
       if (reply.IsDone() || reply.status_ == StoreStatus::Conflict) {
         WriteLine({ "job_cancelled", aId, "", "", "cancelled by its caller" },
                   context_.clocks_.Now());
-        if (owner_) {
-          owner_->Handle(JobCancelled{ aId });
+        if (cell.owner_) {
+          cell.owner_->Handle(JobCancelled{ aId });
         } else {
-          NotifyOwner(kNotifyCancelPath, aId);
+          NotifyOwner(cell, kNotifyCancelPath, aId);
         }
         co_return HttpResponse{};
       }
@@ -289,33 +336,50 @@
   co_return Problem(kTimeout, "it may have been cancelled: ask again");
 }
 
+// Reads the counts of all cells. False if the store does not answer.
+Awaitable<bool>
+CallerApi::ReadWaitingCounts()
+{
+  const auto readAt = context_.clocks_.Now();
+  const auto reply = co_await context_.store_.List(kLoadPrefix);
+  if (!reply.IsDone()) {
+    co_return false;
+  }
+  const auto now = context_.clocks_.TimeOfDay();
+  waiting_.clear();
+  waitingCountedAt_ = now;
+  waitingReadAt_ = readAt;
+  for (const auto& item : reply.items_) {
+    const auto load = DecodeLoad(item.value_);
+    for (const auto& [queue, count] : load.waiting_) {
+      waiting_[queue] += count;
+    }
+    if (load.countedAt_ != WallTime()) { // earlier versions store no time
+      waitingCountedAt_ = std::min(waitingCountedAt_, load.countedAt_);
+    }
+  }
+  if (reply.items_.size() < cells_.size()) {
+    waitingCountedAt_ = WallTime(); // some cell has had no owner yet
+  }
+  co_return true;
+}
+
 Awaitable<HttpResponse>
 CallerApi::AnswerWaiting(std::string aQueue)
 {
-  if (owner_ && owner_->IsLeaseValid()) {
-    int waiting = 0;
-    for (const auto& load : owner_->GetFleet().Loads()) {
-      waiting += load.queue_ == aQueue ? load.waiting_ : 0;
-    }
+  if (cells_.size() == 1 && cells_.front().owner_ &&
+      cells_.front().owner_->IsLeaseValid()) {
     HttpResponse answer;
-    answer.body_ = FormatWaitingCount(waiting);
+    answer.body_ = FormatWaitingCount(
+      cells_.front().owner_->CountWaiting().waiting_[aQueue]);
     co_return answer;
   }
-  const auto now = context_.clocks_.Now();
-  if (now - waitingReadAt_ > kWaitingMaxAge) {
-    const auto reply = co_await context_.store_.Get(kLoadKey);
-    if (!reply.IsDone() && reply.status_ != StoreStatus::Missing) {
-      co_return Problem(kUnavailable, "the store can't be reached from here");
-    }
-    waiting_.clear();
-    waitingReadAt_ = now;
-    if (reply.IsDone()) {
-      const auto loads =
-        nlohmann::json::parse(reply.items_.front().value_, nullptr, false);
-      if (loads.is_object()) {
-        waiting_ = loads.get<std::map<std::string, int>>();
-      }
-    }
+  if (context_.clocks_.Now() - waitingReadAt_ > kWaitingMaxAge &&
+      !co_await ReadWaitingCounts()) {
+    co_return Problem(kUnavailable, "the store can't be reached from here");
+  }
+  if (context_.clocks_.TimeOfDay() - waitingCountedAt_ > kWaitingLimit) {
+    co_return Problem(kUnavailable, "no recent count is known");
   }
   HttpResponse answer;
   answer.body_ = FormatWaitingCount(waiting_[aQueue]);
--- a/packages/daemon/src/caller_api.h
+++ b/packages/daemon/src/caller_api.h
@@ -27,15 +27,14 @@
   void SetConfig(FleetConfig aConfig);
   const FleetConfig& Config() const { return config_; }
 
-  // The owner in this process, or null.
-  void SetOwner(std::shared_ptr<Owner> aOwner) { owner_ = std::move(aOwner); }
-  // Address for peers of the owner, if it is another process.
-  void SetOwnerAddress(std::string aAddress)
-  {
-    ownerAddress_ = std::move(aAddress);
-  }
-
-  const std::string& OwnerAddress() const { return ownerAddress_; }
+  // Until the number of cells is known, jobs are answered 503.
+  void SetCellCount(int aCount);
+  int CellCount() const { return static_cast<int>(cells_.size()); }
+  // The owner of a cell in this process, or null.
+  void SetOwner(int aCell, std::shared_ptr<Owner> aOwner);
+  // Address for peers of the owner of a cell; empty if there is none.
+  void SetOwnerAddress(int aCell, std::string aAddress);
+  const std::string& OwnerAddress(int aCell) const;
 
   Awaitable<HttpResponse> Answer(const HttpRequest& aRequest);
 
@@ -50,13 +49,24 @@
   Awaitable<HttpResponse> Cancel(std::string aId);
   Awaitable<HttpResponse> AnswerWaiting(std::string aQueue);
 
-  void NotifyOwner(const char* aPath, std::string aBody);
+  struct CellState
+  {
+    CellKeys keys_;
+    std::shared_ptr<Owner> owner_; // in this process, or null
+    std::string ownerAddress_;     // empty: not known
+  };
+
+  CellState& CellOfJob(const std::string& aId);
+  void NotifyOwner(const CellState& aCell,
+                   const char* aPath,
+                   std::string aBody);
+  Awaitable<bool> ReadWaitingCounts();
 
   DaemonContext context_;
-  std::string ownerAddress_; // empty: not known
   FleetConfig config_;
-  std::shared_ptr<Owner> owner_;
-  std::map<std::string, int> waiting_; // jobs by queue, as the owner stored it
+  std::vector<CellState> cells_;       // empty until their number is known
+  std::map<std::string, int> waiting_; // jobs by queue, in all cells
+  WallTime waitingCountedAt_;          // the oldest of the counts
   Instant waitingReadAt_;
   CallerApiCounts counts_;
 };
--- /dev/null
+++ b/packages/daemon/src/cells.cpp
@@ -0,0 +1,173 @@
+// How the fleet is divided into cells.
+
+#include "cells.h"
+
+#include <algorithm>
+#include <cmath>
+#include <map>
+
+#include <xxhash.h>
+
+namespace cuminbridge {
+
+namespace {
+
+std::uint64_t
+Hash(std::string_view aText, std::uint64_t aSeed)
+{
+  return XXH64(aText.data(), aText.size(), aSeed);
+}
+
+// Whether a candidate is strong enough beside the strongest one.
+bool
+IsStrong(const Candidate& aCandidate, double aStrongest)
+{
+  return !ShouldYield(aCandidate.cpuShare_, aStrongest);
+}
+
+std::map<int, int>
+CountVmsByCell(const Wave& aWave, int aCount)
+{
+  std::map<int, int> counts;
+  for (const auto& vm : aWave.vms_) {
+    ++counts[CellOf(vm, aCount)];
+  }
+  return counts;
+}
+
+} // namespace
+
+//-----------------------------------------------------------------------------
+// [SECTION] Division
+//-----------------------------------------------------------------------------
+
+int
+CellOf(std::string_view aName, int aCount)
+{
+  constexpr std::uint64_t kSeed = 0x63656c6c; // must never change
+  return aCount <= 1 ? 0
+                     : static_cast<int>(Hash(aName, kSeed) %
+                                        static_cast<std::uint64_t>(aCount));
+}
+
+int
+ChooseCellCount(std::size_t aVms, const std::vector<EntryCapacity>& aEntries)
+{
+  // What a busy VM costs its owner; docs/CAPACITY.md has the measurements.
+  constexpr double kBytesPerSecond = 4000; // each way
+  constexpr double kCpuShare = 0.0003;     // of a core
+  // Parts of an entry's capacity that an owner uses on average. The rest is for
+  // demand peaks, and for callers.
+  constexpr double kUsableLink = 0.4;
+  constexpr double kUsableCpu = 0.5;
+  constexpr double kMinVms = 20; // smaller cells can't place wide steps
+  double most = static_cast<double>(aVms);
+  for (const auto& entry : aEntries) {
+    most = std::min({ most,
+                      kUsableLink * entry.linkBytesPerSecond_ / kBytesPerSecond,
+                      kUsableCpu * entry.cpuShare_ / kCpuShare });
+  }
+  most = std::max(most, kMinVms);
+  return std::max(
+    1, static_cast<int>(std::ceil(static_cast<double>(aVms) / most)));
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Who owns a cell
+//-----------------------------------------------------------------------------
+
+std::vector<Candidate>
+RankCandidates(std::vector<Candidate> aCandidates, int aCell)
+{
+  double strongest = 0;
+  for (const auto& candidate : aCandidates) {
+    strongest = std::max(strongest, candidate.cpuShare_);
+  }
+  const auto key = [&](const Candidate& aCandidate) {
+    return std::make_tuple(
+      !IsStrong(aCandidate, strongest),
+      aCandidate.cells_,
+      Hash(aCandidate.name_, static_cast<std::uint64_t>(aCell)));
+  };
+  std::sort(aCandidates.begin(),
+            aCandidates.end(),
+            [&](const Candidate& aLeft, const Candidate& aRight) {
+              return key(aLeft) < key(aRight);
+            });
+  return aCandidates;
+}
+
+Millis
+ElectionDelay(std::size_t aPlace)
+{
+  constexpr Millis kStep(20); // an entry takes a cell within some 15 ms
+  constexpr std::size_t kMaxSteps = 15;
+  return kStep * std::min(aPlace, kMaxSteps);
+}
+
+bool
+ShouldYield(double aShare, double aOtherShare)
+{
+  // A change of owner pauses the cell for 0.1 s, which only a far larger share
+  // is worth.
+  constexpr double kYieldRatio = 0.6;
+  return aShare < kYieldRatio * aOtherShare;
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Maintenance waves
+//-----------------------------------------------------------------------------
+
+std::set<int>
+CellsOfWave(const Wave& aWave, int aCount)
+{
+  std::set<int> cells;
+  for (const auto& [cell, vms] : CountVmsByCell(aWave, aCount)) {
+    cells.insert(cell);
+  }
+  return cells;
+}
+
+Wave
+PartOfWave(const Wave& aWave, Cell aCell, const std::set<int>& aCompleted)
+{
+  Wave part = aWave;
+  std::erase_if(part.vms_, [&](const std::string& aVm) {
+    return CellOf(aVm, aCell.count_) != aCell.number_;
+  });
+  if (part.vms_.empty() || aCell.count_ == 1) {
+    return part;
+  }
+  const auto counts = CountVmsByCell(aWave, aCell.count_);
+  const auto total = static_cast<int>(aWave.vms_.size());
+  int left = aWave.maxDown_;
+  std::vector<std::pair<int, int>> byRemainder; // negative remainder, cell
+  std::map<int, int> quotas;
+  for (const auto& [cell, vms] : counts) {
+    quotas[cell] = aWave.maxDown_ * vms / total;
+    left -= quotas[cell];
+    byRemainder.emplace_back(-(aWave.maxDown_ * vms % total), cell);
+  }
+  std::sort(byRemainder.begin(), byRemainder.end());
+  for (const auto& [remainder, cell] : byRemainder) {
+    if (left > 0 && quotas[cell] < counts.at(cell)) {
+      ++quotas[cell];
+      --left;
+    }
+  }
+  part.maxDown_ = quotas[aCell.number_];
+  if (part.maxDown_ > 0) {
+    return part;
+  }
+  // Cells without a quota come last, one after the other.
+  for (const auto& [cell, quota] : quotas) {
+    const bool isBefore = quota > 0 || cell < aCell.number_;
+    if (isBefore && aCompleted.count(cell) == 0) {
+      return part;
+    }
+  }
+  part.maxDown_ = aWave.maxDown_;
+  return part;
+}
+
+} // namespace cuminbridge
--- /dev/null
+++ b/packages/daemon/src/cells.h
@@ -0,0 +1,97 @@
+// Internal: how the fleet is divided into cells. Pure functions.
+//
+// A cell is the unit of ownership: a part of the VMs of every pool, with the
+// jobs given to it. Each cell has an owner, a fencing token and records of its
+// own, and is run as a fleet of its own. A VM belongs to a cell by the hash of
+// its name and a job by the hash of its id, so every entry knows the cell of
+// each without asking. A move between pools leaves a VM in its cell.
+//
+// The number of cells is stored when the fleet first starts, and stays.
+//
+// Index of this file:
+//   [SECTION] Division
+//   [SECTION] Who owns a cell
+//   [SECTION] Maintenance waves
+
+#ifndef cuminbridge_daemon_cells_h
+#define cuminbridge_daemon_cells_h
+
+#include <set>
+#include <string>
+#include <vector>
+
+#include "cuminbridge/jobs.h"
+
+namespace cuminbridge {
+
+//-----------------------------------------------------------------------------
+// [SECTION] Division
+//-----------------------------------------------------------------------------
+
+struct Cell
+{
+  int number_ = 0; // from 0
+  int count_ = 1;  // of all cells
+
+  bool operator==(const Cell&) const = default;
+};
+
+// The number of the cell of a VM, by its name, or of a job, by its id.
+int CellOf(std::string_view aName, int aCount);
+
+// What an entry can carry, as it has registered it.
+struct EntryCapacity
+{
+  double cpuShare_ = 0;              // of a core
+  double linkBytesPerSecond_ = 1e12; // each way
+
+  bool operator==(const EntryCapacity&) const = default;
+};
+
+// The number of cells with which even the weakest entry can own one.
+int ChooseCellCount(std::size_t aVms,
+                    const std::vector<EntryCapacity>& aEntries);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Who owns a cell
+//-----------------------------------------------------------------------------
+
+struct Candidate
+{
+  std::string name_;
+  double cpuShare_ = 0; // of a core
+  int cells_ = 0;       // that it owns
+
+  bool operator==(const Candidate&) const = default;
+};
+
+// The candidates in the order in which they should take a cell: those with
+// enough processor time first, those that own fewer cells first, and else by a
+// hash that differs from cell to cell.
+std::vector<Candidate> RankCandidates(std::vector<Candidate> aCandidates,
+                                      int aCell);
+
+// How long the candidate at this place leaves a cell without an owner to those
+// before it; 0 for the first.
+Millis ElectionDelay(std::size_t aPlace);
+
+// Whether an owner with aShare of a core for each of its cells should hand one
+// over to an entry with aOtherShare that owns none.
+bool ShouldYield(double aShare, double aOtherShare);
+
+//-----------------------------------------------------------------------------
+// [SECTION] Maintenance waves
+//-----------------------------------------------------------------------------
+
+// The part of a wave that is a cell's: its VMs, and its part of maxDown_. The
+// parts of all cells add up to no more than the wave's maxDown_. aCompleted
+// holds the cells that have completed theirs: a cell whose part of maxDown_ is
+// 0 waits until its turn comes after them.
+Wave PartOfWave(const Wave& aWave, Cell aCell, const std::set<int>& aCompleted);
+
+// The cells with VMs in the wave.
+std::set<int> CellsOfWave(const Wave& aWave, int aCount);
+
+} // namespace cuminbridge
+
+#endif // cuminbridge_daemon_cells_h
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -109,7 +109,7 @@
   Awaitable<HttpResponse> AnswerReadiness(const HttpRequest& aRequest);
   Awaitable<HttpResponse> AnswerCaller(const HttpRequest& aRequest);
   Awaitable<HttpResponse> AnswerMetrics(const HttpRequest& aRequest);
-  void HandlePeerNotification(Owner& aOwner, const HttpRequest& aRequest);
+  void HandlePeerNotification(const HttpRequest& aRequest);
   Awaitable<HttpResponse> AnswerPeer(const HttpRequest& aRequest);
   bool IsReady() const;
   void Log(const char* aEvent, std::string aDetail);
@@ -185,6 +185,7 @@
 Daemon::IsReady() const
 {
   return !isStopping_ && callerApi_.Config().version_ > 0 &&
+         callerApi_.CellCount() > 0 &&
          clocks_.Now() - storeAnsweredAt_ < kStoreTimeout;
 }
 
@@ -226,24 +227,32 @@
   answer.body_ = FormatMetrics(metrics_,
                                callerApi_,
                                store_.Calls(),
-                               election_.CurrentOwner()
-                                 ? election_.CurrentOwner()->GetTraffic()
-                                 : http_.GetTraffic(),
-                               election_.CurrentOwner(),
+                               http_.GetTraffic(),
+                               election_.CurrentOwners(),
                                clocks_.Now() - storeAnsweredAt_);
   co_return answer;
 }
 
-// Passes on a job or a cancellation that another entry has stored.
+// Passes on a job or a cancellation that another entry has stored. If another
+// owner may have taken over, it reads them from the store.
 void
-Daemon::HandlePeerNotification(Owner& aOwner, const HttpRequest& aRequest)
+Daemon::HandlePeerNotification(const HttpRequest& aRequest)
 {
+  const auto findOwner = [this](const std::string& aJob) -> Owner* {
+    auto* owner = election_.CurrentOwner(CellOf(aJob, callerApi_.CellCount()));
+    return owner && owner->IsLeaseValid() ? owner : nullptr;
+  };
   if (aRequest.path_ == kNotifyCancelPath) {
-    aOwner.Handle(JobCancelled{ aRequest.body_ });
-  } else if (auto job = DecodeJob(aRequest.body_)) {
-    aOwner.Handle(JobArrived{ std::move(*job) });
-  } else {
+    if (auto* owner = findOwner(aRequest.body_)) {
+      owner->Handle(JobCancelled{ aRequest.body_ });
+    }
+    return;
+  }
+  auto job = DecodeJob(aRequest.body_);
+  if (!job) {
     Log("record_unreadable", "job in a notification from another entry");
+  } else if (auto* owner = findOwner(job->id_)) {
+    owner->Handle(JobArrived{ std::move(*job) });
   }
 }
 
@@ -255,12 +264,8 @@
   constexpr int kNotFound = 404;
   HttpResponse answer;
   answer.contentType_ = "text/plain";
-  auto* owner = election_.CurrentOwner();
   if (aRequest.path_ == kNotifyJobPath || aRequest.path_ == kNotifyCancelPath) {
-    // If another owner may have taken over, it reads new jobs from the store.
-    if (owner && owner->IsLeaseValid()) {
-      HandlePeerNotification(*owner, aRequest);
-    }
+    HandlePeerNotification(aRequest);
     co_return answer;
   }
   if (aRequest.path_ == kStandbyPath) {
@@ -270,12 +275,15 @@
   if (aRequest.path_.rfind(kViewPrefix, 0) == 0) {
     const auto view =
       std::string_view(aRequest.path_).substr(std::strlen(kViewPrefix));
-    co_return ShowView(view, callerApi_, owner, settings_);
+    co_return ShowView(view, callerApi_, election_.CurrentOwners(), settings_);
   }
-  if (aRequest.path_ != kOwnerPath) {
+  const auto cell = CellOfOwnerKey(
+    std::string_view(aRequest.path_).substr(1)); // paths are like keys
+  if (!cell) {
     answer.status_ = kNotFound;
     co_return answer;
   }
+  const auto* owner = election_.CurrentOwner(*cell);
   answer.body_ = std::to_string(owner ? owner->Term() : 0);
   co_return answer;
 }
@@ -297,7 +305,7 @@
   Log("config_seen",
       "configuration version " + std::to_string(config->version_) +
         ", store revision " + std::to_string(configRevision_));
-  if (auto* owner = election_.CurrentOwner()) {
+  for (auto* owner : election_.CurrentOwners()) {
     owner->Handle(ConfigSeen{ *config });
   }
   callerApi_.SetConfig(std::move(*config));
@@ -387,7 +395,7 @@
   }
   tuning_ = tuning;
   SetLogLimits(tuning_.log_);
-  if (auto* owner = election_.CurrentOwner()) {
+  for (auto* owner : election_.CurrentOwners()) {
     owner->ApplyTuning();
   }
 }
--- a/packages/daemon/src/daemon_context.cpp
+++ b/packages/daemon/src/daemon_context.cpp
@@ -22,4 +22,11 @@
   return aSettings.ip_ + ':' + std::to_string(aSettings.firstInternalPort_);
 }
 
+std::string
+OwnerPath(int aCell)
+{
+  return aCell == 0 ? kOwnerPath
+                    : std::string(kOwnerPath) + '/' + std::to_string(aCell);
+}
+
 } // namespace cuminbridge
--- a/packages/daemon/src/daemon_context.h
+++ b/packages/daemon/src/daemon_context.h
@@ -23,8 +23,10 @@
 
 // Where a daemon answers its peers, the other entries.
 std::string PeerAddress(const PlatformSettings& aSettings);
-// Answers with the term in which the process owns the fleet, or 0.
+// Answers with the term in which the process owns the cell, or 0: "/owner" for
+// cell 0, "/owner/K" for cell K.
 inline constexpr const char* kOwnerPath = "/owner";
+std::string OwnerPath(int aCell);
 // Answers with kStandbyReady if the process could own the fleet now.
 inline constexpr const char* kStandbyPath = "/standby";
 inline constexpr const char* kStandbyReady = "ready";
--- a/packages/daemon/src/daemon_metrics.cpp
+++ b/packages/daemon/src/daemon_metrics.cpp
@@ -40,29 +40,46 @@
 }
 
 void
-AddFleetMetrics(std::ostream& aOut, const Owner& aOwner)
+AddFleetMetrics(std::ostream& aOut, const std::vector<Owner*>& aOwners)
 {
-  const auto& counts = aOwner.GetFleet().Counts();
-  AddCounter(aOut, "runs_started_total", "starts sent", counts.starts_);
-  AddCounter(aOut,
-             "starts_not_taken_total",
-             "starts refused or without an answer",
-             counts.startsRefused_);
-  AddCounter(aOut, "runs_done_total", "work items done", counts.done_);
-  AddCounter(aOut, "runs_failed_total", "runs that failed", counts.failed_);
-  AddCounter(aOut,
-             "runs_lost_total",
-             "runs that lapsed or went with their target",
-             counts.lost_);
-  AddCounter(aOut, "vm_moves_total", "VMs moved", counts.moves_);
-  AddCounter(
-    aOut, "vm_upkeeps_total", "upkeeps begun", counts.maintenanceStarts_);
-  AddCounter(aOut, "jobs_ended_total", "jobs ended", counts.jobsEnded_);
+  struct Column
+  {
+    const char* name_;
+    const char* help_;
+    std::uint64_t FleetCounts::*value_;
+  };
+  constexpr std::array<Column, 8> kColumns = { {
+    { "runs_started_total", "starts sent", &FleetCounts::starts_ },
+    { "starts_not_taken_total",
+      "starts refused or without an answer",
+      &FleetCounts::startsRefused_ },
+    { "runs_done_total", "work items done", &FleetCounts::done_ },
+    { "runs_failed_total", "runs that failed", &FleetCounts::failed_ },
+    { "runs_lost_total",
+      "runs that lapsed or went with their target",
+      &FleetCounts::lost_ },
+    { "vm_moves_total", "VMs moved", &FleetCounts::moves_ },
+    { "vm_upkeeps_total", "upkeeps begun", &FleetCounts::maintenanceStarts_ },
+    { "jobs_ended_total", "jobs ended", &FleetCounts::jobsEnded_ },
+  } };
+  for (const auto& column : kColumns) {
+    std::uint64_t sum = 0;
+    for (const auto* owner : aOwners) {
+      sum += owner->GetFleet().Counts().*column.value_;
+    }
+    AddCounter(aOut, column.name_, column.help_, sum);
+  }
+  std::map<std::string, int> waiting;
+  for (const auto* owner : aOwners) {
+    for (const auto& load : owner->GetFleet().Loads()) {
+      waiting[load.queue_] += load.waiting_;
+    }
+  }
   aOut << "# HELP cuminbridge_jobs_waiting jobs that have not begun\n"
           "# TYPE cuminbridge_jobs_waiting gauge\n";
-  for (const auto& load : aOwner.GetFleet().Loads()) {
-    aOut << "cuminbridge_jobs_waiting{queue=\"" << load.queue_ << "\"} "
-         << load.waiting_ << '\n';
+  for (const auto& [queue, count] : waiting) {
+    aOut << "cuminbridge_jobs_waiting{queue=\"" << queue << "\"} " << count
+         << '\n';
   }
 }
 
@@ -152,7 +169,7 @@
               const CallerApi& aCallerApi,
               const StoreCallCounts& aStore,
               const Traffic& aTraffic,
-              const Owner* aOwner,
+              const std::vector<Owner*>& aOwners,
               Millis aStoreAge)
 {
   std::ostringstream out;
@@ -171,7 +188,11 @@
   AddCounter(out, "store_refused_total", "calls refused", aStore.refused_);
   AddCounter(
     out, "store_unanswered_total", "calls without answer", aStore.unanswered_);
-  AddTraffic(out, aTraffic);
+  auto traffic = aTraffic;
+  for (const auto* owner : aOwners) {
+    AddUp(traffic, owner->TrafficToTargets());
+  }
+  AddTraffic(out, traffic);
   AddCounter(out,
              "log_lines_left_out_total",
              "lines beyond the log's limit",
@@ -185,14 +206,14 @@
            "since the store last answered",
            static_cast<double>(aStoreAge.count()) / kMillis);
   AddGauge(out,
-           "is_owner",
-           "1 if this process owns the fleet",
-           aOwner != nullptr ? 1 : 0);
+           "cells_owned",
+           "cells that this process owns",
+           static_cast<double>(aOwners.size()));
   out << aMetrics.answerQuantiles_.Format("cuminbridge_answer_seconds")
       << aMetrics.answerHistogram_.Format(
            "cuminbridge_answer_duration_seconds");
-  if (aOwner) {
-    AddFleetMetrics(out, *aOwner);
+  if (!aOwners.empty()) {
+    AddFleetMetrics(out, aOwners);
   }
   return out.str();
 }
--- a/packages/daemon/src/daemon_metrics.h
+++ b/packages/daemon/src/daemon_metrics.h
@@ -59,13 +59,13 @@
   Histogram answerHistogram_;
 };
 
-// aOwner is null in a process that does not own the fleet. aStoreAge is the
+// aOwners are those in this process. aStoreAge is the
 // time since the store last answered.
 std::string FormatMetrics(const DaemonMetrics& aMetrics,
                           const CallerApi& aCallerApi,
                           const StoreCallCounts& aStore,
                           const Traffic& aTraffic,
-                          const Owner* aOwner,
+                          const std::vector<Owner*>& aOwners,
                           Millis aStoreAge);
 
 } // namespace cuminbridge
--- a/packages/daemon/src/election.cpp
+++ b/packages/daemon/src/election.cpp
@@ -1,17 +1,22 @@
-// Which entry owns the fleet.
+// Which entry owns which cell.
 
 #include "election.h"
 
 #include <algorithm>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include "daemon_log.h"
 #include "records.h"
 
 namespace cuminbridge {
 
+namespace asio = boost::asio;
+
 namespace {
 
-// Longest watch of the owner's key: a watch whose connection is dead is
+// Longest watch of the owners' keys: a watch whose connection is dead is
 // replaced after it.
 constexpr Millis kOwnerWatchWait(1500);
 constexpr Millis kRetryPause(150);
@@ -20,9 +25,19 @@
 // that within seconds.
 constexpr Millis kYieldInterval(1000);
 // The interval doubles up to this after each hand-over. Otherwise, a stronger
-// entry that does not take the fleet would make ownership change without end.
+// entry that does not take the cell would make ownership change without end.
 constexpr Millis kMaxYieldInterval(60000);
 constexpr Millis kStandbyTimeout(200); // a ready entry answers within a few ms
+// All entries of a new fleet have registered within this time.
+constexpr Millis kRegistrationTime(1000);
+
+// Bytes a second of a link that is given in Mbit/s.
+double
+ToBytesPerSecond(double aMbps)
+{
+  constexpr double kBytesPerMegabit = 125000;
+  return aMbps * kBytesPerMegabit;
+}
 
 } // namespace
 
@@ -34,31 +49,273 @@
 }
 
 Owner*
-Election::CurrentOwner() const
+Election::CurrentOwner(int aCell) const
 {
-  return owner_ && !owner_->HasEnded() ? owner_.get() : nullptr;
+  if (aCell < 0 || static_cast<std::size_t>(aCell) >= cells_.size()) {
+    return nullptr;
+  }
+  const auto& owner = cells_[static_cast<std::size_t>(aCell)].owner_;
+  return owner && !owner->HasEnded() ? owner.get() : nullptr;
 }
 
-Awaitable<bool>
-Election::TakeOwnership(std::int64_t aLease, Instant aLeaseSentAt)
+std::vector<Owner*>
+Election::CurrentOwners() const
+{
+  std::vector<Owner*> owners;
+  for (std::size_t cell = 0; cell < cells_.size(); ++cell) {
+    if (auto* owner = CurrentOwner(static_cast<int>(cell))) {
+      owners.push_back(owner);
+    }
+  }
+  return owners;
+}
+
+int
+Election::CountCells(const std::string& aAddress) const
+{
+  return static_cast<int>(
+    std::count_if(cells_.begin(), cells_.end(), [&](const CellState& aCell) {
+      return aCell.address_ == aAddress;
+    }));
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] The cells and the entries
+//-----------------------------------------------------------------------------
+
+// Stores this entry's capacity and its address for the other entries.
+Awaitable<void>
+Election::Register()
+{
+  StoreWrite write;
+  write.puts_.push_back({ kEntriesPrefix + context_.settings_.name_,
+                          EncodeEntry({ context_.settings_.cpuShare_,
+                                        PeerAddress(context_.settings_),
+                                        context_.settings_.linkMbps_ }),
+                          0 });
+  while (!isStopping_) {
+    const auto reply = co_await context_.store_.Write(write);
+    if (reply.IsDone()) {
+      co_return;
+    }
+    co_await Sleep(context_.io_, kRetryPause);
+  }
+}
+
+// The number of cells for a fleet that starts for the first time; 0 if it can't
+// be decided yet.
+Awaitable<int>
+Election::DecideCellCount()
 {
   const auto term = co_await context_.store_.Get(kTermKey);
+  if (term.IsDone()) {
+    co_return 1; // an earlier version, which knows no cells, runs the fleet
+  }
+  if (term.status_ != StoreStatus::Missing) {
+    co_return 0;
+  }
+  if (context_.settings_.vmServiceAddress_.empty()) {
+    co_return 1;
+  }
+  VmClient client(context_.http_,
+                  context_.settings_.vmServiceAddress_,
+                  context_.settings_.name_,
+                  0);
+  const auto vms = co_await client.List();
+  if (!vms) {
+    co_return 0;
+  }
+  co_await Sleep(context_.io_, kRegistrationTime);
+  const auto reply = co_await context_.store_.List(kEntriesPrefix);
+  if (!reply.IsDone()) {
+    co_return 0;
+  }
+  std::vector<EntryCapacity> entries;
+  for (const auto& item : reply.items_) {
+    const auto entry = DecodeEntry(item.value_);
+    entries.push_back({ entry.cpuShare_, ToBytesPerSecond(entry.linkMbps_) });
+  }
+  co_return ChooseCellCount(vms->size(), entries);
+}
+
+// Reads the number of cells, or decides and stores it.
+Awaitable<void>
+Election::ReadCellCount()
+{
+  while (!isStopping_ && cells_.empty()) {
+    const auto stored = co_await context_.store_.Get(kCellsKey);
+    if (stored.IsDone()) {
+      const int count = std::atoi(stored.items_.front().value_.c_str());
+      cells_.resize(static_cast<std::size_t>(std::max(1, count)));
+      callerApi_.SetCellCount(static_cast<int>(cells_.size()));
+      WriteLine({ "cells_read", "", "", "", std::to_string(count) + " cells" },
+                context_.clocks_.Now());
+      co_return;
+    }
+    if (stored.status_ == StoreStatus::Missing) {
+      const int count = co_await DecideCellCount();
+      if (count > 0) {
+        StoreWrite write;
+        write.conditions_.push_back({ kCellsKey, 0 });
+        write.puts_.push_back({ kCellsKey, std::to_string(count), 0 });
+        co_await context_.store_.Write(write);
+        continue;
+      }
+    }
+    co_await Sleep(context_.io_, kRetryPause);
+  }
+}
+
+//-----------------------------------------------------------------------------
+// [SECTION] Owners
+//-----------------------------------------------------------------------------
+
+void
+Election::SetOwnerAddress(int aCell, std::string aAddress)
+{
+  if (aCell < 0 || static_cast<std::size_t>(aCell) >= cells_.size()) {
+    return;
+  }
+  cells_[static_cast<std::size_t>(aCell)].address_ = aAddress;
+  callerApi_.SetOwnerAddress(aCell, std::move(aAddress));
+}
+
+Awaitable<void>
+Election::WatchOwners()
+{
+  bool mustList = true;
+  std::int64_t after = 0;
+  while (!isStopping_) {
+    StoreReply reply;
+    if (mustList) {
+      reply = co_await context_.store_.List(kOwnerKey);
+    } else {
+      reply = co_await context_.store_.Watch(kOwnerKey, after, kOwnerWatchWait);
+    }
+    if (!reply.IsDone()) {
+      mustList = mustList || reply.status_ == StoreStatus::Expired;
+      co_await Sleep(context_.io_, kRetryPause);
+      continue;
+    }
+    if (mustList) {
+      for (std::size_t cell = 0; cell < cells_.size(); ++cell) {
+        SetOwnerAddress(static_cast<int>(cell), "");
+      }
+    }
+    for (const auto& item : reply.items_) {
+      if (const auto cell = CellOfOwnerKey(item.key_)) {
+        SetOwnerAddress(*cell, item.isRemoved_ ? "" : item.value_);
+      }
+    }
+    after = NextWatchRevision(after, reply, mustList);
+    mustList = false;
+    ContestFreeCells();
+  }
+}
+
+void
+Election::ContestFreeCells()
+{
+  for (std::size_t number = 0; number < cells_.size(); ++number) {
+    auto& cell = cells_[number];
+    if (cell.address_.empty() && !cell.owner_ && !cell.isContested_ &&
+        !isStopping_) {
+      cell.isContested_ = true;
+      asio::co_spawn(
+        context_.io_, Contest(static_cast<int>(number)), asio::detached);
+    }
+  }
+}
+
+Awaitable<Millis>
+Election::ComputeElectionDelay(int aCell)
+{
+  const auto reply = co_await context_.store_.List(kEntriesPrefix);
+  const auto& own = context_.settings_.name_;
+  std::vector<Candidate> candidates;
+  for (const auto& item : reply.items_) {
+    const auto entry = DecodeEntry(item.value_);
+    const auto name = item.key_.substr(std::string_view(kEntriesPrefix).size());
+    if (name != own) {
+      candidates.push_back(
+        { name, entry.cpuShare_, CountCells(entry.address_) });
+    }
+  }
+  candidates.push_back({ own,
+                         context_.settings_.cpuShare_,
+                         CountCells(PeerAddress(context_.settings_)) });
+  const auto ranked = RankCandidates(std::move(candidates), aCell);
+  const auto place = std::find_if(
+    ranked.begin(), ranked.end(), [&](const Candidate& aCandidate) {
+      return aCandidate.name_ == own;
+    });
+  co_return ElectionDelay(static_cast<std::size_t>(place - ranked.begin()));
+}
+
+// Tries to take a cell until some entry owns it.
+Awaitable<void>
+Election::Contest(int aCell)
+{
+  auto& cell = cells_[static_cast<std::size_t>(aCell)];
+  const auto key = CellKeys(aCell).Owner();
+  while (!isStopping_ && cell.address_.empty()) {
+    if (callerApi_.Config().version_ == 0) {
+      co_await Sleep(context_.io_, kRetryPause);
+      continue;
+    }
+    const auto delay = co_await ComputeElectionDelay(aCell);
+    if (delay.count() > 0) {
+      co_await Sleep(context_.io_, delay);
+    }
+    const auto current = co_await context_.store_.Get(key);
+    if (current.IsDone()) {
+      SetOwnerAddress(aCell, current.items_.front().value_);
+      break;
+    }
+    if (current.status_ != StoreStatus::Missing) {
+      co_await Sleep(context_.io_, kRetryPause);
+      continue;
+    }
+    const auto sentAt = context_.clocks_.Now();
+    const auto lease = co_await context_.store_.CreateLease(kOwnerLease);
+    if (!lease.IsDone()) {
+      co_await Sleep(context_.io_, kRetryPause);
+      continue;
+    }
+    if (co_await TakeOwnership(aCell, lease.revision_, sentAt)) {
+      SetOwnerAddress(aCell, PeerAddress(context_.settings_));
+      asio::co_spawn(context_.io_, FollowOwner(aCell), asio::detached);
+      break;
+    }
+    // Also removes the owner's key, which a write without an answer may have
+    // created.
+    co_await context_.store_.RevokeLease(lease.revision_);
+  }
+  cell.isContested_ = false;
+}
+
+Awaitable<bool>
+Election::TakeOwnership(int aCell, std::int64_t aLease, Instant aLeaseSentAt)
+{
+  const CellKeys keys(aCell);
+  const auto term = co_await context_.store_.Get(keys.Of(kTermKey));
   if (!term.IsDone() && term.status_ != StoreStatus::Missing) {
     co_return false;
   }
-  const auto previous = co_await context_.store_.Get(kLastOwnerKey);
+  const auto previous = co_await context_.store_.Get(keys.Of(kLastOwnerKey));
   if (!previous.IsDone() && previous.status_ != StoreStatus::Missing) {
     co_return false;
   }
   const int newTerm =
     term.IsDone() ? std::atoi(term.items_.front().value_.c_str()) + 1 : 1;
   StoreWrite write;
-  write.conditions_.push_back({ kOwnerKey, 0 });
+  write.conditions_.push_back({ keys.Owner(), 0 });
   write.conditions_.push_back(
-    { kTermKey, term.IsDone() ? term.items_.front().revision_ : 0 });
-  write.puts_.push_back({ kOwnerKey, PeerAddress(context_.settings_), aLease });
-  write.puts_.push_back({ kTermKey, std::to_string(newTerm), 0 });
-  write.puts_.push_back({ kChainKey, "0", 0 });
+    { keys.Of(kTermKey), term.IsDone() ? term.items_.front().revision_ : 0 });
+  write.puts_.push_back(
+    { keys.Owner(), PeerAddress(context_.settings_), aLease });
+  write.puts_.push_back({ keys.Of(kTermKey), std::to_string(newTerm), 0 });
+  write.puts_.push_back({ keys.Of(kChainKey), "0", 0 });
   // It is not known yet whether the previous owner still runs, so this is the
   // longest time for which work that it left can run. Owner::Load() replaces
   // the record.
@@ -69,12 +326,14 @@
                               options.ownerAllowance_ +
                               2 * options.targetLease_,
                             false };
-  write.puts_.push_back({ kLastOwnerKey, EncodeOwnerRecord(record), 0 });
+  write.puts_.push_back(
+    { keys.Of(kLastOwnerKey), EncodeOwnerRecord(record), 0 });
   const auto reply = co_await context_.store_.Write(write);
   if (!reply.IsDone() || isStopping_) {
     co_return false;
   }
   Ownership ownership;
+  ownership.cell_ = { aCell, static_cast<int>(cells_.size()) };
   ownership.token_ = reply.revision_;
   ownership.lease_ = aLease;
   ownership.term_ = newTerm;
@@ -82,48 +341,45 @@
     ownership.previousOwner_ = previous.items_.front().value_;
   }
   ownership.validUntil_ = aLeaseSentAt + kOwnerLease;
-  owner_ = std::make_shared<Owner>(context_, ownership, callerApi_.Config());
-  callerApi_.SetOwner(owner_);
-  owner_->Begin();
+  auto owner =
+    std::make_shared<Owner>(context_, ownership, callerApi_.Config());
+  cells_[static_cast<std::size_t>(aCell)].owner_ = owner;
+  callerApi_.SetOwner(aCell, owner);
+  owner->Begin();
   co_return true;
 }
 
-// Stores this entry's share of a core and its address for the other entries.
+// Waits for the end of the owner in this process.
 Awaitable<void>
-Election::Register()
+Election::FollowOwner(int aCell)
 {
-  StoreWrite write;
-  write.puts_.push_back({ kEntriesPrefix + context_.settings_.name_,
-                          EncodeEntry({ context_.settings_.cpuShare_,
-                                        PeerAddress(context_.settings_) }),
-                          0 });
-  while (!isStopping_) {
-    const auto reply = co_await context_.store_.Write(write);
-    if (reply.IsDone()) {
-      co_return;
-    }
+  while (!isStopping_ && CurrentOwner(aCell)) {
     co_await Sleep(context_.io_, kRetryPause);
+    co_await YieldToStrongerEntry(aCell);
   }
-}
-
-Awaitable<Millis>
-Election::ComputeElectionDelay()
-{
-  const auto reply = co_await context_.store_.List(kEntriesPrefix);
-  double strongest = context_.settings_.cpuShare_;
-  for (const auto& item : reply.items_) {
-    strongest = std::max(strongest, DecodeEntry(item.value_).cpuShare_);
+  if (isStopping_) {
+    co_return;
+  }
+  auto& cell = cells_[static_cast<std::size_t>(aCell)];
+  callerApi_.SetOwner(aCell, nullptr);
+  cell.owner_.reset();
+  const auto current = co_await context_.store_.Get(CellKeys(aCell).Owner());
+  if (current.IsDone() || current.status_ == StoreStatus::Missing) {
+    SetOwnerAddress(aCell,
+                    current.IsDone() ? current.items_.front().value_ : "");
   }
-  co_return ElectionDelay(context_.settings_.cpuShare_, strongest);
+  ContestFreeCells();
 }
 
 Awaitable<bool>
 Election::IsStrongerEntryReady()
 {
+  const int cells = std::max(1, CountCells(PeerAddress(context_.settings_)));
   const auto reply = co_await context_.store_.List(kEntriesPrefix);
   for (const auto& item : reply.items_) {
     const auto entry = DecodeEntry(item.value_);
-    if (!ShouldYield(context_.settings_.cpuShare_, entry.cpuShare_)) {
+    if (CountCells(entry.address_) > 0 ||
+        !ShouldYield(context_.settings_.cpuShare_ / cells, entry.cpuShare_)) {
       continue;
     }
     HttpCall call;
@@ -141,22 +397,25 @@
 }
 
 Awaitable<void>
-Election::YieldToStrongerEntry()
+Election::YieldToStrongerEntry(int aCell)
 {
-  if (context_.clocks_.Now() < nextYieldAt_ || !CurrentOwner()) {
+  const auto owner = cells_[static_cast<std::size_t>(aCell)].owner_;
+  if (context_.clocks_.Now() < nextYieldAt_ || !CurrentOwner(aCell)) {
     co_return;
   }
   nextYieldAt_ = context_.clocks_.Now() + yieldInterval_;
-  if (!co_await IsStrongerEntryReady() || !CurrentOwner() || isStopping_) {
+  if (!co_await IsStrongerEntryReady() || !CurrentOwner(aCell) || isStopping_) {
     co_return;
   }
-  const auto owner = owner_;
   WriteLine({ "owner_yields",
               "",
               "",
               "",
-              "hands the fleet over to a stronger entry, as this one has " +
-                std::to_string(context_.settings_.cpuShare_) + " of a core" },
+              "hands cell " + std::to_string(aCell) +
+                " over to a stronger entry, as this one has " +
+                std::to_string(context_.settings_.cpuShare_) +
+                " of a core for " + std::to_string(CurrentOwners().size()) +
+                " cells" },
             context_.clocks_.Now());
   yieldInterval_ = std::min(2 * yieldInterval_, kMaxYieldInterval);
   nextYieldAt_ = context_.clocks_.Now() + yieldInterval_;
@@ -166,46 +425,9 @@
 Awaitable<void>
 Election::Run()
 {
-  while (!isStopping_) {
-    if (owner_ && !owner_->HasEnded()) {
-      co_await Sleep(context_.io_, kRetryPause);
-      co_await YieldToStrongerEntry();
-      continue;
-    }
-    if (owner_) {
-      callerApi_.SetOwner(nullptr);
-      owner_.reset();
-    }
-    const auto current = co_await context_.store_.Get(kOwnerKey);
-    if (current.IsDone()) {
-      callerApi_.SetOwnerAddress(current.items_.front().value_);
-      co_await context_.store_.Watch(
-        kOwnerKey, current.revision_, kOwnerWatchWait);
-      continue;
-    }
-    if (current.status_ != StoreStatus::Missing ||
-        callerApi_.Config().version_ == 0) {
-      co_await Sleep(context_.io_, kRetryPause);
-      continue;
-    }
-    if (const auto delay = co_await ComputeElectionDelay(); delay.count() > 0) {
-      co_await Sleep(context_.io_, delay);
-      const auto again = co_await context_.store_.Get(kOwnerKey);
-      if (again.status_ != StoreStatus::Missing) {
-        continue;
-      }
-    }
-    const auto sentAt = context_.clocks_.Now();
-    const auto lease = co_await context_.store_.CreateLease(kOwnerLease);
-    if (!lease.IsDone()) {
-      co_await Sleep(context_.io_, kRetryPause);
-      continue;
-    }
-    if (!co_await TakeOwnership(lease.revision_, sentAt)) {
-      // Also removes the owner's key, which a write without an answer may have
-      // created.
-      co_await context_.store_.RevokeLease(lease.revision_);
-    }
+  co_await ReadCellCount();
+  if (!isStopping_) {
+    co_await WatchOwners();
   }
 }
 
@@ -213,29 +435,22 @@
 Election::Stop()
 {
   isStopping_ = true;
-  if (const auto owner = owner_; CurrentOwner()) {
-    co_await owner->HandOver();
+  // All cells at once: each hand-over waits for the store.
+  std::vector<std::shared_ptr<Owner>> owners;
+  for (const auto& cell : cells_) {
+    if (cell.owner_ && !cell.owner_->HasEnded()) {
+      owners.push_back(cell.owner_);
+    }
+  }
+  for (std::size_t index = 1; index < owners.size(); ++index) {
+    asio::co_spawn(context_.io_, owners[index]->HandOver(), asio::detached);
+  }
+  if (!owners.empty()) {
+    co_await owners.front()->HandOver();
+  }
+  for (std::size_t cell = 0; cell < cells_.size(); ++cell) {
+    callerApi_.SetOwner(static_cast<int>(cell), nullptr);
   }
-  callerApi_.SetOwner(nullptr);
-}
-
-Millis
-ElectionDelay(double aShare, double aStrongestShare)
-{
-  constexpr double kMaxDelayMs = 300; // a stronger entry begins within 50 ms
-  constexpr double kMinShare = 0.01;
-  const double ratio = aShare / std::max(aStrongestShare, kMinShare);
-  return Millis(
-    static_cast<std::int64_t>(kMaxDelayMs * (1 - std::min(1.0, ratio))));
-}
-
-bool
-ShouldYield(double aShare, double aOtherShare)
-{
-  // A change of owner pauses all decisions for 0.1 s, which only a far larger
-  // share is worth.
-  constexpr double kYieldRatio = 0.6;
-  return aShare < kYieldRatio * aOtherShare;
 }
 
 } // namespace cuminbridge
--- a/packages/daemon/src/election.h
+++ b/packages/daemon/src/election.h
@@ -1,4 +1,4 @@
-// Internal: which entry owns the fleet.
+// Internal: which entry owns which cell.
 
 #ifndef cuminbridge_daemon_election_h
 #define cuminbridge_daemon_election_h
@@ -7,44 +7,55 @@
 
 namespace cuminbridge {
 
-// Takes ownership of the fleet whenever no entry holds it, and keeps an Owner
-// for as long as this entry holds it. Entries with a larger share of a core are
-// preferred: weaker ones wait longer before they take a free fleet, and an
-// owner with a far smaller share hands over.
+// Takes ownership of cells that no entry owns, and keeps an Owner for each cell
+// that this entry owns. Entries with more processor time and fewer cells are
+// preferred: others wait longer before they take a free cell, and an owner with
+// far less processor time for each of its cells hands one over.
 class Election
 {
 public:
   Election(DaemonContext aContext, CallerApi& aCallerApi);
 
   Awaitable<void> Run();      // until Stop()
-  Awaitable<void> Register(); // stores this entry's share for other entries
-  Awaitable<void> Stop();     // hands over, and never takes the fleet again
+  Awaitable<void> Register(); // stores this entry's capacity for other entries
+  Awaitable<void> Stop();     // hands over, and never takes a cell again
 
-  // Null in an entry that does not own the fleet.
-  Owner* CurrentOwner() const;
+  // The owners in this process that have not ended.
+  std::vector<Owner*> CurrentOwners() const;
+  // Null if this process does not own the cell.
+  Owner* CurrentOwner(int aCell) const;
 
 private:
-  Awaitable<bool> TakeOwnership(std::int64_t aLease, Instant aLeaseSentAt);
-  Awaitable<Millis> ComputeElectionDelay();
-  Awaitable<void> YieldToStrongerEntry();
+  struct CellState
+  {
+    std::shared_ptr<Owner> owner_; // in this process
+    std::string address_;          // of its owner for peers; empty: none
+    bool isContested_ = false;     // this process tries to take it
+  };
+
+  Awaitable<void> ReadCellCount();
+  Awaitable<int> DecideCellCount();
+  Awaitable<void> WatchOwners();
+  void SetOwnerAddress(int aCell, std::string aAddress);
+  void ContestFreeCells();
+  Awaitable<void> Contest(int aCell);
+  Awaitable<void> FollowOwner(int aCell);
+  Awaitable<bool> TakeOwnership(int aCell,
+                                std::int64_t aLease,
+                                Instant aLeaseSentAt);
+  Awaitable<Millis> ComputeElectionDelay(int aCell);
+  Awaitable<void> YieldToStrongerEntry(int aCell);
   Awaitable<bool> IsStrongerEntryReady();
+  int CountCells(const std::string& aAddress) const; // that the address owns
 
   DaemonContext context_;
   CallerApi& callerApi_;
-  std::shared_ptr<Owner> owner_;
+  std::vector<CellState> cells_;
   Instant nextYieldAt_; // earliest time of the next check for a stronger entry
   Millis yieldInterval_;
   bool isStopping_ = false;
 };
 
-// How long an entry leaves a fleet without an owner to stronger entries; 0 for
-// the strongest. Shares are of a core.
-Millis ElectionDelay(double aShare, double aStrongestShare);
-
-// Whether an owner is so much weaker than another entry that a change of owner
-// is worth the pause that it causes.
-bool ShouldYield(double aShare, double aOtherShare);
-
 } // namespace cuminbridge
 
 #endif // cuminbridge_daemon_election_h
--- a/packages/daemon/src/fenced_writer.cpp
+++ b/packages/daemon/src/fenced_writer.cpp
@@ -5,8 +5,6 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/use_awaitable.hpp>
 
-#include "records.h"
-
 namespace cuminbridge {
 
 namespace asio = boost::asio;
@@ -19,9 +17,11 @@
 } // namespace
 
 FencedWriter::FencedWriter(DaemonContext aContext,
+                           CellKeys aKeys,
                            std::int64_t aToken,
                            std::function<void(const std::string&)> aOnLost)
   : context_(aContext)
+  , keys_(std::move(aKeys))
   , token_(aToken)
   , onLost_(std::move(aOnLost))
   , wakeTimer_(aContext.io_)
@@ -68,9 +68,10 @@
   // owner counts from 1 again.
   const auto number =
     std::to_string(token_) + '.' + std::to_string(++lastNumber_);
-  aWrite.conditions_.push_back({ kOwnerKey, token_ });
-  aWrite.conditions_.push_back({ kChainKey, revision_ });
-  aWrite.puts_.push_back({ kChainKey, number, 0 });
+  const auto chain = keys_.Of(kChainKey);
+  aWrite.conditions_.push_back({ keys_.Owner(), token_ });
+  aWrite.conditions_.push_back({ chain, revision_ });
+  aWrite.puts_.push_back({ chain, number, 0 });
   while (!isStopped_) {
     const auto reply = co_await context_.store_.Write(aWrite);
     if (reply.IsDone()) {
@@ -81,7 +82,7 @@
       for (const auto& item : reply.items_) {
         // The chain key holds this write's number: an earlier attempt that
         // got no answer was carried out.
-        if (item.key_ == kChainKey && item.value_ == number &&
+        if (item.key_ == chain && item.value_ == number &&
             item.revision_ != revision_) {
           revision_ = item.revision_;
           co_return true;
--- a/packages/daemon/src/fenced_writer.h
+++ b/packages/daemon/src/fenced_writer.h
@@ -7,6 +7,7 @@
 #include <functional>
 
 #include "daemon_context.h"
+#include "records.h"
 
 namespace cuminbridge {
 
@@ -31,6 +32,7 @@
   // aOnLost is called once, when a write shows that another owner has taken
   // over.
   FencedWriter(DaemonContext aContext,
+               CellKeys aKeys,
                std::int64_t aToken,
                std::function<void(const std::string&)> aOnLost);
 
@@ -50,6 +52,7 @@
   Awaitable<bool> Write(StoreWrite aWrite);
 
   DaemonContext context_;
+  CellKeys keys_;
   std::int64_t token_; // fencing token: revision of the owner's key
   std::function<void(const std::string&)> onLost_;
   std::deque<PendingWrite> pending_;
--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -30,7 +30,6 @@
 constexpr Millis kVmPollInterval(400);
 // While no VM has an order and no wave is open, only the platform changes VMs.
 constexpr Millis kIdleVmPollInterval(900);
-constexpr Millis kWavePollInterval(1000);
 constexpr Millis kLoadPublishInterval(1000); // callers may read counts 2 s old
 constexpr Millis kTrafficLogInterval(5000);
 constexpr Millis kRetryPause(100);
@@ -54,7 +53,9 @@
 constexpr double kMoveShare = 0.7;
 
 FleetOptions
-MakeOptions(const PlatformSettings& aSettings, const Tuning& aTuning)
+MakeOptions(const PlatformSettings& aSettings,
+            const Tuning& aTuning,
+            Cell aCell)
 {
   FleetOptions options = aTuning.fleet_;
   options.targetLease_ =
@@ -64,12 +65,13 @@
   options.vmOrderLease_ = aSettings.vmOrderLease_;
   options.keepEnded_ = aSettings.keepEnded_;
   options.remoteFactor_ = aSettings.remoteFactor_;
+  options.cells_ = aCell.count_;
   const std::chrono::duration<double> interval = options.planInterval_;
   options.maxMovesPerPlan_ = std::max<std::size_t>(
     1,
     static_cast<std::size_t>(kMoveShare *
                              static_cast<double>(aSettings.vmOrdersPerSecond_) *
-                             interval.count()));
+                             interval.count() / aCell.count_));
   return options;
 }
 
@@ -105,7 +107,7 @@
              const FleetConfig& aConfig)
   : context_(aContext)
   , ownership_(aOwnership)
-  , fleet_(MakeOptions(aContext.settings_, aContext.tuning_),
+  , fleet_(MakeOptions(aContext.settings_, aContext.tuning_, aOwnership.cell_),
            aContext.clocks_.Now())
   , targetHttp_(aContext.io_, MakeTargetHttpOptions())
   , targets_(targetHttp_, aOwnership.token_, aContext.clocks_)
@@ -114,9 +116,11 @@
          aContext.settings_.name_,
          aOwnership.token_)
   , advice_(aContext.http_, aContext.settings_.adviceAddress_)
-  , writer_(aContext, aOwnership.token_, [this](const std::string& aWhy) {
-    End(aWhy);
-  })
+  , keys_(aOwnership.cell_.number_)
+  , writer_(aContext,
+            keys_,
+            aOwnership.token_,
+            [this](const std::string& aWhy) { End(aWhy); })
 {
   Handle(ConfigSeen{ aConfig });
 }
@@ -135,7 +139,9 @@
               "",
               "",
               "",
-              "fencing token " + std::to_string(ownership_.token_) + ", term " +
+              "cell " + std::to_string(ownership_.cell_.number_) + " of " +
+                std::to_string(ownership_.cell_.count_) + ", fencing token " +
+                std::to_string(ownership_.token_) + ", term " +
                 std::to_string(ownership_.term_) },
             context_.clocks_.Now());
   const auto self = shared_from_this();
@@ -153,7 +159,13 @@
   }
   hasEnded_ = true;
   writer_.Stop();
-  WriteLine({ "owner_ended", "", "", "", aWhy }, context_.clocks_.Now());
+  WriteLine(
+    { "owner_ended",
+      "",
+      "",
+      "",
+      "cell " + std::to_string(ownership_.cell_.number_) + ": " + aWhy },
+    context_.clocks_.Now());
 }
 
 bool
@@ -165,7 +177,8 @@
 void
 Owner::ApplyTuning()
 {
-  Handle(OptionsChanged{ MakeOptions(context_.settings_, context_.tuning_) });
+  Handle(OptionsChanged{
+    MakeOptions(context_.settings_, context_.tuning_, ownership_.cell_) });
 }
 
 Awaitable<void>
@@ -185,7 +198,9 @@
                               fleet_.InheritedUntil(),
                               true };
     writer_.Queue(
-      { { { kLastOwnerKey, EncodeOwnerRecord(record), 0 } }, {}, {} });
+      { { { keys_.Of(kLastOwnerKey), EncodeOwnerRecord(record), 0 } },
+        {},
+        {} });
     while (!hasEnded_ && !writer_.IsIdle() &&
            context_.clocks_.Now() < deadline) {
       co_await Sleep(context_.io_, kTickInterval);
@@ -227,13 +242,12 @@
 bool
 Owner::HandleSubmission(const StoreItem& aItem)
 {
-  const std::string_view key = aItem.key_;
-  const std::string_view cancel = kCancelPrefix;
   if (aItem.isRemoved_) {
     return true;
   }
-  if (key.substr(0, cancel.size()) == cancel) {
-    Handle(JobCancelled{ std::string(key.substr(cancel.size())) });
+  const auto cancel = keys_.Of(kCancelPrefix);
+  if (aItem.key_.rfind(cancel, 0) == 0) {
+    Handle(JobCancelled{ aItem.key_.substr(cancel.size()) });
     return true;
   }
   auto job = DecodeJob(aItem.value_);
@@ -255,7 +269,7 @@
   constexpr Millis kTimeout(250); // a peer answers within a few milliseconds
   HttpCall call;
   call.kind_ = "peer_ask";
-  call.path_ = kOwnerPath;
+  call.path_ = OwnerPath(ownership_.cell_.number_);
   call.limit_ = kTimeout;
   const auto reply =
     co_await context_.http_.Call(previous.address_, std::move(call));
@@ -277,10 +291,11 @@
   }
   std::vector<StoreWrite::Put> puts;
   for (const auto& target : aLoaded.targets_) {
-    puts.push_back({ kTargetsPrefix + target.id_, EncodeTarget(target), 0 });
+    puts.push_back(
+      { keys_.Of(kTargetsPrefix) + target.id_, EncodeTarget(target), 0 });
   }
   writer_.QueueAll(std::move(puts), {});
-  writer_.Queue({ {}, { kOldTargetsKey }, {} });
+  writer_.Queue({ {}, { keys_.Of(kOldTargetsKey) }, {} });
 }
 
 Awaitable<void>
@@ -289,20 +304,27 @@
   const auto self = shared_from_this();
   auto& store = context_.store_;
   StoredFleet stored;
+  AccountGrants grants;
   bool isRead = false;
   while (!hasEnded_ && !isRead) {
-    stored.submissions_ = co_await store.List(kSubmissionPrefix);
-    stored.progress_ = co_await store.List(kProgressPrefix);
+    stored.submissions_ = co_await store.List(keys_.Of(kSubmissionPrefix));
+    stored.progress_ = co_await store.List(keys_.Of(kProgressPrefix));
     stored.waves_ = co_await store.List(kMaintenancePrefix);
-    stored.targets_ = co_await store.List(kTargetsPrefix);
-    stored.oldTargets_ = co_await store.Get(kOldTargetsKey);
-    stored.vmOrders_ = co_await store.Get(kVmOrdersKey);
-    stored.demandPeaks_ = co_await store.Get(kDemandPeaksKey);
+    stored.targets_ = co_await store.List(keys_.Of(kTargetsPrefix));
+    stored.oldTargets_ = co_await store.Get(keys_.Of(kOldTargetsKey));
+    stored.vmOrders_ = co_await store.List(keys_.Of(kVmOrdersPrefix));
+    stored.demandPeaks_ = co_await store.Get(keys_.Of(kDemandPeaksKey));
     isRead = stored.submissions_.IsDone() && stored.progress_.IsDone() &&
              stored.waves_.IsDone() && stored.targets_.IsDone() &&
-             IsReadOrMissing(stored.oldTargets_) &&
-             IsReadOrMissing(stored.vmOrders_) &&
+             IsReadOrMissing(stored.oldTargets_) && stored.vmOrders_.IsDone() &&
              IsReadOrMissing(stored.demandPeaks_);
+    if (isRead && ownership_.cell_.count_ > 1) {
+      const auto reply = co_await store.Get(kGrantsKey);
+      isRead = IsReadOrMissing(reply);
+      grants = reply.IsDone() ? DecodeGrants(reply.items_.front().value_,
+                                             ownership_.cell_.count_)
+                              : AccountGrants{};
+    }
     if (!isRead) {
       co_await Sleep(context_.io_, kRetryPause);
     }
@@ -312,7 +334,7 @@
     co_return;
   }
   std::vector<std::string> unreadable;
-  auto loaded = DecodeStoredFleet(stored, unreadable);
+  auto loaded = DecodeStoredFleet(stored, ownership_.cell_.number_, unreadable);
   for (const auto& key : unreadable) {
     WriteLine({ "record_unreadable", "", "", "", key }, context_.clocks_.Now());
   }
@@ -329,13 +351,16 @@
             context_.clocks_.Now());
   Handle(Tick{ context_.clocks_.TimeOfDay(), false });
   ReplaceOldTargetRecord(stored, loaded);
+  if (ownership_.cell_.count_ > 1) {
+    UseGrants(grants);
+  }
   Handle(loaded);
   const OwnerRecord record{ ownership_.term_,
                             PeerAddress(context_.settings_),
                             fleet_.InheritedUntil(),
                             false };
   writer_.Queue(
-    { { { kLastOwnerKey, EncodeOwnerRecord(record), 0 } }, {}, {} });
+    { { { keys_.Of(kLastOwnerKey), EncodeOwnerRecord(record), 0 } }, {}, {} });
   hasLoaded_ = true;
   const auto revision = stored.submissions_.revision_;
   Spawn([self, revision] { return self->WatchSubmissions(revision); });
@@ -344,21 +369,24 @@
   Spawn([self] { return self->PublishLoad(); });
   Spawn([self] { return self->RunTicks(); });
   Spawn([self] { return self->LogTraffic(); });
+  if (ownership_.cell_.count_ > 1) {
+    Spawn([self] { return self->ShareLimits(); });
+  }
 }
 
 Awaitable<void>
 Owner::WatchSubmissions(std::int64_t aRevision)
 {
   const auto self = shared_from_this();
+  const auto prefix = keys_.Of(kSubmissionPrefix);
   auto after = aRevision;
   bool mustList = false;
   while (!hasEnded_) {
     StoreReply reply;
     if (mustList) {
-      reply = co_await context_.store_.List(kSubmissionPrefix);
+      reply = co_await context_.store_.List(prefix);
     } else {
-      reply =
-        co_await context_.store_.Watch(kSubmissionPrefix, after, kWatchWait);
+      reply = co_await context_.store_.Watch(prefix, after, kWatchWait);
     }
     if (hasEnded_) {
       co_return;
@@ -389,7 +417,10 @@
     return;
   }
   if (auto report = ReadTarget(aItem.key_, aItem.value_)) {
-    reports_[id] = std::move(*report);
+    const auto& cell = ownership_.cell_;
+    if (CellOf(report->vm_, cell.count_) == cell.number_) {
+      reports_[id] = std::move(*report);
+    }
     return;
   }
   reports_.erase(id);
@@ -466,6 +497,10 @@
     auto vms = co_await vms_.List();
     LogReachability("vm_service", isVmServiceReachable_, vms.has_value());
     if (vms && !hasEnded_) {
+      std::erase_if(*vms, [this](const Vm& aVm) {
+        return CellOf(aVm.name_, ownership_.cell_.count_) !=
+               ownership_.cell_.number_;
+      });
       Handle(VmsSeen{ std::move(*vms), requestedAt });
     }
     const auto waves = fleet_.Waves();
@@ -479,25 +514,6 @@
   }
 }
 
-Awaitable<void>
-Owner::PollWaves()
-{
-  const auto self = shared_from_this();
-  while (!hasEnded_) {
-    const auto reply = co_await context_.store_.List(kWavePrefix);
-    if (reply.IsDone() && !hasEnded_) {
-      WavesSeen seen;
-      for (const auto& item : reply.items_) {
-        if (auto wave = ReadWave(item.value_)) {
-          seen.waves_.push_back(std::move(*wave));
-        }
-      }
-      Handle(seen);
-    }
-    co_await Sleep(context_.io_, kWavePollInterval);
-  }
-}
-
 //-----------------------------------------------------------------------------
 // [SECTION] Writing the store
 //-----------------------------------------------------------------------------
@@ -507,20 +523,30 @@
 {
   std::vector<StoreWrite::Put> puts;
   for (const auto& target : aEffect.newTargets_) {
-    puts.push_back({ kTargetsPrefix + target.id_, EncodeTarget(target), 0 });
+    puts.push_back(
+      { keys_.Of(kTargetsPrefix) + target.id_, EncodeTarget(target), 0 });
   }
   if (aEffect.hasOrders_) {
-    puts.push_back({ kVmOrdersKey, EncodeVmOrders(aEffect.orders_), 0 });
+    // An order matters to the next owner for a few seconds; a slot is used
+    // again after 25 s or more.
+    constexpr int kSlots = 128;
+    orderSlot_ = (orderSlot_ + 1) % kSlots;
+    puts.push_back(
+      { keys_.Of(kVmOrdersPrefix) + '/' + std::to_string(orderSlot_),
+        EncodeVmOrders(aEffect.orders_),
+        0 });
   }
   if (aEffect.hasDemandPeaks_) {
-    puts.push_back(
-      { kDemandPeaksKey, EncodeDemandPeaks(aEffect.demandPeaks_), 0 });
+    puts.push_back({ keys_.Of(kDemandPeaksKey),
+                     EncodeDemandPeaks(aEffect.demandPeaks_),
+                     0 });
   }
   for (const auto& [job, progress] : aEffect.jobs_) {
-    puts.push_back({ kProgressPrefix + job, EncodeProgress(progress), 0 });
+    puts.push_back(
+      { keys_.Of(kProgressPrefix) + job, EncodeProgress(progress), 0 });
   }
   for (const auto& target : aEffect.removedTargets_) {
-    writer_.Queue({ {}, { kTargetsPrefix + target }, {} });
+    writer_.Queue({ {}, { keys_.Of(kTargetsPrefix) + target }, {} });
   }
   const auto batch = aEffect.batch_;
   writer_.QueueAll(std::move(puts),
@@ -530,23 +556,29 @@
 void
 Owner::Store(const StoreWave& aEffect)
 {
-  writer_.QueueAll({ { kMaintenancePrefix + std::to_string(aEffect.wave_),
-                       EncodeWaveRecord(aEffect.record_),
-                       0 },
-                     { WaveStatusKey(aEffect.wave_),
-                       FormatWaveStatus(aEffect.isCompleted_),
-                       0 } },
-                   {});
+  // With several cells, a wave is completed once all of them have completed
+  // their part: see CompleteWaves().
+  const bool isCompleted = aEffect.isCompleted_ && ownership_.cell_.count_ == 1;
+  std::vector<StoreWrite::Put> puts;
+  puts.push_back({ keys_.Maintenance(aEffect.wave_),
+                   EncodeWaveRecord({ aEffect.record_, aEffect.isCompleted_ }),
+                   0 });
+  if (completedWaves_.count(aEffect.wave_) == 0) {
+    puts.push_back(
+      { WaveStatusKey(aEffect.wave_), FormatWaveStatus(isCompleted), 0 });
+  }
+  writer_.QueueAll(std::move(puts), {});
 }
 
 void
 Owner::RemoveJobs(const DeleteJobRecords& aEffect)
 {
   for (const auto& job : aEffect.jobs_) {
-    writer_.Queue(
-      { {},
-        { kJobPrefix + job, kCancelPrefix + job, kProgressPrefix + job },
-        {} });
+    writer_.Queue({ {},
+                    { keys_.Of(kJobPrefix) + job,
+                      keys_.Of(kCancelPrefix) + job,
+                      keys_.Of(kProgressPrefix) + job },
+                    {} });
   }
 }
 
@@ -554,21 +586,24 @@
 Owner::PublishLoad()
 {
   const auto self = shared_from_this();
-  std::string published;
   while (!hasEnded_) {
-    nlohmann::json waiting = nlohmann::json::object();
-    for (const auto& load : fleet_.Loads()) {
-      waiting[load.queue_] = load.waiting_;
-    }
-    auto text = waiting.dump();
-    if (text != published) {
-      published = text;
-      writer_.Queue({ { { kLoadKey, std::move(text), 0 } }, {}, {} });
-    }
+    writer_.Queue(
+      { { { keys_.Load(), EncodeLoad(CountWaiting()), 0 } }, {}, {} });
     co_await Sleep(context_.io_, kLoadPublishInterval);
   }
 }
 
+LoadRecord
+Owner::CountWaiting() const
+{
+  LoadRecord record;
+  for (const auto& load : fleet_.Loads()) {
+    record.waiting_[load.queue_] = load.waiting_;
+  }
+  record.countedAt_ = context_.clocks_.TimeOfDay();
+  return record;
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Events and effects of the fleet
 //-----------------------------------------------------------------------------
@@ -585,24 +620,20 @@
   }
 }
 
-Traffic
-Owner::GetTraffic() const
-{
-  auto traffic = context_.http_.GetTraffic();
-  const auto& toTargets = targetHttp_.GetTraffic();
-  traffic.insert(toTargets.begin(), toTargets.end());
-  return traffic;
-}
-
 // Logs what the calls of each kind have cost since the line before.
 Awaitable<void>
 Owner::LogTraffic()
 {
   const auto self = shared_from_this();
-  auto before = GetTraffic();
+  const auto sum = [this] {
+    auto traffic = context_.http_.GetTraffic();
+    AddUp(traffic, targetHttp_.GetTraffic());
+    return traffic;
+  };
+  auto before = sum();
   while (!hasEnded_) {
     co_await Sleep(context_.io_, kTrafficLogInterval);
-    const auto traffic = GetTraffic();
+    const auto traffic = sum();
     for (const auto& [kind, count] : traffic) {
       const auto& last = before[kind];
       if (count == last) {
--- a/packages/daemon/src/owner.h
+++ b/packages/daemon/src/owner.h
@@ -1,11 +1,12 @@
-// Internal: one term of ownership. Passes events to a Fleet and carries out its
-// effects.
+// Internal: one term of ownership of a cell. Passes events to a Fleet and
+// carries out its effects.
 
 #ifndef cuminbridge_daemon_owner_h
 #define cuminbridge_daemon_owner_h
 
 #include <memory>
 
+#include "account_grants.h"
 #include "fenced_writer.h"
 #include "records.h"
 
@@ -17,11 +18,12 @@
 
 struct Ownership
 {
+  Cell cell_;
   std::int64_t token_ =
     0; // fencing token: creation revision of the owner's key
   std::int64_t lease_ = 0;    // its number in the store
   int term_ = 1;              // counts the owners, from 1
-  std::string previousOwner_; // value of kLastOwnerKey; empty for the first
+  std::string previousOwner_; // value of its kLastOwnerKey; empty for the first
   Instant validUntil_;        // the store does not end the lease before this
 };
 
@@ -42,12 +44,13 @@
   // True while no other owner can have taken over.
   bool IsLeaseValid() const;
   int Term() const { return ownership_.term_; }
+  Cell GetCell() const { return ownership_.cell_; }
 
   void Handle(const Event& aEvent);
+  LoadRecord CountWaiting() const;
   void ApplyTuning(); // call it after the tuning has changed
   const Fleet& GetFleet() const { return fleet_; }
-  // Of this entry, with the calls to targets of this term.
-  Traffic GetTraffic() const;
+  const Traffic& TrafficToTargets() const { return targetHttp_.GetTraffic(); }
 
 private:
   Awaitable<void> Load();
@@ -63,6 +66,12 @@
                        bool& aIsReachable,
                        bool aIsAnswered);
   Awaitable<void> PollWaves();
+  void CompleteWaves(const std::vector<Wave>& aWaves,
+                     const StoreReply& aRecords);
+  Awaitable<void> ShareLimits();
+  Awaitable<bool> WriteGrants(AccountGrants aGrants, std::int64_t aRevision);
+  void UseGrants(const AccountGrants& aGrants);
+  std::map<std::string, LimitUse> LimitUses() const;
   Awaitable<void> PublishLoad();
   Awaitable<void> RunTicks();
   Awaitable<void> LogTraffic();
@@ -82,9 +91,12 @@
   TargetClient targets_;
   VmClient vms_;
   AdviceClient advice_;
+  CellKeys keys_;
   FencedWriter writer_;
+  std::set<std::int64_t> completedWaves_; // whose status this owner has stored
   std::map<std::string, TargetReport> reports_; // of the targets, by id
   std::set<std::string> unreadableTargets_;     // keys that were logged
+  int orderSlot_ = 0; // of kVmOrdersPrefix, written last
   bool hasEnded_ = false;
   bool isVmServiceReachable_ = false;
   bool isAdviceReachable_ = false;
--- a/packages/daemon/src/records.cpp
+++ b/packages/daemon/src/records.cpp
@@ -13,16 +13,20 @@
 
 namespace {
 
-bool
-HasPrefix(const std::string& aText, std::string_view aPrefix)
+// In a load record, the time of the count. No queue has this name.
+constexpr const char* kLoadTime = "";
+
+// What follows the last '/': the id in a key.
+std::string
+LastPart(const std::string& aKey)
 {
-  return std::string_view(aText).substr(0, aPrefix.size()) == aPrefix;
+  return aKey.substr(aKey.rfind('/') + 1);
 }
 
-std::string
-WithoutPrefix(const std::string& aKey, std::string_view aPrefix)
+bool
+Contains(const std::string& aKey, std::string_view aPart)
 {
-  return aKey.substr(aPrefix.size());
+  return aKey.find(aPart) != std::string::npos;
 }
 
 void
@@ -31,8 +35,8 @@
                   std::vector<std::string>& aUnreadable)
 {
   for (const auto& item : aReply.items_) {
-    if (HasPrefix(item.key_, kCancelPrefix)) {
-      aLoaded.cancelled_.insert(WithoutPrefix(item.key_, kCancelPrefix));
+    if (Contains(item.key_, kCancelPrefix)) {
+      aLoaded.cancelled_.insert(LastPart(item.key_));
     } else if (auto job = DecodeJob(item.value_)) {
       aLoaded.jobs_.push_back(std::move(*job));
     } else {
@@ -48,33 +52,13 @@
 {
   for (const auto& item : aReply.items_) {
     if (auto record = DecodeProgress(item.value_)) {
-      aLoaded.progress_[WithoutPrefix(item.key_, kProgressPrefix)] =
-        std::move(*record);
+      aLoaded.progress_[LastPart(item.key_)] = std::move(*record);
     } else {
       aUnreadable.push_back(item.key_);
     }
   }
 }
 
-void
-DecodeWaves(const StoreReply& aReply,
-            JobsLoaded& aLoaded,
-            std::vector<std::string>& aUnreadable)
-{
-  for (const auto& item : aReply.items_) {
-    try {
-      const auto record = json::parse(item.value_);
-      const auto number = WithoutPrefix(item.key_, kMaintenancePrefix);
-      aLoaded.waves_[std::stoll(number)] = {
-        WallTime(Millis(record.at("seen").get<std::int64_t>())),
-        record.at("done").get<std::vector<std::string>>()
-      };
-    } catch (const std::exception&) {
-      aUnreadable.push_back(item.key_);
-    }
-  }
-}
-
 void
 DecodeTargets(const StoreReply& aReply,
               JobsLoaded& aLoaded,
@@ -86,28 +70,30 @@
       aUnreadable.push_back(item.key_);
       continue;
     }
-    aLoaded.targets_.emplace_back(WithoutPrefix(item.key_, kTargetsPrefix),
+    aLoaded.targets_.emplace_back(LastPart(item.key_),
                                   item.value_.substr(0, space),
                                   item.value_.substr(space + 1));
   }
 }
 
-// The value of one key, as a JSON list. Calls aDecodeRow for each row.
+// Each value is a JSON list. Calls aDecodeRow for each row.
 template<typename DecodeRow>
 void
 DecodeRows(const StoreReply& aReply,
            std::vector<std::string>& aUnreadable,
            DecodeRow aDecodeRow)
 {
-  if (!aReply.IsDone() || aReply.items_.empty()) {
+  if (!aReply.IsDone()) {
     return;
   }
-  try {
-    for (const auto& row : json::parse(aReply.items_.front().value_)) {
-      aDecodeRow(row);
+  for (const auto& item : aReply.items_) {
+    try {
+      for (const auto& row : json::parse(item.value_)) {
+        aDecodeRow(row);
+      }
+    } catch (const json::exception&) {
+      aUnreadable.push_back(item.key_);
     }
-  } catch (const json::exception&) {
-    aUnreadable.push_back(aReply.items_.front().key_);
   }
 }
 
@@ -138,23 +124,132 @@
 DecodeEntry(const std::string& aText)
 {
   EntryRecord entry;
-  std::istringstream(aText) >> entry.cpuShare_ >> entry.address_;
+  std::istringstream text(aText);
+  double linkMbps = 0;
+  text >> entry.cpuShare_ >> entry.address_;
+  if (text >> linkMbps) {
+    entry.linkMbps_ = linkMbps;
+  }
   return entry;
 }
 
 std::string
 EncodeEntry(const EntryRecord& aEntry)
 {
-  return std::to_string(aEntry.cpuShare_) + ' ' + aEntry.address_;
+  return std::to_string(aEntry.cpuShare_) + ' ' + aEntry.address_ + ' ' +
+         std::to_string(aEntry.linkMbps_);
 }
 
 std::string
-EncodeWaveRecord(const WaveRecord& aRecord)
+EncodeWaveRecord(const CellWaveRecord& aRecord)
+{
+  json record = { { "seen",
+                    aRecord.record_.firstSeenAt_.time_since_epoch().count() },
+                  { "done", aRecord.record_.maintenanceBegun_ } };
+  if (aRecord.isCompleted_) {
+    record["completed"] = true;
+  }
+  return record.dump();
+}
+
+std::map<std::int64_t, CellWaveRecord>
+DecodeWaveRecords(const StoreReply& aReply,
+                  int aCell,
+                  std::vector<std::string>& aUnreadable)
 {
-  return json{
-    { "seen", aRecord.firstSeenAt_.time_since_epoch().count() },
-    { "done", aRecord.maintenanceBegun_ }
-  }.dump();
+  std::map<std::int64_t, CellWaveRecord> waves;
+  for (const auto& item : aReply.items_) {
+    try {
+      const auto name =
+        item.key_.substr(std::string_view(kMaintenancePrefix).size());
+      const auto slash = name.find('/');
+      const int cell =
+        slash == std::string::npos ? 0 : std::stoi(name.substr(slash + 1));
+      const auto wave = std::stoll(name.substr(0, slash));
+      if (cell != aCell) {
+        continue;
+      }
+      const auto record = json::parse(item.value_);
+      waves[wave] = { { WallTime(Millis(record.at("seen").get<std::int64_t>())),
+                        record.at("done").get<std::vector<std::string>>() },
+                      record.value("completed", false) };
+    } catch (const std::exception&) {
+      aUnreadable.push_back(item.key_);
+    }
+  }
+  return waves;
+}
+
+std::string
+EncodeLoad(const LoadRecord& aLoad)
+{
+  // Earlier versions read a flat object of numbers.
+  json record = aLoad.waiting_;
+  record[kLoadTime] = aLoad.countedAt_.time_since_epoch().count();
+  return record.dump();
+}
+
+LoadRecord
+DecodeLoad(const std::string& aText)
+{
+  LoadRecord load;
+  try {
+    const auto record = json::parse(aText);
+    for (const auto& [queue, value] : record.items()) {
+      if (queue == kLoadTime) {
+        load.countedAt_ = WallTime(Millis(value.get<std::int64_t>()));
+      } else {
+        load.waiting_[queue] = value.get<int>();
+      }
+    }
+  } catch (const json::exception&) {
+    return {};
+  }
+  return load;
+}
+
+CellKeys::CellKeys(int aCell)
+  : cell_(aCell)
+  , prefix_(aCell == 0 ? "" : "cell/" + std::to_string(aCell) + '/')
+{
+}
+
+std::string
+CellKeys::WithNumber(std::string aKey) const
+{
+  return cell_ == 0 ? aKey : aKey + '/' + std::to_string(cell_);
+}
+
+std::string
+CellKeys::Owner() const
+{
+  return WithNumber(kOwnerKey);
+}
+
+std::string
+CellKeys::Load() const
+{
+  return WithNumber(kLoadPrefix);
+}
+
+std::string
+CellKeys::Maintenance(std::int64_t aWave) const
+{
+  return WithNumber(kMaintenancePrefix + std::to_string(aWave));
+}
+
+std::optional<int>
+CellOfOwnerKey(std::string_view aKey)
+{
+  const std::string_view owner = kOwnerKey;
+  if (aKey == owner) {
+    return 0;
+  }
+  if (aKey.size() < owner.size() + 2 || aKey.substr(0, owner.size()) != owner ||
+      aKey[owner.size()] != '/') {
+    return std::nullopt;
+  }
+  return std::atoi(std::string(aKey.substr(owner.size() + 1)).c_str());
 }
 
 std::string
@@ -188,12 +283,16 @@
 
 JobsLoaded
 DecodeStoredFleet(const StoredFleet& aStored,
+                  int aCell,
                   std::vector<std::string>& aUnreadable)
 {
   JobsLoaded loaded;
   DecodeSubmissions(aStored.submissions_, loaded, aUnreadable);
   DecodeProgressRecords(aStored.progress_, loaded, aUnreadable);
-  DecodeWaves(aStored.waves_, loaded, aUnreadable);
+  for (const auto& [wave, record] :
+       DecodeWaveRecords(aStored.waves_, aCell, aUnreadable)) {
+    loaded.waves_[wave] = record.record_;
+  }
   DecodeTargets(aStored.targets_, loaded, aUnreadable);
   DecodeRows(aStored.oldTargets_, aUnreadable, [&loaded](const json& aRow) {
     loaded.targets_.emplace_back(aRow.at(0).get<std::string>(),
--- a/packages/daemon/src/records.h
+++ b/packages/daemon/src/records.h
@@ -11,7 +11,14 @@
 // [SECTION] Keys
 //-----------------------------------------------------------------------------
 
-// Address for peers of the owner of the fleet. Created under the owner's lease;
+// Keys of one cell have the names below, behind the prefix of CellKeys. The
+// keys of cell 0 have no prefix: a fleet of one cell has the keys that it had
+// before there were cells.
+
+// Number of cells, stored once when the fleet first starts.
+inline constexpr const char* kCellsKey = "cells";
+// Prefix of the owners' keys: "owner" of cell 0, "owner/K" of cell K. Each
+// holds the owner's address for peers and is created under the owner's lease;
 // the revision of its creation is the owner's fencing token.
 inline constexpr const char* kOwnerKey = "owner";
 // Term of the latest owner: counts the owners, from 1.
@@ -32,19 +39,47 @@
 inline constexpr const char* kCancelPrefix = "in/cancel/";
 // Progress of a job, as the owner recorded it: "progress/ID".
 inline constexpr const char* kProgressPrefix = "progress/";
-// VMs of wave N whose maintenance has begun: "upkeep/N".
+// VMs of wave N whose maintenance has begun: "upkeep/N" of cell 0, "upkeep/N/K"
+// of cell K.
 inline constexpr const char* kMaintenancePrefix = "upkeep/";
 // Each target that the owner uses: "targets/ID".
 inline constexpr const char* kTargetsPrefix = "targets/";
 // All of them in one record, as earlier versions stored them. It is read, then
 // removed.
 inline constexpr const char* kOldTargetsKey = "targets";
-// Recent orders for VMs.
-inline constexpr const char* kVmOrdersKey = "orders";
+// Recent orders for VMs: "orders/SLOT". The slots are used in turn. Earlier
+// versions stored all of them under "orders".
+inline constexpr const char* kVmOrdersPrefix = "orders";
 // The latest demand peak of each pool.
 inline constexpr const char* kDemandPeaksKey = "turns";
-// Number of waiting jobs by queue.
-inline constexpr const char* kLoadKey = "load";
+// Number of waiting jobs by queue: "load" of cell 0, "load/K" of cell K.
+inline constexpr const char* kLoadPrefix = "load";
+// Parts of the accounts' limits that the cells may use (account_grants.h).
+inline constexpr const char* kGrantsKey = "grants";
+
+// The keys of one cell.
+class CellKeys
+{
+public:
+  explicit CellKeys(int aCell);
+
+  std::string Of(std::string_view aName) const
+  {
+    return prefix_ + std::string(aName);
+  }
+  std::string Owner() const;
+  std::string Load() const;
+  std::string Maintenance(std::int64_t aWave) const;
+
+private:
+  std::string WithNumber(std::string aKey) const;
+
+  int cell_;
+  std::string prefix_;
+};
+
+// The cell of an owner's key; nothing if the key is none.
+std::optional<int> CellOfOwnerKey(std::string_view aKey);
 
 //-----------------------------------------------------------------------------
 // [SECTION] Values
@@ -66,11 +101,12 @@
 OwnerRecord DecodeOwnerRecord(const std::string& aText);
 std::string EncodeOwnerRecord(const OwnerRecord& aOwner);
 
-// Value under kEntriesPrefix, as "SHARE ADDRESS".
+// Value under kEntriesPrefix, as "SHARE ADDRESS LINK".
 struct EntryRecord
 {
-  double cpuShare_ = 0; // of a core
-  std::string address_; // for peers
+  double cpuShare_ = 0;    // of a core
+  std::string address_;    // for peers
+  double linkMbps_ = 1000; // Mbit/s each way
 
   bool operator==(const EntryRecord&) const = default;
 };
@@ -78,7 +114,35 @@
 EntryRecord DecodeEntry(const std::string& aText);
 std::string EncodeEntry(const EntryRecord& aEntry);
 
-std::string EncodeWaveRecord(const WaveRecord& aRecord);
+// The part of a cell in a maintenance wave.
+struct CellWaveRecord
+{
+  WaveRecord record_;
+  bool isCompleted_ = false; // maintenance of all VMs of the part has begun
+
+  bool operator==(const CellWaveRecord&) const = default;
+};
+
+std::string EncodeWaveRecord(const CellWaveRecord& aRecord);
+// The records of one cell in a list of kMaintenancePrefix, by wave.
+std::map<std::int64_t, CellWaveRecord> DecodeWaveRecords(
+  const StoreReply& aReply,
+  int aCell,
+  std::vector<std::string>& aUnreadable);
+
+// Value of a load key: the waiting jobs by queue, and when they were counted. 0
+// in records of earlier versions.
+struct LoadRecord
+{
+  std::map<std::string, int> waiting_;
+  WallTime countedAt_;
+
+  bool operator==(const LoadRecord&) const = default;
+};
+
+std::string EncodeLoad(const LoadRecord& aLoad);
+LoadRecord DecodeLoad(const std::string& aText);
+
 std::string EncodeTarget(const StoredTarget& aTarget);
 std::string EncodeVmOrders(const std::vector<StoredOrder>& aOrders);
 std::string EncodeDemandPeaks(const std::vector<StoredDemandPeak>& aPeaks);
@@ -90,14 +154,15 @@
   StoreReply progress_;
   StoreReply waves_;
   StoreReply targets_;
-  StoreReply oldTargets_;  // one key, which is usually missing
-  StoreReply vmOrders_;    // one key, which may be missing
+  StoreReply oldTargets_; // one key, which is usually missing
+  StoreReply vmOrders_;
   StoreReply demandPeaks_; // one key, which may be missing
 };
 
 // Adds the key of each record that can't be decoded to aUnreadable, and leaves
 // that record out.
 JobsLoaded DecodeStoredFleet(const StoredFleet& aStored,
+                             int aCell,
                              std::vector<std::string>& aUnreadable);
 
 // The revision after which to watch next, once a list or a watch from aAfter
--- a/packages/daemon/src/views.cpp
+++ b/packages/daemon/src/views.cpp
@@ -32,12 +32,23 @@
 }
 
 json
-ShowPools(const Fleet& aFleet)
+ShowPools(const std::vector<Owner*>& aOwners)
 {
+  std::map<std::string, PoolSummary> sums;
+  for (const auto* owner : aOwners) {
+    for (const auto& pool : owner->GetFleet().Pools()) {
+      auto& sum = sums[pool.pool_];
+      sum.vms_ += pool.vms_;
+      sum.targets_ += pool.targets_;
+      sum.runs_ += pool.runs_;
+      sum.waiting_ += pool.waiting_;
+      sum.offeredCpu_ += pool.offeredCpu_;
+    }
+  }
   json rows = json::array();
-  for (const auto& pool : aFleet.Pools()) {
+  for (const auto& [name, pool] : sums) {
     rows.push_back(
-      { { "pool", pool.pool_ },
+      { { "pool", name },
         { "vms", pool.vms_ },
         { "targets", pool.targets_ },
         { "runs", pool.runs_ },
@@ -49,11 +60,19 @@
 }
 
 json
-ShowAccounts(const Fleet& aFleet)
+ShowAccounts(const std::vector<Owner*>& aOwners)
 {
+  std::map<std::string, AccountSummary> sums;
+  for (const auto* owner : aOwners) {
+    for (const auto& account : owner->GetFleet().Accounts()) {
+      auto& sum = sums[account.account_];
+      sum.running_ += account.running_;
+      sum.limit_ = account.limit_;
+    }
+  }
   json rows = json::array();
-  for (const auto& account : aFleet.Accounts()) {
-    rows.push_back({ { "account", account.account_ },
+  for (const auto& [name, account] : sums) {
+    rows.push_back({ { "account", name },
                      { "running_cpu", account.running_.cpu_ },
                      { "limit_cpu", account.limit_.cpu_ },
                      { "running_mb", account.running_.memMb_ },
@@ -63,48 +82,88 @@
 }
 
 json
-ShowWaves(const Fleet& aFleet)
+ShowWaves(const std::vector<Owner*>& aOwners)
 {
   json rows = json::array();
-  for (const auto& wave : aFleet.Waves()) {
-    rows.push_back({ { "wave", wave.wave_ },
-                     { "vms", wave.vms_ },
-                     { "begun", wave.begun_ },
-                     { "down", wave.down_ },
-                     { "completed", wave.isCompleted_ } });
+  for (const auto* owner : aOwners) {
+    for (const auto& wave : owner->GetFleet().Waves()) {
+      rows.push_back({ { "wave", wave.wave_ },
+                       { "cell", owner->GetCell().number_ },
+                       { "vms", wave.vms_ },
+                       { "begun", wave.begun_ },
+                       { "down", wave.down_ },
+                       { "completed", wave.isCompleted_ } });
+    }
   }
   return { { "waves", std::move(rows) } };
 }
 
+json
+ShowOwner(const std::vector<Owner*>& aOwners, const PlatformSettings& aSettings)
+{
+  json cells = json::array();
+  bool isSure = true;
+  for (const auto* owner : aOwners) {
+    cells.push_back({ { "cell", owner->GetCell().number_ },
+                      { "term", owner->Term() },
+                      { "sure", owner->IsLeaseValid() } });
+    isSure = isSure && owner->IsLeaseValid();
+  }
+  return { { "owner", aSettings.name_ },
+           { "address", PeerAddress(aSettings) },
+           { "term", aOwners.front()->Term() },
+           { "sure", isSure },
+           { "cells", std::move(cells) } };
+}
+
+json
+ShowOwners(const CallerApi& aCallerApi)
+{
+  json rows = json::array();
+  for (int cell = 0; cell < aCallerApi.CellCount(); ++cell) {
+    rows.push_back(
+      { { "cell", cell }, { "address", aCallerApi.OwnerAddress(cell) } });
+  }
+  return { { "owners", std::move(rows) } };
+}
+
+// The address of some owner; empty if none is known.
+std::string
+AnyOwner(const CallerApi& aCallerApi)
+{
+  for (int cell = 0; cell < aCallerApi.CellCount(); ++cell) {
+    if (!aCallerApi.OwnerAddress(cell).empty()) {
+      return aCallerApi.OwnerAddress(cell);
+    }
+  }
+  return {};
+}
+
 } // namespace
 
 HttpResponse
 ShowView(std::string_view aView,
          const CallerApi& aCallerApi,
-         const Owner* aOwner,
+         const std::vector<Owner*>& aOwners,
          const PlatformSettings& aSettings)
 {
   HttpResponse answer;
   if (aView == "queues") {
     answer.body_ = ShowQueues(aCallerApi, aSettings).dump();
+  } else if (aView == "owners") {
+    answer.body_ = ShowOwners(aCallerApi).dump();
   } else if (aView != "pools" && aView != "accounts" && aView != "waves" &&
              aView != "owner") {
     answer.status_ = kNotFound;
-  } else if (!aOwner) {
+  } else if (aOwners.empty()) {
     answer.status_ = kMisdirectedRequest;
-    answer.body_ = json{ { "owner", aCallerApi.OwnerAddress() } }.dump();
+    answer.body_ = json{ { "owner", AnyOwner(aCallerApi) } }.dump();
   } else if (aView == "owner") {
-    answer.body_ = json{
-      { "owner", aSettings.name_ },
-      { "address", PeerAddress(aSettings) },
-      { "term", aOwner->Term() },
-      { "sure", aOwner->IsLeaseValid() }
-    }.dump();
+    answer.body_ = ShowOwner(aOwners, aSettings).dump();
   } else {
-    const auto& fleet = aOwner->GetFleet();
-    answer.body_ = (aView == "pools"      ? ShowPools(fleet)
-                    : aView == "accounts" ? ShowAccounts(fleet)
-                                          : ShowWaves(fleet))
+    answer.body_ = (aView == "pools"      ? ShowPools(aOwners)
+                    : aView == "accounts" ? ShowAccounts(aOwners)
+                                          : ShowWaves(aOwners))
                      .dump();
   }
   return answer;
--- a/packages/daemon/src/views.h
+++ b/packages/daemon/src/views.h
@@ -11,12 +11,13 @@
 // change nothing; operators submit jobs through the callers' interface.
 inline constexpr const char* kViewPrefix = "/v1/";
 
-// aView is "queues", "pools", "accounts", "waves" or "owner"; any other name is
-// answered 404. "queues" is answered by every entry. The others need the owner:
-// another entry answers 421 with the owner's address.
+// aView is "queues", "pools", "accounts", "waves", "owner" or "owners"; any
+// other name is answered 404. "queues" and "owners" are answered by every
+// entry. The others show the cells that this entry owns: an entry that owns
+// none answers 421 with the address of an owner.
 HttpResponse ShowView(std::string_view aView,
                       const CallerApi& aCallerApi,
-                      const Owner* aOwner,
+                      const std::vector<Owner*>& aOwners,
                       const PlatformSettings& aSettings);
 
 } // namespace cuminbridge
--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -91,6 +91,9 @@
   Millis paceInterval_{ 300 };
   // Ended jobs can be queried for this long. Comes from the settings.
   Millis keepEnded_{ 120000 };
+  // Cells of the fleet. Jobs are divided evenly, so a cell gets one job of this
+  // many of each account.
+  int cells_ = 1;
   // Run time on another rack than that of the data, relative to the run time on
   // the rack of the data.
   double remoteFactor_ = 1.5;
@@ -288,6 +291,13 @@
   std::uint64_t batch_ = 0;
 };
 
+// The parts of the accounts' limits that this owner may use, in thousandths. An
+// account that is not named may use an equal part.
+struct LimitsGranted
+{
+  std::map<std::string, int> parts_; // by account
+};
+
 // Changes options while the Fleet runs. Leases and other times on which
 // successive owners have to agree must not change.
 struct OptionsChanged
@@ -317,6 +327,7 @@
                            AdviceAnswered,
                            VmOrderAnswered,
                            ProgressStored,
+                           LimitsGranted,
                            OptionsChanged,
                            Tick>;
 
@@ -392,9 +403,9 @@
   std::vector<std::pair<std::string, Progress>> jobs_;
   std::vector<StoredTarget> newTargets_;    // used from now on
   std::vector<std::string> removedTargets_; // ids of those not used any more
-  bool hasOrders_ = false; // orders_ replaces the stored list of recent orders
-  std::vector<StoredOrder> orders_;
-  bool hasDemandPeaks_ = false; // demandPeaks_ replaces the stored list
+  bool hasOrders_ = false;                  // orders_ is not empty
+  std::vector<StoredOrder> orders_; // new ones, besides those stored before
+  bool hasDemandPeaks_ = false;     // demandPeaks_ replaces the stored list
   std::vector<StoredDemandPeak> demandPeaks_;
 };
 
@@ -468,7 +479,8 @@
 {
   std::string account_;
   Resources running_;
-  Resources limit_; // 0 in a part means no limit there
+  Resources waiting_; // what items need that could start, but for the limit
+  Resources limit_;   // 0 in a part means no limit there
 
   bool operator==(const AccountSummary&) const = default;
 };
--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -463,6 +463,25 @@
   return true;
 }
 
+Resources
+UsableLimit(const FleetState& aState, const Account& aAccount)
+{
+  constexpr std::int64_t kWhole = 1000;
+  Resources limit = aAccount.limit_;
+  if (aState.options_.cells_ > 1) {
+    const auto granted = aState.limitParts_.find(aAccount.name_);
+    const auto part = granted == aState.limitParts_.end()
+                        ? kWhole / aState.options_.cells_
+                        : granted->second;
+    // At least 1, as 0 stands for no limit.
+    for (auto* amount : { &limit.cpu_, &limit.memMb_, &limit.gpu_ }) {
+      *amount =
+        *amount == 0 ? 0 : std::max<std::int64_t>(1, *amount * part / kWhole);
+    }
+  }
+  return limit;
+}
+
 bool
 IsWithinLimit(const FleetState& aState,
               const std::string& aAccount,
@@ -478,12 +497,40 @@
   if (running != aState.running_.end()) {
     sum += running->second;
   }
-  const auto& limit = account->limit_;
+  const auto limit = UsableLimit(aState, *account);
   return (limit.cpu_ == 0 || sum.cpu_ <= limit.cpu_) &&
          (limit.memMb_ == 0 || sum.memMb_ <= limit.memMb_) &&
          (limit.gpu_ == 0 || sum.gpu_ <= limit.gpu_);
 }
 
+std::map<std::string, Resources>
+WaitingNeedsByAccount(const FleetState& aState)
+{
+  std::map<std::string, Resources> needs;
+  for (const auto& id : aState.activeJobs_) {
+    const auto& job = *aState.jobs_.at(id);
+    if (job.unassigned_ == 0 || job.job_.account_.empty()) {
+      continue;
+    }
+    auto& sum = needs[job.job_.account_];
+    for (const auto& [number, occurrence] : job.occurrences_) {
+      for (std::size_t index = 0; index < occurrence.steps_.size(); ++index) {
+        const auto& step = occurrence.steps_[index];
+        const auto& spec = job.job_.steps_[index];
+        if (!HasWaiting(step) || !IsReady(job, occurrence, index)) {
+          continue;
+        }
+        const auto items = static_cast<std::int64_t>(step.items_.size()) -
+                           step.done_ - step.assigned_;
+        sum += { items * spec.needs_.cpu_,
+                 items * spec.needs_.memMb_,
+                 items * spec.needs_.gpu_ };
+      }
+    }
+  }
+  return needs;
+}
+
 std::map<std::string, WaitingWork>
 WaitingWorkByPool(const FleetState& aState)
 {
--- a/packages/fleet/src/dispatch.h
+++ b/packages/fleet/src/dispatch.h
@@ -28,6 +28,13 @@
              const Occurrence& aOccurrence,
              std::size_t aStep);
 
+// The limit of an account that this owner may use. 0 in a part means no limit.
+Resources UsableLimit(const FleetState& aState, const Account& aAccount);
+
+// What the waiting items of each account need whose steps may start now.
+std::map<std::string, Resources> WaitingNeedsByAccount(
+  const FleetState& aState);
+
 // True if a client account stays within its limit with aMore running besides
 // what it has running now.
 bool IsWithinLimit(const FleetState& aState,
--- a/packages/fleet/src/fleet_waves.cpp
+++ b/packages/fleet/src/fleet_waves.cpp
@@ -156,7 +156,9 @@
 HandleWaves(FleetState& aState, const WavesSeen& aSeen)
 {
   for (const auto& wave : aSeen.waves_) {
-    if (aState.waves_.count(wave.number_) != 0) {
+    const auto known = aState.waves_.find(wave.number_);
+    if (known != aState.waves_.end()) {
+      known->second.wave_.maxDown_ = wave.maxDown_; // parts of cells change
       continue;
     }
     auto& entry = aState.waves_[wave.number_];
--- a/packages/fleet/src/jobs.cpp
+++ b/packages/fleet/src/jobs.cpp
@@ -158,8 +158,10 @@
   if (!account || aJob.job_.repeats_ > 0) {
     return;
   }
-  aJob.isBeyondShare_ = !ConsumeShare(
-    aState.shares_[account->name_], account->weight_, aJob.job_.accepted_);
+  aJob.isBeyondShare_ =
+    !ConsumeShare(aState.shares_[account->name_],
+                  account->weight_ / std::max(1, aState.options_.cells_),
+                  aJob.job_.accepted_);
 }
 
 JobEntry&
--- a/packages/fleet/src/reducer.cpp
+++ b/packages/fleet/src/reducer.cpp
@@ -140,6 +140,13 @@
   {
     HandleProgressStored(state_, aEvent.batch_);
   }
+  void operator()(const LimitsGranted& aEvent)
+  {
+    state_.limitParts_ = aEvent.parts_;
+    for (const auto& pool : state_.config_.pools_) {
+      state_.dirtyPools_.insert(pool.name_);
+    }
+  }
   void operator()(const OptionsChanged& aEvent)
   {
     state_.options_ = aEvent.options_;
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -245,6 +245,7 @@
   // tick checks only these; the sweep adds those that need it anew.
   std::set<std::string> watchedTargets_;
   std::map<std::string, Resources> running_;    // in use, by account
+  std::map<std::string, int> limitParts_;       // as LimitsGranted::parts_
   std::map<std::string, ShareBucket> shares_;   // by account
   std::map<std::string, RunTimes> runTimes_;    // by queue
   std::map<std::string, PoolPeak> demandPeaks_; // by pool
@@ -258,7 +259,7 @@
   std::map<std::int64_t, WaveRecord> loadedWaves_; // from the store
   // VMs that an earlier owner ordered, and from when this one may order them.
   std::map<std::string, Instant> orderAllowedFrom_;
-  std::deque<StoredOrder> recentOrders_; // of this owner, for the store
+  std::vector<StoredOrder> newOrders_; // for the next batch
   bool mustStoreOrders_ = false;
   Instant nextPlan_;
 
--- a/packages/fleet/src/summaries.cpp
+++ b/packages/fleet/src/summaries.cpp
@@ -45,6 +45,7 @@
 std::vector<AccountSummary>
 Fleet::Accounts() const
 {
+  const auto waiting = WaitingNeedsByAccount(*state_);
   std::vector<AccountSummary> rows;
   for (const auto& account : state_->config_.accounts_) {
     AccountSummary row;
@@ -54,6 +55,10 @@
     if (running != state_->running_.end()) {
       row.running_ = running->second;
     }
+    const auto needs = waiting.find(account.name_);
+    if (needs != waiting.end()) {
+      row.waiting_ = needs->second;
+    }
     rows.push_back(std::move(row));
   }
   return rows;
--- a/packages/fleet/src/vm_orders.cpp
+++ b/packages/fleet/src/vm_orders.cpp
@@ -3,6 +3,7 @@
 #include "vm_orders.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "fleet_waves.h"
 #include "runs.h"
@@ -88,7 +89,7 @@
     target->leavingUntil_ = aState.now_ + kOrderTimeout;
   }
   aOrder.recordedAt_ = aState.TimeOfDay();
-  aState.recentOrders_.push_back({ aVm, aOrder.recordedAt_ });
+  aState.newOrders_.push_back({ aVm, aOrder.recordedAt_ });
   aState.mustStoreOrders_ = true;
   aState.isUrgent_ = true;
   aState.vmOrders_[aVm] = std::move(aOrder);
@@ -165,13 +166,7 @@
   }
   aState.mustStoreOrders_ = false;
   aBatch.hasOrders_ = true;
-  const auto apart = aState.options_.vmOrderLease_ + aState.options_.clockSkew_;
-  while (!aState.recentOrders_.empty() &&
-         aState.TimeOfDay() - aState.recentOrders_.front().at_ > apart) {
-    aState.recentOrders_.pop_front();
-  }
-  aBatch.orders_.assign(aState.recentOrders_.begin(),
-                        aState.recentOrders_.end());
+  aBatch.orders_ = std::exchange(aState.newOrders_, {});
   for (auto& [vm, order] : aState.vmOrders_) {
     order.isInBatch_ = true;
   }
--- a/packages/fleet/src/waves.cpp
+++ b/packages/fleet/src/waves.cpp
@@ -37,6 +37,9 @@
 PlanWave(const WaveView& aWave)
 {
   WavePlan plan;
+  if (aWave.maxDown_ <= 0) {
+    return plan;
+  }
   const int begun = aWave.total_ - static_cast<int>(aWave.waiting_.size());
   const int idleDue =
     CountDue(aWave, aWave.age_ + kIdleAhead, kIdleFraction) - begun;
--- a/packages/web/include/cuminbridge/web.h
+++ b/packages/web/include/cuminbridge/web.h
@@ -76,6 +76,9 @@
 
 using Traffic = std::map<std::string, TrafficCount, std::less<>>; // by kind
 
+// Adds the counts of aMore to those of aSum.
+void AddUp(Traffic& aSum, const Traffic& aMore);
+
 // The outcome of a call. Only after Refused and NotSent is it safe to send the
 // call again although it is not idempotent.
 enum class CallOutcome
--- a/packages/web/src/client.cpp
+++ b/packages/web/src/client.cpp
@@ -57,6 +57,18 @@
   return { address, port };
 }
 
+void
+AddUp(Traffic& aSum, const Traffic& aMore)
+{
+  for (const auto& [kind, more] : aMore) {
+    auto& sum = aSum[kind];
+    sum.calls_ += more.calls_;
+    sum.connections_ += more.connections_;
+    sum.bytesSent_ += more.bytesSent_;
+    sum.bytesReceived_ += more.bytesReceived_;
+  }
+}
+
 struct HttpClient::Pool
 {
   struct Idle
