Cells: deal the VMs out evenly, transfer jobs that do not fit

Cause: by hash, a cell has a quarter more or less of a pool than its part, and a wide job that does not fit into its cell waits while another has room. A batch that only removed targets was never confirmed, so nothing was stored after it: jobs were shown as completed 10 s late. Change: the map of cells is stored with the VMs of each; a job of which nothing has started goes to a cell that reports room for it, in one write that leaves a pointer; a batch is confirmed by a write of its own; a failed watch is followed by a read.

--- a/packages/daemon/src/account_grants.h
+++ b/packages/daemon/src/account_grants.h
@@ -12,8 +12,6 @@
 #include <string>
 #include <vector>
 
-#include "cells.h"
-
 namespace cuminbridge {
 
 inline constexpr int kWholeLimit = 1000; // thousandths
@@ -36,6 +34,14 @@
   bool operator==(const AccountGrants&) const = default;
 };
 
+struct Cell
+{
+  int number_ = 0; // from 0
+  int count_ = 1;  // of all cells
+
+  bool operator==(const Cell&) const = default;
+};
+
 int PartOf(const AccountGrants& aGrants,
            const std::string& aAccount,
            Cell aCell);
--- a/packages/daemon/src/caller_api.cpp
+++ b/packages/daemon/src/caller_api.cpp
@@ -59,6 +59,16 @@
   return aHost.substr(0, aHost.find(':'));
 }
 
+// Whether a rejected write shows that the key exists.
+bool
+ShowsKey(const StoreReply& aReply, const std::string& aKey)
+{
+  return std::any_of(
+    aReply.items_.begin(), aReply.items_.end(), [&](const StoreItem& aItem) {
+      return aItem.key_ == aKey && aItem.revision_ != 0;
+    });
+}
+
 } // namespace
 
 CallerApi::CallerApi(DaemonContext aContext)
@@ -168,6 +178,10 @@
   call.kind_ = "peer_notify";
   call.method_ = "POST";
   call.path_ = aPath;
+  if (CellCount() > 1) {
+    const auto number = &aCell - cells_.data();
+    call.path_ += '/' + std::to_string(number);
+  }
   call.body_ = std::move(aBody);
   call.limit_ = kNotifyTimeout;
   boost::asio::co_spawn(
@@ -221,7 +235,7 @@
                : ", already stored by an earlier submission") },
         context_.clocks_.Now());
       if (reply.IsDone() && cell.owner_ && cell.owner_->IsLeaseValid()) {
-        cell.owner_->Handle(JobArrived{ std::move(job) });
+        cell.owner_->HandleSubmittedJob(std::move(job));
       } else if (reply.IsDone()) {
         NotifyOwner(
           cell, kNotifyJobPath, std::move(write.puts_.front().value_));
@@ -255,40 +269,57 @@
   co_return Problem(kUnavailable, "the store can't be reached from here");
 }
 
+CallerApi::CellState*
+CallerApi::MovedTo(const StoreItem& aJobRecord)
+{
+  const auto cell = DecodeMovedJob(aJobRecord.value_);
+  return cell && *cell >= 0 && *cell < CellCount()
+           ? &cells_[static_cast<std::size_t>(*cell)]
+           : nullptr;
+}
+
 Awaitable<HttpResponse>
 CallerApi::Read(std::string aId)
 {
   ++counts_.reads_;
-  const auto& cell = CellOfJob(aId);
-  if (cell.owner_ && !cell.owner_->HasEnded()) {
-    if (const auto state = cell.owner_->GetFleet().StoredState(aId)) {
+  const auto* cell = &CellOfJob(aId);
+  while (cell) {
+    if (cell->owner_ && !cell->owner_->HasEnded()) {
+      if (const auto state = cell->owner_->GetFleet().StoredState(aId)) {
+        HttpResponse answer;
+        answer.body_ = FormatJobState(*state);
+        co_return answer;
+      }
+    }
+    if (context_.store_.IsUnreachable()) {
+      break;
+    }
+    const auto progress =
+      co_await context_.store_.Get(cell->keys_.Of(kProgressPrefix) + aId);
+    if (progress.IsDone()) {
+      const auto record = DecodeProgress(progress.items_.front().value_);
       HttpResponse answer;
-      answer.body_ = FormatJobState(*state);
+      answer.body_ =
+        FormatJobState(record ? record->state_ : JobState::Serving);
       co_return answer;
     }
-  }
-  if (context_.store_.IsUnreachable()) {
-    co_return Problem(kUnavailable, "the store can't be reached from here");
-  }
-  const auto progress =
-    co_await context_.store_.Get(cell.keys_.Of(kProgressPrefix) + aId);
-  if (progress.IsDone()) {
-    const auto record = DecodeProgress(progress.items_.front().value_);
-    HttpResponse answer;
-    answer.body_ = FormatJobState(record ? record->state_ : JobState::Serving);
-    co_return answer;
-  }
-  if (progress.status_ == StoreStatus::Missing) {
+    if (progress.status_ != StoreStatus::Missing) {
+      break;
+    }
     const auto job =
-      co_await context_.store_.Get(cell.keys_.Of(kJobPrefix) + aId);
-    if (job.IsDone()) {
+      co_await context_.store_.Get(cell->keys_.Of(kJobPrefix) + aId);
+    if (job.status_ == StoreStatus::Missing) {
+      co_return Problem(kGone, "no such job");
+    }
+    if (!job.IsDone()) {
+      break;
+    }
+    cell = MovedTo(job.items_.front());
+    if (!cell) {
       HttpResponse answer;
       answer.body_ = FormatJobState(JobState::Queued);
       co_return answer;
     }
-    if (job.status_ == StoreStatus::Missing) {
-      co_return Problem(kGone, "no such job");
-    }
   }
   co_return Problem(kUnavailable, "the store can't be reached from here");
 }
@@ -298,27 +329,35 @@
 {
   const auto startedAt = context_.clocks_.Now();
   ++counts_.cancels_;
-  const auto& cell = CellOfJob(aId);
+  const auto* cell = &CellOfJob(aId);
   bool mayBeStored = false;
   while (mayBeStored || !context_.store_.IsUnreachable()) {
-    const auto job =
-      co_await context_.store_.Get(cell.keys_.Of(kJobPrefix) + aId);
+    const auto jobKey = cell->keys_.Of(kJobPrefix) + aId;
+    const auto job = co_await context_.store_.Get(jobKey);
     if (job.status_ == StoreStatus::Missing) {
       co_return Problem(kGone, "no such job");
     }
     if (job.IsDone()) {
+      if (const auto* moved = MovedTo(job.items_.front())) {
+        cell = moved;
+        continue;
+      }
       StoreWrite write;
-      const auto key = cell.keys_.Of(kCancelPrefix) + aId;
+      const auto key = cell->keys_.Of(kCancelPrefix) + aId;
       write.conditions_.push_back({ key, 0 });
+      // The job may be transferred to another cell in the meantime.
+      write.conditions_.push_back({ jobKey, job.items_.front().revision_ });
       write.puts_.push_back({ key, "{}", 0 });
       const auto reply = co_await context_.store_.Write(write);
-      if (reply.IsDone() || reply.status_ == StoreStatus::Conflict) {
+      const bool isStoredBefore =
+        reply.status_ == StoreStatus::Conflict && ShowsKey(reply, key);
+      if (reply.IsDone() || isStoredBefore) {
         WriteLine({ "job_cancelled", aId, "", "", "cancelled by its caller" },
                   context_.clocks_.Now());
-        if (cell.owner_) {
-          cell.owner_->Handle(JobCancelled{ aId });
+        if (cell->owner_) {
+          cell->owner_->HandleCancel(aId);
         } else {
-          NotifyOwner(cell, kNotifyCancelPath, aId);
+          NotifyOwner(*cell, kNotifyCancelPath, aId);
         }
         co_return HttpResponse{};
       }
--- a/packages/daemon/src/caller_api.h
+++ b/packages/daemon/src/caller_api.h
@@ -57,6 +57,9 @@
   };
 
   CellState& CellOfJob(const std::string& aId);
+  // The cell to which a job was transferred, by the record in its own; null if
+  // it was not.
+  CellState* MovedTo(const StoreItem& aJobRecord);
   void NotifyOwner(const CellState& aCell,
                    const char* aPath,
                    std::string aBody);
--- a/packages/daemon/src/cells.cpp
+++ b/packages/daemon/src/cells.cpp
@@ -4,8 +4,9 @@
 
 #include <algorithm>
 #include <cmath>
-#include <map>
+#include <tuple>
 
+#include <nlohmann/json.hpp>
 #include <xxhash.h>
 
 namespace cuminbridge {
@@ -26,11 +27,11 @@
 }
 
 std::map<int, int>
-CountVmsByCell(const Wave& aWave, int aCount)
+CountVmsByCell(const Wave& aWave, const CellMap& aMap)
 {
   std::map<int, int> counts;
   for (const auto& vm : aWave.vms_) {
-    ++counts[CellOf(vm, aCount)];
+    ++counts[aMap.CellOfVm(vm)];
   }
   return counts;
 }
@@ -50,6 +51,71 @@
                                         static_cast<std::uint64_t>(aCount));
 }
 
+int
+CellMap::CellOfVm(std::string_view aName) const
+{
+  const auto found = vms_.find(aName);
+  return found == vms_.end() ? CellOf(aName, count_) : found->second;
+}
+
+CellMap
+DealVms(std::vector<Vm> aVms, int aCount)
+{
+  CellMap map;
+  map.count_ = aCount;
+  if (aCount == 1) {
+    return map;
+  }
+  std::sort(aVms.begin(), aVms.end(), [](const Vm& aLeft, const Vm& aRight) {
+    return std::tie(aLeft.pool_, aLeft.rack_, aLeft.name_) <
+           std::tie(aRight.pool_, aRight.rack_, aRight.name_);
+  });
+  int next = 0;
+  for (const auto& vm : aVms) {
+    map.vms_[vm.name_] = next;
+    next = (next + 1) % aCount;
+  }
+  return map;
+}
+
+std::string
+EncodeCellMap(const CellMap& aMap)
+{
+  if (aMap.vms_.empty()) {
+    return std::to_string(aMap.count_);
+  }
+  nlohmann::json cells = nlohmann::json::array();
+  for (int cell = 0; cell < aMap.count_; ++cell) {
+    cells.push_back(nlohmann::json::array());
+  }
+  for (const auto& [vm, cell] : aMap.vms_) {
+    cells.at(static_cast<std::size_t>(cell)).push_back(vm);
+  }
+  return cells.dump();
+}
+
+CellMap
+DecodeCellMap(const std::string& aText)
+{
+  const auto record = nlohmann::json::parse(aText, nullptr, false);
+  CellMap map;
+  if (record.is_number_integer()) {
+    map.count_ = std::max(1, record.get<int>());
+  } else if (record.is_array() && !record.empty()) {
+    map.count_ = static_cast<int>(record.size());
+    int cell = 0;
+    for (const auto& vms : record) {
+      for (const auto& vm : vms) {
+        if (vm.is_string()) {
+          map.vms_[vm.get<std::string>()] = cell;
+        }
+      }
+      ++cell;
+    }
+  }
+  return map;
+}
+
 int
 ChooseCellCount(std::size_t aVms, const std::vector<EntryCapacity>& aEntries)
 {
@@ -119,26 +185,29 @@
 //-----------------------------------------------------------------------------
 
 std::set<int>
-CellsOfWave(const Wave& aWave, int aCount)
+CellsOfWave(const Wave& aWave, const CellMap& aMap)
 {
   std::set<int> cells;
-  for (const auto& [cell, vms] : CountVmsByCell(aWave, aCount)) {
+  for (const auto& [cell, vms] : CountVmsByCell(aWave, aMap)) {
     cells.insert(cell);
   }
   return cells;
 }
 
 Wave
-PartOfWave(const Wave& aWave, Cell aCell, const std::set<int>& aCompleted)
+PartOfWave(const Wave& aWave,
+           const CellMap& aMap,
+           int aCell,
+           const std::set<int>& aCompleted)
 {
   Wave part = aWave;
   std::erase_if(part.vms_, [&](const std::string& aVm) {
-    return CellOf(aVm, aCell.count_) != aCell.number_;
+    return aMap.CellOfVm(aVm) != aCell;
   });
-  if (part.vms_.empty() || aCell.count_ == 1) {
+  if (part.vms_.empty() || aMap.count_ == 1) {
     return part;
   }
-  const auto counts = CountVmsByCell(aWave, aCell.count_);
+  const auto counts = CountVmsByCell(aWave, aMap);
   const auto total = static_cast<int>(aWave.vms_.size());
   int left = aWave.maxDown_;
   std::vector<std::pair<int, int>> byRemainder; // negative remainder, cell
@@ -155,13 +224,13 @@
       --left;
     }
   }
-  part.maxDown_ = quotas[aCell.number_];
+  part.maxDown_ = quotas[aCell];
   if (part.maxDown_ > 0) {
     return part;
   }
   // Cells without a quota come last, one after the other.
   for (const auto& [cell, quota] : quotas) {
-    const bool isBefore = quota > 0 || cell < aCell.number_;
+    const bool isBefore = quota > 0 || cell < aCell;
     if (isBefore && aCompleted.count(cell) == 0) {
       return part;
     }
--- a/packages/daemon/src/cells.h
+++ b/packages/daemon/src/cells.h
@@ -2,11 +2,15 @@
 //
 // A cell is the unit of ownership: a part of the VMs of every pool, with the
 // jobs given to it. Each cell has an owner, a fencing token and records of its
-// own, and is run as a fleet of its own. A VM belongs to a cell by the hash of
-// its name and a job by the hash of its id, so every entry knows the cell of
-// each without asking. A move between pools leaves a VM in its cell.
+// own, and is run as a fleet of its own. The VMs are dealt out when the fleet
+// first starts; later ones belong to a cell by the hash of their name, and jobs
+// by the hash of their id. So every entry knows the cell of each without
+// asking. A move between pools leaves a VM in its cell.
 //
-// The number of cells is stored when the fleet first starts, and stays.
+// A job that does not fit into its cell may be transferred to another one
+// before it starts. Its record in its own cell then names the other.
+//
+// The map of cells is stored when the fleet first starts, and stays.
 //
 // Index of this file:
 //   [SECTION] Division
@@ -16,6 +20,7 @@
 #ifndef cuminbridge_daemon_cells_h
 #define cuminbridge_daemon_cells_h
 
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -28,16 +33,28 @@
 // [SECTION] Division
 //-----------------------------------------------------------------------------
 
-struct Cell
+// The cell of a name by its hash: a number from 0.
+int CellOf(std::string_view aName, int aCount);
+
+struct CellMap
 {
-  int number_ = 0; // from 0
-  int count_ = 1;  // of all cells
+  int count_ = 1; // of cells
+  // The VMs that the fleet had when it first started; others go by their name's
+  // hash.
+  std::map<std::string, int, std::less<>> vms_;
 
-  bool operator==(const Cell&) const = default;
+  int CellOfVm(std::string_view aName) const;
+  int CellOfJob(std::string_view aId) const { return CellOf(aId, count_); }
+
+  bool operator==(const CellMap&) const = default;
 };
 
-// The number of the cell of a VM, by its name, or of a job, by its id.
-int CellOf(std::string_view aName, int aCount);
+// Deals the VMs out, so that each cell gets its part of each pool and rack.
+CellMap DealVms(std::vector<Vm> aVms, int aCount);
+
+std::string EncodeCellMap(const CellMap& aMap);
+// One cell if the text can't be decoded.
+CellMap DecodeCellMap(const std::string& aText);
 
 // What an entry can carry, as it has registered it.
 struct EntryCapacity
@@ -87,10 +104,13 @@
 // parts of all cells add up to no more than the wave's maxDown_. aCompleted
 // holds the cells that have completed theirs: a cell whose part of maxDown_ is
 // 0 waits until its turn comes after them.
-Wave PartOfWave(const Wave& aWave, Cell aCell, const std::set<int>& aCompleted);
+Wave PartOfWave(const Wave& aWave,
+                const CellMap& aMap,
+                int aCell,
+                const std::set<int>& aCompleted);
 
 // The cells with VMs in the wave.
-std::set<int> CellsOfWave(const Wave& aWave, int aCount);
+std::set<int> CellsOfWave(const Wave& aWave, const CellMap& aMap);
 
 } // namespace cuminbridge
 
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -29,7 +29,7 @@
 // A configuration version must be in force 2 s after its write was
 // acknowledged, also when a watch of it is lost.
 constexpr Millis kConfigWatchWait(700);
-constexpr Millis kConfigRetry(100);
+constexpr Millis kConfigRetry(150);
 // An entry is not ready for callers once the store has not answered for this
 // long.
 constexpr Millis kStoreTimeout(1500);
@@ -109,7 +109,8 @@
   Awaitable<HttpResponse> AnswerReadiness(const HttpRequest& aRequest);
   Awaitable<HttpResponse> AnswerCaller(const HttpRequest& aRequest);
   Awaitable<HttpResponse> AnswerMetrics(const HttpRequest& aRequest);
-  void HandlePeerNotification(const HttpRequest& aRequest);
+  Owner* FindOwner(const std::string& aPath, const std::string& aJob) const;
+  bool HandlePeerNotification(const HttpRequest& aRequest);
   Awaitable<HttpResponse> AnswerPeer(const HttpRequest& aRequest);
   bool IsReady() const;
   void Log(const char* aEvent, std::string aDetail);
@@ -233,27 +234,47 @@
   co_return answer;
 }
 
-// Passes on a job or a cancellation that another entry has stored. If another
-// owner may have taken over, it reads them from the store.
-void
+// The owner in this process of the cell that a path names as "/job/K", or of
+// the job's own cell if it names none. Null if another owner may have taken
+// over: it reads jobs and cancellations from the store.
+Owner*
+Daemon::FindOwner(const std::string& aPath, const std::string& aJob) const
+{
+  const auto slash = aPath.find('/', 1);
+  const int cell = slash == std::string::npos
+                     ? CellOf(aJob, callerApi_.CellCount())
+                     : std::atoi(aPath.c_str() + slash + 1);
+  auto* owner = election_.CurrentOwner(cell);
+  return owner && owner->IsLeaseValid() ? owner : nullptr;
+}
+
+// Passes on a job, a cancellation or a report. False if the path is none of
+// these.
+bool
 Daemon::HandlePeerNotification(const HttpRequest& aRequest)
 {
-  const auto findOwner = [this](const std::string& aJob) -> Owner* {
-    auto* owner = election_.CurrentOwner(CellOf(aJob, callerApi_.CellCount()));
-    return owner && owner->IsLeaseValid() ? owner : nullptr;
-  };
-  if (aRequest.path_ == kNotifyCancelPath) {
-    if (auto* owner = findOwner(aRequest.body_)) {
-      owner->Handle(JobCancelled{ aRequest.body_ });
+  const auto path = aRequest.path_.substr(0, aRequest.path_.find('/', 1));
+  if (path == kNotifyCancelPath) {
+    if (auto* owner = FindOwner(aRequest.path_, aRequest.body_)) {
+      owner->HandleCancel(aRequest.body_);
     }
-    return;
-  }
-  auto job = DecodeJob(aRequest.body_);
-  if (!job) {
-    Log("record_unreadable", "job in a notification from another entry");
-  } else if (auto* owner = findOwner(job->id_)) {
-    owner->Handle(JobArrived{ std::move(*job) });
+  } else if (path == kNotifyJobPath) {
+    auto job = DecodeJob(aRequest.body_);
+    if (!job) {
+      Log("record_unreadable", "job in a notification from another entry");
+    } else if (auto* owner = FindOwner(aRequest.path_, job->id_)) {
+      owner->HandleSubmittedJob(std::move(*job));
+    }
+  } else if (path == kCapacityPath) {
+    const auto report = DecodeCapacity(aRequest.body_);
+    auto* owner = FindOwner(aRequest.path_, "");
+    if (report && owner) {
+      owner->Handle(*report);
+    }
+  } else {
+    return false;
   }
+  return true;
 }
 
 // Answers notifications and questions from other entries, and the views that
@@ -264,8 +285,7 @@
   constexpr int kNotFound = 404;
   HttpResponse answer;
   answer.contentType_ = "text/plain";
-  if (aRequest.path_ == kNotifyJobPath || aRequest.path_ == kNotifyCancelPath) {
-    HandlePeerNotification(aRequest);
+  if (HandlePeerNotification(aRequest)) {
     co_return answer;
   }
   if (aRequest.path_ == kStandbyPath) {
@@ -312,8 +332,7 @@
 }
 
 // Reads the configuration once, then watches it: it is too large to read again
-// and again. It is read anew once the store has discarded the history since the
-// last change.
+// and again.
 Awaitable<void>
 Daemon::WatchConfig()
 {
@@ -322,6 +341,7 @@
   std::int64_t after = 0; // the watch reports changes after this revision
   while (!isStopping_) {
     StoreReply reply;
+    const bool wasRead = mustRead;
     if (mustRead) {
       reply = co_await store_.Get(kConfigKey);
     } else {
@@ -344,12 +364,12 @@
         ApplyConfig(item);
       }
     }
+    // A watch that failed may have had more changes to report than the link can
+    // carry in time; a read returns only the last one.
+    mustRead = !reply.IsDone() || configRevision_ == 0;
     if (reply.IsDone()) {
-      after = NextWatchRevision(after, reply, mustRead);
-      mustRead = configRevision_ == 0;
-    }
-    mustRead = mustRead || reply.status_ == StoreStatus::Expired;
-    if (!reply.IsDone()) {
+      after = NextWatchRevision(after, reply, wasRead);
+    } else {
       co_await Sleep(io_, kConfigRetry);
     }
   }
--- a/packages/daemon/src/daemon_context.h
+++ b/packages/daemon/src/daemon_context.h
@@ -33,8 +33,11 @@
 // An entry notifies the owner of each job or cancellation that it has stored,
 // so that the owner does not wait for its watch of the store, which is the
 // fallback. The body is the stored job, or the id of the cancelled one.
+// "/K" behind the path names the cell; without it, it is that of the job's id.
 inline constexpr const char* kNotifyJobPath = "/job";
 inline constexpr const char* kNotifyCancelPath = "/cancel";
+// An owner reports to the owner of cell K what its own cell has free.
+inline constexpr const char* kCapacityPath = "/capacity";
 
 } // namespace cuminbridge
 
--- a/packages/daemon/src/election.cpp
+++ b/packages/daemon/src/election.cpp
@@ -102,20 +102,20 @@
   }
 }
 
-// The number of cells for a fleet that starts for the first time; 0 if it can't
-// be decided yet.
-Awaitable<int>
-Election::DecideCellCount()
+// The cells of a fleet that starts for the first time; nothing if they can't be
+// decided yet.
+Awaitable<std::optional<CellMap>>
+Election::DecideCells()
 {
   const auto term = co_await context_.store_.Get(kTermKey);
   if (term.IsDone()) {
-    co_return 1; // an earlier version, which knows no cells, runs the fleet
+    co_return CellMap{}; // an earlier version, without cells, runs the fleet
   }
   if (term.status_ != StoreStatus::Missing) {
-    co_return 0;
+    co_return std::nullopt;
   }
   if (context_.settings_.vmServiceAddress_.empty()) {
-    co_return 1;
+    co_return CellMap{};
   }
   VmClient client(context_.http_,
                   context_.settings_.vmServiceAddress_,
@@ -123,41 +123,43 @@
                   0);
   const auto vms = co_await client.List();
   if (!vms) {
-    co_return 0;
+    co_return std::nullopt;
   }
   co_await Sleep(context_.io_, kRegistrationTime);
   const auto reply = co_await context_.store_.List(kEntriesPrefix);
   if (!reply.IsDone()) {
-    co_return 0;
+    co_return std::nullopt;
   }
   std::vector<EntryCapacity> entries;
   for (const auto& item : reply.items_) {
     const auto entry = DecodeEntry(item.value_);
     entries.push_back({ entry.cpuShare_, ToBytesPerSecond(entry.linkMbps_) });
   }
-  co_return ChooseCellCount(vms->size(), entries);
+  co_return DealVms(*vms, ChooseCellCount(vms->size(), entries));
 }
 
-// Reads the number of cells, or decides and stores it.
+// Reads the map of cells, or decides and stores it.
 Awaitable<void>
-Election::ReadCellCount()
+Election::ReadCells()
 {
   while (!isStopping_ && cells_.empty()) {
     const auto stored = co_await context_.store_.Get(kCellsKey);
     if (stored.IsDone()) {
-      const int count = std::atoi(stored.items_.front().value_.c_str());
-      cells_.resize(static_cast<std::size_t>(std::max(1, count)));
-      callerApi_.SetCellCount(static_cast<int>(cells_.size()));
-      WriteLine({ "cells_read", "", "", "", std::to_string(count) + " cells" },
-                context_.clocks_.Now());
+      map_ =
+        std::make_shared<CellMap>(DecodeCellMap(stored.items_.front().value_));
+      cells_.resize(static_cast<std::size_t>(map_->count_));
+      callerApi_.SetCellCount(map_->count_);
+      WriteLine(
+        { "cells_read", "", "", "", std::to_string(map_->count_) + " cells" },
+        context_.clocks_.Now());
       co_return;
     }
     if (stored.status_ == StoreStatus::Missing) {
-      const int count = co_await DecideCellCount();
-      if (count > 0) {
+      const auto map = co_await DecideCells();
+      if (map) {
         StoreWrite write;
         write.conditions_.push_back({ kCellsKey, 0 });
-        write.puts_.push_back({ kCellsKey, std::to_string(count), 0 });
+        write.puts_.push_back({ kCellsKey, EncodeCellMap(*map), 0 });
         co_await context_.store_.Write(write);
         continue;
       }
@@ -334,6 +336,10 @@
   }
   Ownership ownership;
   ownership.cell_ = { aCell, static_cast<int>(cells_.size()) };
+  ownership.map_ = map_;
+  ownership.findOwner_ = [this](int aOther) {
+    return callerApi_.OwnerAddress(aOther);
+  };
   ownership.token_ = reply.revision_;
   ownership.lease_ = aLease;
   ownership.term_ = newTerm;
@@ -425,7 +431,7 @@
 Awaitable<void>
 Election::Run()
 {
-  co_await ReadCellCount();
+  co_await ReadCells();
   if (!isStopping_) {
     co_await WatchOwners();
   }
--- a/packages/daemon/src/election.h
+++ b/packages/daemon/src/election.h
@@ -33,8 +33,8 @@
     bool isContested_ = false;     // this process tries to take it
   };
 
-  Awaitable<void> ReadCellCount();
-  Awaitable<int> DecideCellCount();
+  Awaitable<void> ReadCells();
+  Awaitable<std::optional<CellMap>> DecideCells();
   Awaitable<void> WatchOwners();
   void SetOwnerAddress(int aCell, std::string aAddress);
   void ContestFreeCells();
@@ -50,6 +50,7 @@
 
   DaemonContext context_;
   CallerApi& callerApi_;
+  std::shared_ptr<const CellMap> map_; // null until it is read
   std::vector<CellState> cells_;
   Instant nextYieldAt_; // earliest time of the next check for a stronger entry
   Millis yieldInterval_;
--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -247,14 +247,17 @@
   }
   const auto cancel = keys_.Of(kCancelPrefix);
   if (aItem.key_.rfind(cancel, 0) == 0) {
-    Handle(JobCancelled{ aItem.key_.substr(cancel.size()) });
+    HandleCancel(aItem.key_.substr(cancel.size()));
     return true;
   }
+  if (DecodeMovedJob(aItem.value_)) {
+    return true; // written by Transfer()
+  }
   auto job = DecodeJob(aItem.value_);
   if (!job) {
     return false;
   }
-  Handle(JobArrived{ std::move(*job) });
+  HandleSubmittedJob(std::move(*job));
   return true;
 }
 
@@ -350,6 +353,17 @@
                 DescribePrevious(previousState) },
             context_.clocks_.Now());
   Handle(Tick{ context_.clocks_.TimeOfDay(), false });
+  for (const auto& job : loaded.jobs_) {
+    if (ownership_.map_->CellOfJob(job.id_) != ownership_.cell_.number_) {
+      loaded.guests_.insert(job.id_);
+    }
+  }
+  movedJobs_ = DecodeMovedJobs(stored.submissions_);
+  for (const auto& job : loaded.cancelled_) {
+    if (const auto moved = movedJobs_.find(job); moved != movedJobs_.end()) {
+      ForwardCancel(job, moved->second);
+    }
+  }
   ReplaceOldTargetRecord(stored, loaded);
   if (ownership_.cell_.count_ > 1) {
     UseGrants(grants);
@@ -371,6 +385,7 @@
   Spawn([self] { return self->LogTraffic(); });
   if (ownership_.cell_.count_ > 1) {
     Spawn([self] { return self->ShareLimits(); });
+    Spawn([self] { return self->ReportCapacity(); });
   }
 }
 
@@ -417,8 +432,7 @@
     return;
   }
   if (auto report = ReadTarget(aItem.key_, aItem.value_)) {
-    const auto& cell = ownership_.cell_;
-    if (CellOf(report->vm_, cell.count_) == cell.number_) {
+    if (ownership_.map_->CellOfVm(report->vm_) == ownership_.cell_.number_) {
       reports_[id] = std::move(*report);
     }
     return;
@@ -498,8 +512,7 @@
     LogReachability("vm_service", isVmServiceReachable_, vms.has_value());
     if (vms && !hasEnded_) {
       std::erase_if(*vms, [this](const Vm& aVm) {
-        return CellOf(aVm.name_, ownership_.cell_.count_) !=
-               ownership_.cell_.number_;
+        return ownership_.map_->CellOfVm(aVm.name_) != ownership_.cell_.number_;
       });
       Handle(VmsSeen{ std::move(*vms), requestedAt });
     }
@@ -548,9 +561,10 @@
   for (const auto& target : aEffect.removedTargets_) {
     writer_.Queue({ {}, { keys_.Of(kTargetsPrefix) + target }, {} });
   }
+  writer_.QueueAll(std::move(puts), {});
+  // Writes are stored in order, so this follows all of the above.
   const auto batch = aEffect.batch_;
-  writer_.QueueAll(std::move(puts),
-                   [this, batch] { Handle(ProgressStored{ batch }); });
+  writer_.Queue({ {}, {}, [this, batch] { Handle(ProgressStored{ batch }); } });
 }
 
 void
@@ -574,11 +588,17 @@
 Owner::RemoveJobs(const DeleteJobRecords& aEffect)
 {
   for (const auto& job : aEffect.jobs_) {
-    writer_.Queue({ {},
-                    { keys_.Of(kJobPrefix) + job,
-                      keys_.Of(kCancelPrefix) + job,
-                      keys_.Of(kProgressPrefix) + job },
-                    {} });
+    FencedWriter::PendingWrite write;
+    write.removes_ = { keys_.Of(kJobPrefix) + job,
+                       keys_.Of(kCancelPrefix) + job,
+                       keys_.Of(kProgressPrefix) + job };
+    const int home = ownership_.map_->CellOfJob(job);
+    if (home != ownership_.cell_.number_) {
+      const CellKeys keys(home);
+      write.removes_.push_back(keys.Of(kJobPrefix) + job);
+      write.removes_.push_back(keys.Of(kCancelPrefix) + job);
+    }
+    writer_.Queue(std::move(write));
   }
 }
 
@@ -740,6 +760,7 @@
       },
       [&](StoreProgress& aStore) { Store(aStore); },
       [&](StoreWave& aWave) { Store(aWave); },
+      [&](TransferJob& aTransfer) { Transfer(aTransfer); },
       [&](DeleteJobRecords& aForget) { RemoveJobs(aForget); },
       [&](LogLine& aLine) { WriteLine(aLine, context_.clocks_.Now()); },
       [&](StepDown&) {
--- a/packages/daemon/src/owner.h
+++ b/packages/daemon/src/owner.h
@@ -7,6 +7,7 @@
 #include <memory>
 
 #include "account_grants.h"
+#include "cells.h"
 #include "fenced_writer.h"
 #include "records.h"
 
@@ -19,6 +20,9 @@
 struct Ownership
 {
   Cell cell_;
+  std::shared_ptr<const CellMap> map_;
+  // Address for peers of the owner of a cell; empty if none is known.
+  std::function<std::string(int)> findOwner_;
   std::int64_t token_ =
     0; // fencing token: creation revision of the owner's key
   std::int64_t lease_ = 0;    // its number in the store
@@ -47,6 +51,9 @@
   Cell GetCell() const { return ownership_.cell_; }
 
   void Handle(const Event& aEvent);
+  // A job or a cancellation that an entry has stored.
+  void HandleSubmittedJob(Job aJob);
+  void HandleCancel(const std::string& aJob);
   LoadRecord CountWaiting() const;
   void ApplyTuning(); // call it after the tuning has changed
   const Fleet& GetFleet() const { return fleet_; }
@@ -81,6 +88,10 @@
   void Store(const StoreProgress& aEffect);
   void Store(const StoreWave& aEffect);
   void RemoveJobs(const DeleteJobRecords& aEffect);
+  void Transfer(const TransferJob& aEffect);
+  void ForwardCancel(const std::string& aJob, int aCell);
+  void NotifyCell(int aCell, const char* aPath, std::string aBody);
+  Awaitable<void> ReportCapacity();
   template<typename Call>
   void Spawn(Call aCall);
 
@@ -96,7 +107,8 @@
   std::set<std::int64_t> completedWaves_; // whose status this owner has stored
   std::map<std::string, TargetReport> reports_; // of the targets, by id
   std::set<std::string> unreadableTargets_;     // keys that were logged
-  int orderSlot_ = 0; // of kVmOrdersPrefix, written last
+  std::map<std::string, int> movedJobs_; // transferred ones, with their cell
+  int orderSlot_ = 0;                    // of kVmOrdersPrefix, written last
   bool hasEnded_ = false;
   bool isVmServiceReachable_ = false;
   bool isAdviceReachable_ = false;
--- a/packages/daemon/src/owner_cells.cpp
+++ b/packages/daemon/src/owner_cells.cpp
@@ -3,15 +3,21 @@
 
 #include <algorithm>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include "owner.h"
 
 namespace cuminbridge {
 
+namespace asio = boost::asio;
+
 namespace {
 
 constexpr Millis kWavePollInterval(1000);
 // An account that has room in other cells waits about this long for it.
 constexpr Millis kGrantsInterval(300);
+constexpr Millis kCapacityInterval(100); // jobs wait this long at most for it
 constexpr Millis kRetryPause(100);
 
 // The cells that have completed their part of a wave.
@@ -71,8 +77,11 @@
       }
       WavesSeen seen;
       for (const auto& wave : waves) {
-        auto part = PartOfWave(
-          wave, cell, CompletedCells(records, wave.number_, cell.count_));
+        auto part =
+          PartOfWave(wave,
+                     *ownership_.map_,
+                     cell.number_,
+                     CompletedCells(records, wave.number_, cell.count_));
         if (!part.vms_.empty()) {
           seen.waves_.push_back(std::move(part));
         }
@@ -95,7 +104,7 @@
   }
   for (const auto& wave : aWaves) {
     const auto completed = CompletedCells(aRecords, wave.number_, count);
-    const auto cells = CellsOfWave(wave, count);
+    const auto cells = CellsOfWave(wave, *ownership_.map_);
     const bool isCompleted =
       std::includes(
         completed.begin(), completed.end(), cells.begin(), cells.end()) &&
@@ -109,6 +118,98 @@
   }
 }
 
+//-----------------------------------------------------------------------------
+// [SECTION] Transferred jobs
+//-----------------------------------------------------------------------------
+
+void
+Owner::HandleSubmittedJob(Job aJob)
+{
+  if (movedJobs_.count(aJob.id_) != 0) {
+    return; // a late notification
+  }
+  const bool isGuest =
+    ownership_.map_->CellOfJob(aJob.id_) != ownership_.cell_.number_;
+  Handle(JobArrived{ std::move(aJob), isGuest });
+}
+
+void
+Owner::HandleCancel(const std::string& aJob)
+{
+  if (const auto moved = movedJobs_.find(aJob); moved != movedJobs_.end()) {
+    ForwardCancel(aJob, moved->second);
+  } else {
+    Handle(JobCancelled{ aJob });
+  }
+}
+
+// Moves the record of a job to another cell, in one write. Until that is
+// stored, the job waits in this one; nobody starts it.
+void
+Owner::Transfer(const TransferJob& aEffect)
+{
+  const auto& id = aEffect.job_.id_;
+  const int cell = aEffect.cell_;
+  movedJobs_[id] = cell;
+  auto record = EncodeJob(aEffect.job_);
+  FencedWriter::PendingWrite write;
+  write.puts_.push_back({ CellKeys(cell).Of(kJobPrefix) + id, record, 0 });
+  write.puts_.push_back({ keys_.Of(kJobPrefix) + id, EncodeMovedJob(cell), 0 });
+  write.onStored_ = [this, cell, record = std::move(record)] {
+    NotifyCell(cell, kNotifyJobPath, record);
+  };
+  writer_.Queue(std::move(write));
+}
+
+// A caller may cancel a job while it is being transferred.
+void
+Owner::ForwardCancel(const std::string& aJob, int aCell)
+{
+  FencedWriter::PendingWrite write;
+  write.puts_.push_back({ CellKeys(aCell).Of(kCancelPrefix) + aJob, "{}", 0 });
+  write.onStored_ = [this, aCell, aJob] {
+    NotifyCell(aCell, kNotifyCancelPath, aJob);
+  };
+  writer_.Queue(std::move(write));
+}
+
+// Does not wait for an answer and does not retry.
+void
+Owner::NotifyCell(int aCell, const char* aPath, std::string aBody)
+{
+  constexpr Millis kTimeout(300);
+  const auto address = ownership_.findOwner_(aCell);
+  if (address.empty()) {
+    return;
+  }
+  HttpCall call;
+  call.kind_ = "peer_notify";
+  call.method_ = "POST";
+  call.path_ = std::string(aPath) + '/' + std::to_string(aCell);
+  call.body_ = std::move(aBody);
+  call.limit_ = kTimeout;
+  asio::co_spawn(context_.io_,
+                 context_.http_.Call(address, std::move(call)),
+                 asio::detached);
+}
+
+// Tells the other cells what this one has free.
+Awaitable<void>
+Owner::ReportCapacity()
+{
+  const auto self = shared_from_this();
+  while (!hasEnded_) {
+    co_await Sleep(context_.io_, kCapacityInterval);
+    const auto report =
+      EncodeCapacity({ ownership_.cell_.number_, fleet_.FreeCpu() });
+    for (int cell = 0; cell < ownership_.cell_.count_ && !hasEnded_; ++cell) {
+      if (cell != ownership_.cell_.number_) {
+        NotifyCell(cell, kCapacityPath, report);
+      }
+    }
+  }
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Limits of client accounts
 //-----------------------------------------------------------------------------
--- a/packages/daemon/src/records.cpp
+++ b/packages/daemon/src/records.cpp
@@ -15,6 +15,7 @@
 
 // In a load record, the time of the count. No queue has this name.
 constexpr const char* kLoadTime = "";
+constexpr const char* kMovedPrefix = "cell ";
 
 // What follows the last '/': the id in a key.
 std::string
@@ -37,6 +38,8 @@
   for (const auto& item : aReply.items_) {
     if (Contains(item.key_, kCancelPrefix)) {
       aLoaded.cancelled_.insert(LastPart(item.key_));
+    } else if (DecodeMovedJob(item.value_)) {
+      continue; // see DecodeMovedJobs()
     } else if (auto job = DecodeJob(item.value_)) {
       aLoaded.jobs_.push_back(std::move(*job));
     } else {
@@ -180,6 +183,54 @@
   return waves;
 }
 
+std::string
+EncodeMovedJob(int aCell)
+{
+  return kMovedPrefix + std::to_string(aCell);
+}
+
+std::optional<int>
+DecodeMovedJob(std::string_view aText)
+{
+  const std::string_view prefix = kMovedPrefix;
+  if (aText.substr(0, prefix.size()) != prefix) {
+    return std::nullopt;
+  }
+  return std::atoi(std::string(aText.substr(prefix.size())).c_str());
+}
+
+std::map<std::string, int>
+DecodeMovedJobs(const StoreReply& aSubmissions)
+{
+  std::map<std::string, int> moved;
+  for (const auto& item : aSubmissions.items_) {
+    if (const auto cell = DecodeMovedJob(item.value_)) {
+      moved[LastPart(item.key_)] = *cell;
+    }
+  }
+  return moved;
+}
+
+std::string
+EncodeCapacity(const PeerCapacitySeen& aReport)
+{
+  return json{ { "cell", aReport.cell_ }, { "free", aReport.freeCpu_ } }.dump();
+}
+
+std::optional<PeerCapacitySeen>
+DecodeCapacity(const std::string& aText)
+{
+  try {
+    const auto body = json::parse(aText);
+    return PeerCapacitySeen{
+      body.at("cell").get<int>(),
+      body.at("free").get<std::map<std::string, std::int64_t>>()
+    };
+  } catch (const json::exception&) {
+    return std::nullopt;
+  }
+}
+
 std::string
 EncodeLoad(const LoadRecord& aLoad)
 {
--- a/packages/daemon/src/records.h
+++ b/packages/daemon/src/records.h
@@ -15,7 +15,7 @@
 // keys of cell 0 have no prefix: a fleet of one cell has the keys that it had
 // before there were cells.
 
-// Number of cells, stored once when the fleet first starts.
+// The map of cells (cells.h), stored once when the fleet first starts.
 inline constexpr const char* kCellsKey = "cells";
 // Prefix of the owners' keys: "owner" of cell 0, "owner/K" of cell K. Each
 // holds the owner's address for peers and is created under the owner's lease;
@@ -130,6 +130,16 @@
   int aCell,
   std::vector<std::string>& aUnreadable);
 
+// Value of a job's key in its own cell once it was transferred: the other cell.
+std::string EncodeMovedJob(int aCell);
+std::optional<int> DecodeMovedJob(std::string_view aText);
+// The transferred jobs in a list of submissions, with their cells.
+std::map<std::string, int> DecodeMovedJobs(const StoreReply& aSubmissions);
+
+// Body of a capacity report.
+std::string EncodeCapacity(const PeerCapacitySeen& aReport);
+std::optional<PeerCapacitySeen> DecodeCapacity(const std::string& aText);
+
 // Value of a load key: the waiting jobs by queue, and when they were counted. 0
 // in records of earlier versions.
 struct LoadRecord
--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -167,6 +167,7 @@
   std::vector<Job> jobs_;
   std::map<std::string, Progress> progress_; // by job
   std::set<std::string> cancelled_;          // ids of cancelled jobs
+  std::set<std::string> guests_; // ids of jobs that other cells transferred
   std::map<std::int64_t, WaveRecord> waves_;
   std::vector<StoredOrder> orders_;           // recent, of earlier owners
   std::vector<StoredTarget> targets_;         // used by the previous owner
@@ -181,6 +182,15 @@
 struct JobArrived
 {
   Job job_;
+  bool isGuest_ = false; // another cell has transferred it; it stays here
+};
+
+// Capacity of another cell that no work waits for, in thousandths of a core by
+// pool.
+struct PeerCapacitySeen
+{
+  int cell_ = 0;
+  std::map<std::string, std::int64_t> freeCpu_;
 };
 
 struct JobCancelled
@@ -317,6 +327,7 @@
 using Event = std::variant<JobsLoaded,
                            JobArrived,
                            JobCancelled,
+                           PeerCapacitySeen,
                            ConfigSeen,
                            TargetsSeen,
                            VmsSeen,
@@ -416,6 +427,14 @@
   bool isCompleted_ = false;
 };
 
+// Gives a job of which nothing has started to another cell. This Fleet does not
+// know the job any more.
+struct TransferJob
+{
+  Job job_;
+  int cell_ = 0;
+};
+
 // Deletes all records of jobs that ended more than keepEnded_ ago.
 struct DeleteJobRecords
 {
@@ -446,6 +465,7 @@
                             MaintainVm,
                             StoreProgress,
                             StoreWave,
+                            TransferJob,
                             DeleteJobRecords,
                             LogLine,
                             StepDown>;
@@ -506,6 +526,7 @@
   std::uint64_t moves_ = 0;
   std::uint64_t maintenanceStarts_ = 0;
   std::uint64_t jobsEnded_ = 0;
+  std::uint64_t jobsTransferred_ = 0; // to other cells
 };
 
 struct FleetState; // internal, declared in packages/fleet/src/state.h
@@ -526,6 +547,8 @@
   std::vector<PoolSummary> Pools() const;
   std::vector<AccountSummary> Accounts() const;
   std::vector<WaveSummary> Waves() const;
+  // As PeerCapacitySeen::freeCpu_, for the other cells.
+  std::map<std::string, std::int64_t> FreeCpu() const;
   // Until then, work of earlier owners may run on targets that this owner could
   // not ask.
   WallTime InheritedUntil() const;
--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -8,6 +8,7 @@
 #include "placing.h"
 #include "runs.h"
 #include "targets.h"
+#include "transfers.h"
 
 namespace cuminbridge {
 
@@ -417,6 +418,80 @@
   return false;
 }
 
+// What the other cells have free. Old reports say nothing any more.
+std::map<int, FreeCpu>
+RecentPeers(const FleetState& aState)
+{
+  constexpr Millis kMaxAge(500); // reports come ten times a second
+  std::map<int, FreeCpu> peers;
+  for (const auto& [cell, peer] : aState.peers_) {
+    if (aState.now_ - peer.seenAt_ < kMaxAge) {
+      peers[cell] = peer.freeCpu_;
+    }
+  }
+  return peers;
+}
+
+// Whether nothing of the job has ever started or been stored, so that it can
+// still go to another cell.
+bool
+IsTransferable(const JobEntry& aJob)
+{
+  if (aJob.isGuest_ || aJob.storedState_ || aJob.isDirty_ ||
+      aJob.state_ != JobState::Queued || aJob.job_.repeats_ > 0) {
+    return false;
+  }
+  for (const auto& [number, occurrence] : aJob.occurrences_) {
+    for (const auto& step : occurrence.steps_) {
+      for (const auto& item : step.items_) {
+        if (item.run_ != 0 || item.phase_ != ItemPhase::Waiting) {
+          return false;
+        }
+      }
+    }
+  }
+  return true;
+}
+
+// Gives the job of a waiting step to another cell if the step does not fit here
+// as a whole and fits there. True if the job is gone.
+bool
+TransferIfFull(FleetState& aState,
+               const WaitingStep& aWaiting,
+               const std::vector<Candidate>& aCandidates)
+{
+  auto& job = *aWaiting.job_;
+  const auto& step = job.job_.steps_[aWaiting.step_];
+  const auto& state =
+    job.occurrences_[aWaiting.occurrence_].steps_[aWaiting.step_];
+  const int items =
+    static_cast<int>(state.items_.size()) - state.done_ - state.assigned_;
+  if (aState.peers_.empty() || !IsTransferable(job) ||
+      FitsItems(aCandidates, step, items)) {
+    return false;
+  }
+  const auto pool = PoolOf(aState, job);
+  const auto cpu = items * step.needs_.cpu_;
+  const auto cell = ChooseCell(RecentPeers(aState), pool, cpu);
+  if (!cell) {
+    return false;
+  }
+  aState.peers_[*cell].freeCpu_[pool] -= cpu;
+  ++aState.counts_.jobsTransferred_;
+  const std::string id = job.job_.id_;
+  aState.Log("job_transferred",
+             id,
+             "",
+             "",
+             "to cell " + std::to_string(*cell) + ": " + std::to_string(items) +
+               " items of " + std::to_string(step.needs_.cpu_) +
+               " thousandths of a core do not fit here");
+  aState.Emit(TransferJob{ job.job_, *cell });
+  aState.activeJobs_.erase(id);
+  aState.jobs_.erase(id);
+  return true;
+}
+
 void
 DispatchPool(FleetState& aState, const std::string& aPool)
 {
@@ -425,8 +500,14 @@
     return;
   }
   auto base = MakeCandidates(aState, targets);
+  std::set<const JobEntry*> transferred; // no longer exist
   for (const auto& waiting : CollectWaiting(aState, aPool)) {
-    if (MayRunUnreported(aState, *waiting.job_)) {
+    if (transferred.count(waiting.job_) != 0 ||
+        MayRunUnreported(aState, *waiting.job_)) {
+      continue;
+    }
+    if (TransferIfFull(aState, waiting, base)) {
+      transferred.insert(waiting.job_);
       continue;
     }
     const auto& step = waiting.job_->job_.steps_[waiting.step_];
--- a/packages/fleet/src/jobs.cpp
+++ b/packages/fleet/src/jobs.cpp
@@ -332,6 +332,7 @@
   for (const auto& job : jobs) {
     auto& entry = InsertJob(aState, job);
     entry.wasLoaded_ = true;
+    entry.isGuest_ = aLoaded.guests_.count(job.id_) != 0;
     const auto progress = aLoaded.progress_.find(job.id_);
     if (progress != aLoaded.progress_.end()) {
       RestoreJob(aState, entry, progress->second);
@@ -358,12 +359,13 @@
 }
 
 void
-AddJob(FleetState& aState, const Job& aJob)
+AddJob(FleetState& aState, const Job& aJob, bool aIsGuest)
 {
   if (aState.jobs_.count(aJob.id_) != 0) {
     return;
   }
   auto& entry = InsertJob(aState, aJob);
+  entry.isGuest_ = aIsGuest;
   aState.activeJobs_.insert(aJob.id_);
   OpenOccurrences(aState, entry);
   RecordOfferedLoad(aState, entry);
--- a/packages/fleet/src/jobs.h
+++ b/packages/fleet/src/jobs.h
@@ -9,7 +9,7 @@
 
 // Restores the stored jobs and the unconfirmed runs of earlier owners.
 void LoadJobs(FleetState& aState, const JobsLoaded& aLoaded);
-void AddJob(FleetState& aState, const Job& aJob);
+void AddJob(FleetState& aState, const Job& aJob, bool aIsGuest);
 void CancelJob(FleetState& aState, const std::string& aJob);
 
 // The pool that serves a job now: the configured one of its queue, or the one
--- a/packages/fleet/src/reducer.cpp
+++ b/packages/fleet/src/reducer.cpp
@@ -92,11 +92,18 @@
     LoadJobs(state_, aEvent);
     UpdateWatchedTargets(state_);
   }
-  void operator()(const JobArrived& aEvent) { AddJob(state_, aEvent.job_); }
+  void operator()(const JobArrived& aEvent)
+  {
+    AddJob(state_, aEvent.job_, aEvent.isGuest_);
+  }
   void operator()(const JobCancelled& aEvent)
   {
     CancelJob(state_, aEvent.job_);
   }
+  void operator()(const PeerCapacitySeen& aEvent)
+  {
+    state_.peers_[aEvent.cell_] = { aEvent.freeCpu_, state_.now_ };
+  }
   void operator()(const ConfigSeen& aEvent)
   {
     if (aEvent.config_.version_ > state_.config_.version_) {
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -67,6 +67,7 @@
   bool isDirty_ = false;       // changed since it was last put into a batch
   bool wasLoaded_ = false;     // accepted before this owner began
   bool isBeyondShare_ = false; // exceeds the share of its client account
+  bool isGuest_ = false;       // another cell has transferred it
   std::map<int, Occurrence> occurrences_; // by number; only opened ones
   int nextOccurrence_ = 0;                // first that is not open yet
   int occurrencesDone_ = 0;
@@ -217,6 +218,13 @@
   Millis decayTime_{ 1 }; // of the last arrival
 };
 
+// Capacity of another cell, as it reported it.
+struct PeerCapacity
+{
+  std::map<std::string, std::int64_t> freeCpu_;
+  Instant seenAt_;
+};
+
 //-----------------------------------------------------------------------------
 // [SECTION] The fleet
 //-----------------------------------------------------------------------------
@@ -251,6 +259,7 @@
   std::map<std::string, PoolPeak> demandPeaks_; // by pool
   bool mustStoreDemandPeaks_ = false;
   std::map<std::string, OfferedLoad> offeredLoads_; // by pool
+  std::map<int, PeerCapacity> peers_;               // by cell
 
   std::map<std::string, Vm> vms_;
   Instant vmsSeen_; // when the list in vms_ was requested
--- a/packages/fleet/src/summaries.cpp
+++ b/packages/fleet/src/summaries.cpp
@@ -42,6 +42,27 @@
   return rows;
 }
 
+std::map<std::string, std::int64_t>
+Fleet::FreeCpu() const
+{
+  // Smaller remainders are of no use to most work items.
+  constexpr std::int64_t kUsefulPart = 4;
+  std::map<std::string, std::int64_t> pools;
+  for (const auto& [id, target] : state_->targets_) {
+    const auto& capacity = target.report_.capacity_.cpu_;
+    const auto free = capacity - target.used_.cpu_;
+    if (target.IsUsable(state_->now_) && free * kUsefulPart >= capacity) {
+      pools[target.report_.pool_] += free;
+    }
+  }
+  for (const auto& [pool, work] : WaitingWorkByPool(*state_)) {
+    if (work.items_ > 0) {
+      pools.erase(pool);
+    }
+  }
+  return pools;
+}
+
 std::vector<AccountSummary>
 Fleet::Accounts() const
 {
