--- a/packages/daemon/src/caller_api.cpp
+++ b/packages/daemon/src/caller_api.cpp
@@ -407,7 +407,9 @@
 CallerApi::AnswerWaiting(std::string aQueue)
 {
   if (cells_.size() == 1 && cells_.front().owner_ &&
-      cells_.front().owner_->IsLeaseValid()) {
+      cells_.front().owner_->IsLeaseValid() &&
+      context_.clocks_.Now() - cells_.front().owner_->SubmissionsReadUpTo() <
+        kWaitingLimit) {
     HttpResponse answer;
     answer.body_ = FormatWaitingCount(
       cells_.front().owner_->CountWaiting().waiting_[aQueue]);
--- a/packages/daemon/src/cells.cpp
+++ b/packages/daemon/src/cells.cpp
@@ -126,14 +126,13 @@
   // demand peaks, and for callers.
   constexpr double kUsableLink = 0.4;
   constexpr double kUsableCpu = 0.5;
-  constexpr double kMinVms = 20; // smaller cells can't place wide steps
   double most = static_cast<double>(aVms);
   for (const auto& entry : aEntries) {
     most = std::min({ most,
                       kUsableLink * entry.linkBytesPerSecond_ / kBytesPerSecond,
                       kUsableCpu * entry.cpuShare_ / kCpuShare });
   }
-  most = std::max(most, kMinVms);
+  most = std::max(most, static_cast<double>(kMinCellVms));
   return std::max(
     1, static_cast<int>(std::ceil(static_cast<double>(aVms) / most)));
 }
--- a/packages/daemon/src/cells.h
+++ b/packages/daemon/src/cells.h
@@ -65,6 +65,9 @@
   bool operator==(const EntryCapacity&) const = default;
 };
 
+// Smaller cells can't place wide steps.
+inline constexpr std::size_t kMinCellVms = 20;
+
 // The number of cells with which even the weakest entry can own one.
 int ChooseCellCount(std::size_t aVms,
                     const std::vector<EntryCapacity>& aEntries);
--- a/packages/daemon/src/election.cpp
+++ b/packages/daemon/src/election.cpp
@@ -29,7 +29,7 @@
 constexpr Millis kMaxYieldInterval(60000);
 constexpr Millis kStandbyTimeout(200); // a ready entry answers within a few ms
 // All entries of a new fleet have registered within this time.
-constexpr Millis kRegistrationTime(1000);
+constexpr Millis kRegistrationTime(500);
 
 // Bytes a second of a link that is given in Mbit/s.
 double
@@ -125,6 +125,9 @@
   if (!vms) {
     co_return std::nullopt;
   }
+  if (vms->size() <= kMinCellVms) {
+    co_return CellMap{};
+  }
   co_await Sleep(context_.io_, kRegistrationTime);
   const auto reply = co_await context_.store_.List(kEntriesPrefix);
   if (!reply.IsDone()) {
@@ -279,7 +282,8 @@
       continue;
     }
     const auto sentAt = context_.clocks_.Now();
-    const auto lease = co_await context_.store_.CreateLease(kOwnerLease);
+    const auto lease =
+      co_await context_.store_.CreateLease(OwnerLease(context_.settings_));
     if (!lease.IsDone()) {
       co_await Sleep(context_.io_, kRetryPause);
       continue;
@@ -346,7 +350,7 @@
   if (previous.IsDone()) {
     ownership.previousOwner_ = previous.items_.front().value_;
   }
-  ownership.validUntil_ = aLeaseSentAt + kOwnerLease;
+  ownership.validUntil_ = aLeaseSentAt + OwnerLease(context_.settings_);
   auto owner =
     std::make_shared<Owner>(context_, ownership, callerApi_.Config());
   cells_[static_cast<std::size_t>(aCell)].owner_ = owner;
--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/experimental/awaitable_operators.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <nlohmann/json.hpp>
 
@@ -17,12 +18,13 @@
 namespace cuminbridge {
 
 namespace asio = boost::asio;
+using namespace asio::experimental::awaitable_operators;
 
 namespace {
 
 constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
 
-constexpr Millis kRenewInterval(300); // a fifth of kOwnerLease
+constexpr Millis kRenewInterval(200); // a fifth of kOwnerLease
 constexpr Millis kTickInterval(10);
 // A target that reports that it drains must get no new work 2 s later.
 constexpr Millis kTargetWatchPause(300);
@@ -35,10 +37,10 @@
 constexpr Millis kRetryPause(100);
 // Longest watch of submissions: a watch whose connection is dead is replaced
 // after it.
-constexpr Millis kWatchWait(1000);
+constexpr Millis kWatchWait(500);
 // Orders for VMs are sent only while the owner's lease is valid for at least
 // this much longer, so that they arrive before another owner can take over.
-constexpr Millis kOrderMargin(600);
+constexpr Millis kOrderMargin(400);
 constexpr Millis kHandOverTimeout(800);
 
 // True if the store answered that the key exists, or that it does not.
@@ -48,6 +50,21 @@
   return aReply.IsDone() || aReply.status_ == StoreStatus::Missing;
 }
 
+// Whether all records of a cell have been read.
+bool
+IsWhole(const StoredFleet& aStored)
+{
+  return aStored.submissions_.IsDone() && aStored.progress_.IsDone() &&
+         aStored.waves_.IsDone() && aStored.targets_.IsDone() &&
+         IsReadOrMissing(aStored.oldTargets_) && aStored.vmOrders_.IsDone() &&
+         IsReadOrMissing(aStored.demandPeaks_) &&
+         IsReadOrMissing(aStored.grants_);
+}
+
+// Part of the limit for cancellations that is kept free for the difference of
+// clocks.
+constexpr Millis kStartSlack(200);
+
 // Share of the rate limit of VM orders that moves take; maintenance waves need
 // the rest.
 constexpr double kMoveShare = 0.7;
@@ -66,6 +83,10 @@
   options.keepEnded_ = aSettings.keepEnded_;
   options.remoteFactor_ = aSettings.remoteFactor_;
   options.cells_ = aCell.count_;
+  options.maxSubmissionAge_ = aSettings.cancelLimit_ / 2;
+  options.startTimeout_ =
+    std::min(options.startTimeout_,
+             aSettings.cancelLimit_ - options.maxSubmissionAge_ - kStartSlack);
   const std::chrono::duration<double> interval = options.planInterval_;
   options.maxMovesPerPlan_ = std::max<std::size_t>(
     1,
@@ -102,6 +123,12 @@
 
 } // namespace
 
+Millis
+OwnerLease(const PlatformSettings& aSettings)
+{
+  return std::max(kOwnerLease, aSettings.shortestStoreLease_);
+}
+
 Owner::Owner(DaemonContext aContext,
              Ownership aOwnership,
              const FleetConfig& aConfig)
@@ -214,6 +241,21 @@
 // [SECTION] The lease
 //-----------------------------------------------------------------------------
 
+Awaitable<void>
+Owner::RenewOnce()
+{
+  const auto self = shared_from_this();
+  const auto sentAt = context_.clocks_.Now();
+  const auto reply = co_await context_.store_.RenewLease(ownership_.lease_);
+  if (reply.IsDone()) {
+    ownership_.validUntil_ =
+      std::max(ownership_.validUntil_, sentAt + OwnerLease(context_.settings_));
+  } else if (reply.status_ == StoreStatus::Missing) {
+    End("the lease on the cell has run out");
+  }
+}
+
+// Renewals overlap: a lost answer must not hold up the next one.
 Awaitable<void>
 Owner::Renew()
 {
@@ -221,16 +263,11 @@
   const FleetOptions options;
   while (!hasEnded_) {
     co_await Sleep(context_.io_, kRenewInterval);
-    const auto sentAt = context_.clocks_.Now();
-    if (sentAt > ownership_.validUntil_ + options.ownerAllowance_) {
-      End("the lease on the fleet could not be renewed in time");
-      co_return;
-    }
-    const auto reply = co_await context_.store_.RenewLease(ownership_.lease_);
-    if (reply.IsDone()) {
-      ownership_.validUntil_ = sentAt + kOwnerLease;
-    } else if (reply.status_ == StoreStatus::Missing) {
-      End("the lease on the fleet has run out");
+    if (context_.clocks_.Now() >
+        ownership_.validUntil_ + options.ownerAllowance_) {
+      End("the lease on the cell could not be renewed in time");
+    } else if (!hasEnded_) {
+      Spawn([self] { return self->RenewOnce(); });
     }
   }
 }
@@ -250,8 +287,8 @@
     HandleCancel(aItem.key_.substr(cancel.size()));
     return true;
   }
-  if (DecodeMovedJob(aItem.value_)) {
-    return true; // written by Transfer()
+  if (DecodeMovedJob(aItem.value_) || aItem.value_ == kEndedJob) {
+    return true; // written by an owner
   }
   auto job = DecodeJob(aItem.value_);
   if (!job) {
@@ -301,38 +338,43 @@
   writer_.Queue({ {}, { keys_.Of(kOldTargetsKey) }, {} });
 }
 
+// Reads all records of the cell, in parallel. Some may be missing in the reply.
+Awaitable<StoredFleet>
+Owner::ReadStoredFleet()
+{
+  const auto self = shared_from_this();
+  auto& store = context_.store_;
+  StoredFleet stored;
+  std::tie(stored.submissions_,
+           stored.progress_,
+           stored.waves_,
+           stored.targets_,
+           stored.oldTargets_,
+           stored.vmOrders_,
+           stored.demandPeaks_,
+           stored.grants_) =
+    co_await (store.List(keys_.Of(kSubmissionPrefix)) &&
+              store.List(keys_.Of(kProgressPrefix)) &&
+              store.List(kMaintenancePrefix) &&
+              store.List(keys_.Of(kTargetsPrefix)) &&
+              store.Get(keys_.Of(kOldTargetsKey)) &&
+              store.List(keys_.Of(kVmOrdersPrefix)) &&
+              store.Get(keys_.Of(kDemandPeaksKey)) && store.Get(kGrantsKey));
+  co_return stored;
+}
+
 Awaitable<void>
 Owner::Load()
 {
   const auto self = shared_from_this();
-  auto& store = context_.store_;
   StoredFleet stored;
-  AccountGrants grants;
-  bool isRead = false;
-  while (!hasEnded_ && !isRead) {
-    stored.submissions_ = co_await store.List(keys_.Of(kSubmissionPrefix));
-    stored.progress_ = co_await store.List(keys_.Of(kProgressPrefix));
-    stored.waves_ = co_await store.List(kMaintenancePrefix);
-    stored.targets_ = co_await store.List(keys_.Of(kTargetsPrefix));
-    stored.oldTargets_ = co_await store.Get(keys_.Of(kOldTargetsKey));
-    stored.vmOrders_ = co_await store.List(keys_.Of(kVmOrdersPrefix));
-    stored.demandPeaks_ = co_await store.Get(keys_.Of(kDemandPeaksKey));
-    isRead = stored.submissions_.IsDone() && stored.progress_.IsDone() &&
-             stored.waves_.IsDone() && stored.targets_.IsDone() &&
-             IsReadOrMissing(stored.oldTargets_) && stored.vmOrders_.IsDone() &&
-             IsReadOrMissing(stored.demandPeaks_);
-    if (isRead && ownership_.cell_.count_ > 1) {
-      const auto reply = co_await store.Get(kGrantsKey);
-      isRead = IsReadOrMissing(reply);
-      grants = reply.IsDone() ? DecodeGrants(reply.items_.front().value_,
-                                             ownership_.cell_.count_)
-                              : AccountGrants{};
-    }
-    if (!isRead) {
-      co_await Sleep(context_.io_, kRetryPause);
-    }
+  PreviousOwner previousState = PreviousOwner::Unknown;
+  std::tie(stored, previousState) =
+    co_await (ReadStoredFleet() && AskPreviousOwner());
+  while (!hasEnded_ && !IsWhole(stored)) {
+    co_await Sleep(context_.io_, kRetryPause);
+    stored = co_await ReadStoredFleet();
   }
-  const auto previousState = co_await AskPreviousOwner();
   if (hasEnded_) {
     co_return;
   }
@@ -366,7 +408,10 @@
   }
   ReplaceOldTargetRecord(stored, loaded);
   if (ownership_.cell_.count_ > 1) {
-    UseGrants(grants);
+    UseGrants(stored.grants_.IsDone()
+                ? DecodeGrants(stored.grants_.items_.front().value_,
+                               ownership_.cell_.count_)
+                : AccountGrants{});
   }
   Handle(loaded);
   const OwnerRecord record{ ownership_.term_,
@@ -375,6 +420,7 @@
                             false };
   writer_.Queue(
     { { { keys_.Of(kLastOwnerKey), EncodeOwnerRecord(record), 0 } }, {}, {} });
+  submissionsReadUpTo_ = context_.clocks_.Now();
   hasLoaded_ = true;
   const auto revision = stored.submissions_.revision_;
   Spawn([self, revision] { return self->WatchSubmissions(revision); });
@@ -398,6 +444,7 @@
   bool mustList = false;
   while (!hasEnded_) {
     StoreReply reply;
+    const auto sentAt = context_.clocks_.Now();
     if (mustList) {
       reply = co_await context_.store_.List(prefix);
     } else {
@@ -415,6 +462,8 @@
       }
       after = NextWatchRevision(after, reply, mustList);
       mustList = false;
+      submissionsReadUpTo_ = sentAt;
+      Handle(SubmissionsRead{ sentAt });
       continue;
     }
     mustList = mustList || reply.status_ == StoreStatus::Expired;
@@ -535,10 +584,6 @@
 Owner::Store(const StoreProgress& aEffect)
 {
   std::vector<StoreWrite::Put> puts;
-  for (const auto& target : aEffect.newTargets_) {
-    puts.push_back(
-      { keys_.Of(kTargetsPrefix) + target.id_, EncodeTarget(target), 0 });
-  }
   if (aEffect.hasOrders_) {
     // An order matters to the next owner for a few seconds; a slot is used
     // again after 25 s or more.
@@ -557,6 +602,16 @@
   for (const auto& [job, progress] : aEffect.jobs_) {
     puts.push_back(
       { keys_.Of(kProgressPrefix) + job, EncodeProgress(progress), 0 });
+    if (IsEnd(progress.state_)) {
+      // The next owner need not read the whole job. The key stays, as its id
+      // can't be used again.
+      puts.push_back({ keys_.Of(kJobPrefix) + job, kEndedJob, 0 });
+    }
+  }
+  // After the progress: a target stored as silent has all its runs stored.
+  for (const auto& target : aEffect.newTargets_) {
+    puts.push_back(
+      { keys_.Of(kTargetsPrefix) + target.id_, EncodeTarget(target), 0 });
   }
   for (const auto& target : aEffect.removedTargets_) {
     writer_.Queue({ {}, { keys_.Of(kTargetsPrefix) + target }, {} });
@@ -620,7 +675,8 @@
   for (const auto& load : fleet_.Loads()) {
     record.waiting_[load.queue_] = load.waiting_;
   }
-  record.countedAt_ = context_.clocks_.TimeOfDay();
+  record.countedAt_ = context_.clocks_.TimeOfDay() -
+                      (context_.clocks_.Now() - submissionsReadUpTo_);
   return record;
 }
 
@@ -633,9 +689,9 @@
 {
   const auto self = shared_from_this();
   while (!hasEnded_) {
-    Handle(
-      Tick{ context_.clocks_.TimeOfDay(),
-            context_.clocks_.Now() + kOrderMargin < ownership_.validUntil_ });
+    Handle(Tick{ context_.clocks_.TimeOfDay(),
+                 context_.clocks_.Now() + kOrderMargin < ownership_.validUntil_,
+                 !context_.store_.IsUnreachable() });
     co_await Sleep(context_.io_, kTickInterval);
   }
 }
--- a/packages/daemon/src/owner.h
+++ b/packages/daemon/src/owner.h
@@ -13,9 +13,11 @@
 
 namespace cuminbridge {
 
-// Time for which the owner's key outlives the last renewal of its lease. The
-// owner renews every 300 ms, and the slowest answer of the store takes 240 ms.
-inline constexpr Millis kOwnerLease(1500);
+// Time for which the owner's key outlives the last renewal of its lease, unless
+// the store allows only longer ones. The owner renews every 200 ms, and the
+// slowest answer of the store takes 240 ms.
+inline constexpr Millis kOwnerLease(1000);
+Millis OwnerLease(const PlatformSettings& aSettings);
 
 struct Ownership
 {
@@ -51,6 +53,7 @@
   Cell GetCell() const { return ownership_.cell_; }
 
   void Handle(const Event& aEvent);
+  Instant SubmissionsReadUpTo() const { return submissionsReadUpTo_; }
   // A job or a cancellation that an entry has stored.
   void HandleSubmittedJob(Job aJob);
   void HandleCancel(const std::string& aJob);
@@ -65,6 +68,8 @@
                               const JobsLoaded& aLoaded);
   Awaitable<PreviousOwner> AskPreviousOwner();
   Awaitable<void> Renew();
+  Awaitable<void> RenewOnce();
+  Awaitable<StoredFleet> ReadStoredFleet();
   Awaitable<void> WatchSubmissions(std::int64_t aRevision);
   void UpdateTarget(const StoreItem& aItem);
   Awaitable<void> WatchTargets();
@@ -109,6 +114,7 @@
   std::set<std::string> unreadableTargets_;     // keys that were logged
   std::map<std::string, int> movedJobs_; // transferred ones, with their cell
   int orderSlot_ = 0;                    // of kVmOrdersPrefix, written last
+  Instant submissionsReadUpTo_;          // as SubmissionsRead
   bool hasEnded_ = false;
   bool isVmServiceReachable_ = false;
   bool isAdviceReachable_ = false;
--- a/packages/daemon/src/records.cpp
+++ b/packages/daemon/src/records.cpp
@@ -16,6 +16,7 @@
 // In a load record, the time of the count. No queue has this name.
 constexpr const char* kLoadTime = "";
 constexpr const char* kMovedPrefix = "cell ";
+constexpr const char* kSilent = " silent"; // ends the record of such a target
 
 // What follows the last '/': the id in a key.
 std::string
@@ -38,8 +39,8 @@
   for (const auto& item : aReply.items_) {
     if (Contains(item.key_, kCancelPrefix)) {
       aLoaded.cancelled_.insert(LastPart(item.key_));
-    } else if (DecodeMovedJob(item.value_)) {
-      continue; // see DecodeMovedJobs()
+    } else if (DecodeMovedJob(item.value_) || item.value_ == kEndedJob) {
+      continue; // see DecodeMovedJobs(); the end is in the progress record
     } else if (auto job = DecodeJob(item.value_)) {
       aLoaded.jobs_.push_back(std::move(*job));
     } else {
@@ -68,14 +69,21 @@
               std::vector<std::string>& aUnreadable)
 {
   for (const auto& item : aReply.items_) {
-    const auto space = item.value_.find(' ');
+    auto text = item.value_;
+    const std::string_view silent = kSilent;
+    const bool isSilent = text.ends_with(silent);
+    if (isSilent) {
+      text.resize(text.size() - silent.size());
+    }
+    const auto space = text.find(' ');
     if (space == std::string::npos) {
       aUnreadable.push_back(item.key_);
       continue;
     }
     aLoaded.targets_.emplace_back(LastPart(item.key_),
-                                  item.value_.substr(0, space),
-                                  item.value_.substr(space + 1));
+                                  text.substr(0, space),
+                                  text.substr(space + 1),
+                                  isSilent);
   }
 }
 
@@ -306,7 +314,8 @@
 std::string
 EncodeTarget(const StoredTarget& aTarget)
 {
-  return aTarget.address_ + ' ' + aTarget.pool_;
+  return aTarget.address_ + ' ' + aTarget.pool_ +
+         (aTarget.isSilent_ ? kSilent : "");
 }
 
 std::string
--- a/packages/daemon/src/records.h
+++ b/packages/daemon/src/records.h
@@ -130,6 +130,9 @@
   int aCell,
   std::vector<std::string>& aUnreadable);
 
+// Value of a job's key once the job has ended.
+inline constexpr const char* kEndedJob = "ended";
+
 // Value of a job's key in its own cell once it was transferred: the other cell.
 std::string EncodeMovedJob(int aCell);
 std::optional<int> DecodeMovedJob(std::string_view aText);
@@ -167,6 +170,7 @@
   StoreReply oldTargets_; // one key, which is usually missing
   StoreReply vmOrders_;
   StoreReply demandPeaks_; // one key, which may be missing
+  StoreReply grants_;      // one key, which may be missing
 };
 
 // Adds the key of each record that can't be decoded to aUnreadable, and leaves
--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -67,6 +67,13 @@
   Millis ownerAllowance_{ 5000 };
   // A stop without an answer is sent again after this.
   Millis stopRetry_{ 400 };
+  // A start that arrives later than this after it was sent has no effect.
+  Millis startTimeout_{ 1300 };
+  // While the store is reachable, nothing is started on knowledge of
+  // submissions that is older than this: cancelled work must not start. The sum
+  // with startTimeout_ must be below the time that the users allow for a
+  // cancellation.
+  Millis maxSubmissionAge_{ 1500 };
   // Shortest time between two writes of changed progress. The end of a job is
   // written at once.
   Millis storeInterval_{ 50 };
@@ -111,12 +118,19 @@
   std::string id_;
   std::string address_;
   std::string pool_;
+  // It was unresponsive. Everything that was started there is stored, as it
+  // gets no work before this is stored as false again.
+  bool isSilent_ = false;
 
   StoredTarget() = default;
-  StoredTarget(std::string aId, std::string aAddress, std::string aPool)
+  StoredTarget(std::string aId,
+               std::string aAddress,
+               std::string aPool,
+               bool aIsSilent = false)
     : id_(std::move(aId))
     , address_(std::move(aAddress))
     , pool_(std::move(aPool))
+    , isSilent_(aIsSilent)
   {
   }
   bool operator==(const StoredTarget&) const = default;
@@ -198,6 +212,13 @@
   std::string job_;
 };
 
+// All jobs and cancellations that were stored before this time have been passed
+// on.
+struct SubmissionsRead
+{
+  Instant upTo_;
+};
+
 struct ConfigSeen
 {
   FleetConfig config_;
@@ -322,11 +343,13 @@
 {
   WallTime timeOfDay_;
   bool mayOrderVms_ = false;
+  bool isStoreReachable_ = true; // as seen from this process
 };
 
 using Event = std::variant<JobsLoaded,
                            JobArrived,
                            JobCancelled,
+                           SubmissionsRead,
                            PeerCapacitySeen,
                            ConfigSeen,
                            TargetsSeen,
--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -409,9 +409,12 @@
     return false;
   }
   const auto& pool = PoolOf(aState, aJob);
+  // Owners before the previous one may still have acted until then.
+  const bool isSilenceKnown = aState.now_ >= aState.inheritedUntil_;
   for (const auto& [id, target] : aState.targets_) {
+    const bool isRecorded = target.wasSilentBefore_ && isSilenceKnown;
     if (target.isInherited_ && !target.hasExited_ && !target.hasListedRuns_ &&
-        target.report_.pool_ == pool) {
+        !isRecorded && target.report_.pool_ == pool) {
       return true;
     }
   }
@@ -612,6 +615,40 @@
   return needs;
 }
 
+// Targets that a step lacks because of its limit of items on one target.
+int
+CountLackingTargets(const FleetState& aState,
+                    const std::string& aPool,
+                    const Occurrence& aOccurrence,
+                    std::size_t aStep,
+                    const Step& aSpec)
+{
+  const auto pool = aState.byPool_.find(aPool);
+  const auto& items = aOccurrence.steps_[aStep].items_;
+  if (aSpec.maxPerTarget_ <= 0 || pool == aState.byPool_.end()) {
+    return 0;
+  }
+  std::map<std::string, int> used; // items by target
+  int waiting = 0;
+  for (const auto& item : items) {
+    waiting += item.phase_ == ItemPhase::Waiting ? 1 : 0;
+    if (item.phase_ == ItemPhase::Assigned) {
+      ++used[item.target_];
+    }
+  }
+  int space = 0;
+  for (const auto* target : pool->second) {
+    if (target->IsUsable(aState.now_)) {
+      const auto here = used.find(target->report_.id_);
+      space += std::max(
+        0, aSpec.maxPerTarget_ - (here == used.end() ? 0 : here->second));
+    }
+  }
+  return space >= waiting
+           ? 0
+           : (waiting - space + aSpec.maxPerTarget_ - 1) / aSpec.maxPerTarget_;
+}
+
 std::map<std::string, WaitingWork>
 WaitingWorkByPool(const FleetState& aState)
 {
@@ -636,6 +673,10 @@
         work.topPriorityItems_ += job.job_.priority_ == 0 ? items : 0;
         work.cpu_ += spec.isFiller_ ? 0 : items * spec.needs_.cpu_;
         work.largestCpu_ = std::max(work.largestCpu_, spec.needs_.cpu_);
+        work.lackingTargets_ =
+          std::max(work.lackingTargets_,
+                   CountLackingTargets(
+                     aState, PoolOf(aState, job), occurrence, index, spec));
       }
     }
   }
@@ -660,6 +701,10 @@
       aState.dirtyPools_.insert(pool.name_);
     }
   }
+  if (aState.isStoreReachable_ && aState.now_ - aState.submissionsReadUpTo_ >
+                                    aState.options_.maxSubmissionAge_) {
+    return; // cancellations may not have been read yet
+  }
   std::vector<std::string> due;
   for (const auto& pool : aState.dirtyPools_) {
     auto& last = aState.lastDispatch_[pool];
--- a/packages/fleet/src/dispatch.h
+++ b/packages/fleet/src/dispatch.h
@@ -15,6 +15,9 @@
   std::int64_t largestCpu_ = 0; // needed by the largest one, likewise
   int items_ = 0;
   int topPriorityItems_ = 0; // items of priority 0 among them
+  // Targets that the pool lacks for items that may not share one with others of
+  // their step.
+  int lackingTargets_ = 0;
 };
 
 void Dispatch(FleetState& aState);
--- a/packages/fleet/src/jobs.cpp
+++ b/packages/fleet/src/jobs.cpp
@@ -318,6 +318,8 @@
     auto& target = aState.targets_[stored.id_];
     target.isInherited_ = true;
     target.isRecorded_ = true;
+    target.isStoredSilent_ = stored.isSilent_;
+    target.wasSilentBefore_ = stored.isSilent_;
     if (!target.isListed_) {
       target.report_.id_ = stored.id_;
       target.report_.address_ = stored.address_;
@@ -346,6 +348,14 @@
       EndJob(aState, entry, JobState::Completed);
     }
   }
+  // Only the end of older jobs is stored.
+  for (const auto& [id, progress] : aLoaded.progress_) {
+    if (aState.jobs_.count(id) == 0 && IsEnd(progress.state_)) {
+      Job job;
+      job.id_ = id;
+      RestoreJob(aState, InsertJob(aState, job), progress);
+    }
+  }
   for (const auto& job : aLoaded.cancelled_) {
     CancelJob(aState, job);
   }
--- a/packages/fleet/src/moves.cpp
+++ b/packages/fleet/src/moves.cpp
@@ -67,7 +67,14 @@
   for (const auto& vm : aPool.idle_) {
     idle += vm.cpu_;
   }
-  return std::max(aPool.waitingCpu_ - idle, offered - aPool.capacityCpu_) -
+  // At least 1 for a pool without VMs: their size is not known then.
+  const std::int64_t vmCpu =
+    aPool.size_ == 0
+      ? 1
+      : std::max<std::int64_t>(1, aPool.capacityCpu_ / aPool.size_);
+  return std::max({ aPool.waitingCpu_ - idle,
+                    offered - aPool.capacityCpu_,
+                    aPool.lackingVms_ * vmCpu }) -
          aPool.incomingCpu_;
 }
 
--- a/packages/fleet/src/moves.h
+++ b/packages/fleet/src/moves.h
@@ -30,8 +30,9 @@
   std::int64_t capacityCpu_ = 0; // of usable VMs
   std::int64_t offeredCpu_ = 0;  // that arriving work would keep busy
   int size_ = 0;                 // usable VMs
-  bool isPastPeak_ = false;      // had a demand peak, and expects none soon
-  std::vector<IdleVm> idle_;     // VMs that may be moved
+  int lackingVms_ = 0;      // for items that may not share a VM with each other
+  bool isPastPeak_ = false; // had a demand peak, and expects none soon
+  std::vector<IdleVm> idle_; // VMs that may be moved
 
   bool operator==(const PoolView&) const = default;
 };
@@ -60,8 +61,9 @@
 
 // Processor capacity that a pool lacks, in thousandths of a core; 0 or less if
 // it has enough. It is lacking for work that waits and that its idle VMs have
-// no free capacity for, or for work that arrives faster than the pool can run
-// it. VMs that are moving to the pool count as present.
+// no free capacity for, for work that arrives faster than the pool can run it,
+// or for items that need a VM each. VMs that are moving to the pool count as
+// present.
 std::int64_t MissingCpu(const PoolView& aPool, const MoveOptions& aOptions);
 
 // Moves standby and idle VMs to pools that lack capacity, or, if no pool does,
--- a/packages/fleet/src/reducer.cpp
+++ b/packages/fleet/src/reducer.cpp
@@ -68,6 +68,7 @@
     }
   }
   aState.mayOrderVms_ = aTick.mayOrderVms_;
+  aState.isStoreReachable_ = aTick.isStoreReachable_;
   if (aState.now_ < aState.nextSweep_) {
     return;
   }
@@ -90,6 +91,7 @@
   void operator()(const JobsLoaded& aEvent)
   {
     LoadJobs(state_, aEvent);
+    state_.submissionsReadUpTo_ = state_.now_;
     UpdateWatchedTargets(state_);
   }
   void operator()(const JobArrived& aEvent)
@@ -100,6 +102,11 @@
   {
     CancelJob(state_, aEvent.job_);
   }
+  void operator()(const SubmissionsRead& aEvent)
+  {
+    state_.submissionsReadUpTo_ =
+      std::max(state_.submissionsReadUpTo_, aEvent.upTo_);
+  }
   void operator()(const PeerCapacitySeen& aEvent)
   {
     state_.peers_[aEvent.cell_] = { aEvent.freeCpu_, state_.now_ };
--- a/packages/fleet/src/relocate.cpp
+++ b/packages/fleet/src/relocate.cpp
@@ -26,9 +26,12 @@
 bool
 IsAtWork(FleetState& aState, const ItemName& aName, const ItemState& aItem)
 {
+  // Renewals wait for up to 1 s, and each answer is followed by the next one.
+  constexpr Millis kMaxListAge(2500);
   const auto target = aState.targets_.find(aItem.target_);
   if (aItem.phase_ != ItemPhase::Assigned || target == aState.targets_.end() ||
-      target->second.contact_ != Contact::Good) {
+      target->second.contact_ != Contact::Good ||
+      aState.now_ - target->second.listedAt_ > kMaxListAge) {
     return false;
   }
   const auto* run = FindRun(target->second, aName, aItem.run_);
--- a/packages/fleet/src/runs.cpp
+++ b/packages/fleet/src/runs.cpp
@@ -65,10 +65,9 @@
 }
 
 std::int64_t
-ExtendLease(const FleetState& aState, Target& aTarget)
+ExtendLease(const FleetState& aState, Target& aTarget, Millis aTime)
 {
-  const auto until =
-    ClockOf(aState, aTarget) + aState.options_.targetLease_.count();
+  const auto until = ClockOf(aState, aTarget) + aTime.count();
   aTarget.leaseUntil_ = std::max(aTarget.leaseUntil_, until);
   return until;
 }
@@ -139,7 +138,12 @@
   effect.spec_ = aRef.job_->job_.spec_;
   effect.checkpoint_ = aRef.item_->checkpoint_;
   effect.ticket_ = std::move(aTicket);
-  effect.leaseUntil_ = ExtendLease(aState, aTarget);
+  // Short, so that a start that is held up on its way is rejected. The renewal
+  // that follows at once extends it.
+  effect.leaseUntil_ = ExtendLease(
+    aState,
+    aTarget,
+    std::min(aState.options_.startTimeout_, aState.options_.targetLease_));
   AddRun(aState, aTarget, std::move(run));
   aState.watchedTargets_.insert(aTarget.report_.id_);
   ++aState.counts_.starts_;
--- a/packages/fleet/src/runs.h
+++ b/packages/fleet/src/runs.h
@@ -21,7 +21,9 @@
 // Returns the deadline of a lease that is sent now, and records it. A deadline
 // never exceeds the usual lease, even if a later one was sent before, because
 // the next owner waits only for the usual lease.
-std::int64_t ExtendLease(const FleetState& aState, Target& aTarget);
+std::int64_t ExtendLease(const FleetState& aState,
+                         Target& aTarget,
+                         Millis aTime);
 
 Run* FindRun(Target& aTarget, const ItemName& aItem, std::int64_t aRun);
 
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -75,11 +75,7 @@
   Instant arrived_;    // when it was accepted, on this owner's clock
   Instant ended_;
 
-  bool HasEnded() const
-  {
-    return state_ == JobState::Completed || state_ == JobState::Failed ||
-           state_ == JobState::Cancelled;
-  }
+  bool HasEnded() const { return IsEnd(state_); }
 };
 
 //-----------------------------------------------------------------------------
@@ -133,8 +129,12 @@
 struct Target
 {
   TargetReport report_;
-  bool isListed_ = false;      // in the last list of targets
-  bool isRecorded_ = false;    // stored, so that the next owner will find it
+  bool isListed_ = false;       // in the last list of targets
+  bool isRecorded_ = false;     // stored, so that the next owner will find it
+  bool isStoredSilent_ = false; // StoredTarget::isSilent_, stored or to be
+  // The previous owner had stored it as silent, and it has not answered since:
+  // what runs there is recorded.
+  bool wasSilentBefore_ = false;
   bool isInherited_ = false;   // the previous owner used it
   bool hasListedRuns_ = false; // this owner has read its list of runs
   bool hasExited_ = false;     // its process has ended
@@ -152,6 +152,7 @@
   std::vector<Run> runs_;
   Resources used_; // sum of what its runs reserve
 
+  Instant listedAt_; // when the renewal was sent that last listed its runs
   bool isRenewalPending_ = false; // a renewal has not been answered
   Instant nextRenewal_;
   // Ended runs, by their number in the target's list. Each of these is a
@@ -236,7 +237,9 @@
   Instant now_;
   WallTime timeOfDay_;
   Instant timeOfDayAt_;
-  bool mayOrderVms_ = false;  // see Tick
+  bool mayOrderVms_ = false; // see Tick
+  bool isStoreReachable_ = true;
+  Instant submissionsReadUpTo_;
   bool hasJobs_ = false;      // JobsLoaded has come
   bool hasTargets_ = false;   // TargetsSeen has come
   bool isReconciling_ = true; // some target has not been asked what runs there
--- a/packages/fleet/src/storing.cpp
+++ b/packages/fleet/src/storing.cpp
@@ -71,7 +71,8 @@
   aState.batchTargets_.clear();
   for (const auto& id : aState.unrecordedTargets_) {
     const auto& report = aState.targets_[id].report_;
-    effect.newTargets_.emplace_back(id, report.address_, report.pool_);
+    effect.newTargets_.emplace_back(
+      id, report.address_, report.pool_, aState.targets_[id].isStoredSilent_);
     aState.batchTargets_.push_back(id);
     aState.removedTargets_.erase(id);
   }
@@ -105,7 +106,10 @@
   SendStoredOrders(aState);
   for (const auto& id : aState.batchTargets_) {
     const auto target = aState.targets_.find(id);
-    if (target != aState.targets_.end() && !target->second.isRecorded_) {
+    // Changed again since the batch was made: the next batch stores it.
+    const bool isChanged = aState.unrecordedTargets_.count(id) != 0;
+    if (target != aState.targets_.end() && !target->second.isRecorded_ &&
+        !isChanged) {
       target->second.isRecorded_ = true;
       aState.dirtyPools_.insert(target->second.report_.pool_);
     }
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -242,6 +242,20 @@
   }
 }
 
+// Whether the answer lists the run as ended, behind an end of an unknown job.
+// The target will list it again.
+bool
+HasUnappliedEnd(const Target& aTarget,
+                const RenewalAnswered& aAnswer,
+                const Run& aRun)
+{
+  return std::any_of(
+    aAnswer.ended_.begin(), aAnswer.ended_.end(), [&](const EndedRun& aEnd) {
+      return aEnd.number_ > aTarget.endsApplied_ && aEnd.run_ == aRun.run_ &&
+             aEnd.item_ == aRun.item_;
+    });
+}
+
 // Releases runs that the target would have listed if they were still there.
 void
 ReleaseAbsent(FleetState& aState,
@@ -264,7 +278,7 @@
       (run.isUnconfirmed_ && hasNoNewerConfirmation) ||
       (run.confirmedAt_ && *run.confirmedAt_ < aAnswer.sentAt_) ||
       (run.stoppedAt_ && *run.stoppedAt_ < aAnswer.sentAt_);
-    if (!isListed && mustBeListed) {
+    if (!isListed && mustBeListed && !HasUnappliedEnd(aTarget, aAnswer, run)) {
       absent.emplace_back(run.item_, run.run_);
     }
   }
@@ -309,6 +323,13 @@
   UpdateClock(aState, aTarget, aAnswer.clockMs_);
   AllowForPreviousClock(aState, aTarget, aAnswer.clockMs_);
   aTarget.hasListedRuns_ = true;
+  aTarget.listedAt_ = aAnswer.sentAt_;
+  aTarget.wasSilentBefore_ = false;
+  if (aTarget.isStoredSilent_) {
+    aTarget.isStoredSilent_ = false;
+    aTarget.isRecorded_ = false;
+    aState.unrecordedTargets_.insert(aTarget.report_.id_);
+  }
   if (aTarget.contact_ != Contact::Good) {
     if (aTarget.contact_ == Contact::Unresponsive) {
       aState.Log(
@@ -319,7 +340,7 @@
   }
   for (const auto& end : aAnswer.ended_) {
     // The job may still arrive, and the target will list this end again.
-    if (!FindItem(aState, end.item_).job_ &&
+    if (aState.jobs_.count(end.item_.job_) == 0 &&
         aState.now_ - aState.began_ < kUnknownRunGrace) {
       break;
     }
@@ -403,7 +424,8 @@
   // An unresponsive target is asked without renewing its leases. A renewal that
   // gets no answer would delay the time when its runs have surely expired.
   if (aTarget.clockMs_ != 0 && aTarget.contact_ != Contact::Unresponsive) {
-    effect.leaseUntil_ = ExtendLease(aState, aTarget);
+    effect.leaseUntil_ =
+      ExtendLease(aState, aTarget, aState.options_.targetLease_);
   }
   effect.limit_ = aTarget.contact_ == Contact::Good
                     ? effect.wait_ + aState.options_.renewalGrace_
@@ -554,6 +576,10 @@
       }
       target.contact_ = Contact::Unresponsive;
       target.nextRenewal_ = aState.now_ + kUnresponsiveRetry;
+      if (!target.isStoredSilent_) {
+        target.isStoredSilent_ = true;
+        aState.unrecordedTargets_.insert(aAnswer.target_);
+      }
       break;
   }
 }
@@ -602,7 +628,7 @@
   }
   for (const auto& [id, target] : aState.targets_) {
     if ((target.isListed_ || target.isInherited_) &&
-        target.contact_ == Contact::Unreconciled) {
+        target.contact_ == Contact::Unreconciled && !target.wasSilentBefore_) {
       return false;
     }
   }
--- a/packages/fleet/src/vms.cpp
+++ b/packages/fleet/src/vms.cpp
@@ -82,6 +82,7 @@
     const auto waiting = waitingByPool.find(pool.name_);
     if (waiting != waitingByPool.end()) {
       view.waitingCpu_ = waiting->second.cpu_;
+      view.lackingVms_ = waiting->second.lackingTargets_;
     }
     const auto offered = aState.offeredLoads_.find(pool.name_);
     if (offered != aState.offeredLoads_.end()) {
--- a/packages/fleet/tests/decisions_test.cpp
+++ b/packages/fleet/tests/decisions_test.cpp
@@ -261,6 +261,19 @@
   CHECK(PlanMoves({ needy, other }, MoveOptions{}).empty());
 }
 
+TEST_CASE("a pool gets VMs for items that may not share one")
+{
+  // 32 items of a long-running step, at most one on each target, in a pool of a
+  // few VMs with free capacity: nothing moved, and some items never ran.
+  auto narrow = MakePool("narrow", 2, Millis(0));
+  narrow.waitingCpu_ = 3000;
+  auto standby = MakePool("standby", 8, Millis(0));
+  standby.isStandby_ = true;
+  CHECK(PlanMoves({ narrow, standby }, MoveOptions{}).empty());
+  narrow.lackingVms_ = 3;
+  CHECK(PlanMoves({ narrow, standby }, MoveOptions{}).size() == 3);
+}
+
 TEST_CASE("VMs that stay idle are parked once their pool had a demand peak")
 {
   auto idle = MakePool("idle", 4, Millis(9000));
--- a/packages/fleet/tests/fleet_bench.cpp
+++ b/packages/fleet/tests/fleet_bench.cpp
@@ -70,6 +70,7 @@
   fleet.Handle(JobsLoaded{}, now);
   const double listing =
     MeasureMicros(5, [&](int) { fleet.Handle(seen, now); });
+  fleet.Handle(SubmissionsRead{ now }, now);
   fleet.Handle(Tick{}, now);
   for (int number = 0; number < aTargets; ++number) {
     fleet.Handle(MakeRenewalAnswer(number, now), now);
@@ -92,6 +93,7 @@
   });
   const double tick = MeasureMicros(kRounds, [&](int) {
     now += Millis(10);
+    fleet.Handle(SubmissionsRead{ now }, now);
     fleet.Handle(Tick{}, now);
     fleet.TakeEffects();
   });
--- a/packages/fleet/tests/one_target_test.cpp
+++ b/packages/fleet/tests/one_target_test.cpp
@@ -37,6 +37,7 @@
   void AdvanceTime(Millis aTime)
   {
     now_ += aTime;
+    Deliver(SubmissionsRead{ now_ });
     Deliver(Tick{ WallTime(now_.time_since_epoch()), true });
   }
 
@@ -254,6 +255,7 @@
   auto now = fixture.now_;
   const auto wall = [&now] { return WallTime(now.time_since_epoch()); };
   third.Handle(ConfigSeen{ config }, now);
+  third.Handle(SubmissionsRead{ now }, now);
   third.Handle(Tick{ wall(), true }, now);
   JobsLoaded loaded;
   loaded.jobs_ = { job };
@@ -278,6 +280,7 @@
       renewal.clockMs_ = fixture.report_.clockMs_;
       renewal.sentAt_ = now;
       third.Handle(renewal, now);
+      third.Handle(SubmissionsRead{ now }, now);
       third.Handle(Tick{ wall(), true }, now);
       for (const auto& effect : third.TakeEffects()) {
         starts += std::holds_alternative<StartRun>(effect) ? 1 : 0;
--- /dev/null
+++ b/packages/fleet/tests/takeover_test.cpp
@@ -0,0 +1,337 @@
+// What a new owner makes of the records and the targets that it finds, and what
+// an owner does whose knowledge is old. Event by event.
+
+#include <catch2/catch.hpp>
+
+#include "simulated_fleet.h"
+#include "state.h"
+
+using namespace cuminbridge;
+
+namespace {
+
+// An owner that takes over a fleet with some targets in pool "a". Nothing is
+// answered unless a test does it.
+struct TakenOverFleet
+{
+  TakenOverFleet()
+  {
+    FleetConfig config;
+    config.version_ = 1;
+    config.pools_.push_back({ "a", true, false });
+    Queue queue;
+    queue.name_ = "queue-a";
+    queue.pool_ = "a";
+    config.queues_.push_back(queue);
+    Deliver(ConfigSeen{ config });
+    Deliver(Tick{ WallTime(now_.time_since_epoch()), true });
+    loaded_.term_ = 2;
+    loaded_.previousOwner_ = PreviousOwner::Unknown;
+  }
+
+  void Deliver(const Event& aEvent) { fleet_.Handle(aEvent, now_); }
+
+  void AddTarget(const std::string& aId, bool aIsSilent = false)
+  {
+    TargetReport report;
+    report.id_ = report.address_ = aId;
+    report.pool_ = "a";
+    report.vm_ = "vm-" + aId;
+    report.capacity_ = { 8000, 32000, 0 };
+    report.startUnixMs_ = 5;
+    report.clockMs_ = 100;
+    report.sequence_ = 1;
+    reports_.push_back(report);
+    loaded_.targets_.emplace_back(aId, aId, "a", aIsSilent);
+  }
+
+  void TakeOver()
+  {
+    Deliver(loaded_);
+    Deliver(TargetsSeen{ reports_ });
+  }
+
+  // A tick, with a confirmation that all submissions have been read.
+  void AdvanceTime(Millis aTime, bool aIsSubmissionRead = true)
+  {
+    now_ += aTime;
+    if (aIsSubmissionRead) {
+      Deliver(SubmissionsRead{ now_ });
+    }
+    Deliver(Tick{ WallTime(now_.time_since_epoch()), true });
+  }
+
+  void AnswerRenewal(const std::string& aTarget,
+                     std::vector<RunningRun> aRunning,
+                     std::vector<EndedRun> aEnded)
+  {
+    RenewalAnswered renewal;
+    renewal.target_ = aTarget;
+    renewal.outcome_ = RenewalOutcome::Answered;
+    renewal.sentAt_ = now_;
+    now_ += Millis(5);
+    renewal.startUnixMs_ = 5;
+    renewal.clockMs_ = 100;
+    renewal.running_ = std::move(aRunning);
+    renewal.ended_ = std::move(aEnded);
+    Deliver(renewal);
+  }
+
+  void LeaveUnanswered(const std::string& aTarget)
+  {
+    RenewalAnswered renewal;
+    renewal.target_ = aTarget;
+    renewal.sentAt_ = now_;
+    Deliver(renewal);
+  }
+
+  std::vector<StartRun> TakeStarts()
+  {
+    std::vector<StartRun> starts;
+    for (auto& effect : fleet_.TakeEffects()) {
+      if (auto* start = std::get_if<StartRun>(&effect)) {
+        starts.push_back(*start);
+      }
+    }
+    return starts;
+  }
+
+  Instant now_{ Millis(1000000) };
+  Fleet fleet_{ FleetOptions{}, now_ };
+  JobsLoaded loaded_;
+  std::vector<TargetReport> reports_;
+};
+
+// One item of the job ran on "t" as run 1 when the previous owner last stored
+// its progress.
+Progress
+MakeRunningProgress()
+{
+  Progress progress;
+  progress.state_ = JobState::Serving;
+  ItemProgress item;
+  item.run_ = 1;
+  item.target_ = "t";
+  progress.items_.push_back(item);
+  return progress;
+}
+
+EndedRun
+MakeEnd(std::int64_t aNumber, const std::string& aJob)
+{
+  EndedRun end;
+  end.number_ = aNumber;
+  end.item_ = { aJob, 0, 0, 0 };
+  end.run_ = 1;
+  end.kind_ = EndKind::Done;
+  return end;
+}
+
+} // namespace
+
+TEST_CASE("an end listed behind one of an unknown job is not a lost run")
+{
+  // Ends behind that of an unknown job wait until the job may have arrived. The
+  // run that ended was missing from the running ones, counted as lost, and its
+  // item was started again although it was done.
+  TakenOverFleet fixture;
+  const auto id = MakeJobId(1);
+  fixture.AddTarget("t");
+  fixture.loaded_.jobs_ = { MakeJob(id, "a", { 1 }) };
+  fixture.loaded_.progress_[id] = MakeRunningProgress();
+  fixture.TakeOver();
+  fixture.AdvanceTime(Millis(10));
+  const std::vector<EndedRun> ends = { MakeEnd(1, MakeJobId(99)),
+                                       MakeEnd(2, id) };
+  fixture.AnswerRenewal("t", {}, ends);
+  fixture.AdvanceTime(Millis(100));
+  CHECK(fixture.TakeStarts().empty());
+  // Once the unknown job can't arrive any more, both ends are applied.
+  for (int round = 0; round < 30; ++round) {
+    fixture.AdvanceTime(Millis(100));
+    fixture.AnswerRenewal("t", {}, ends);
+  }
+  CHECK(fixture.TakeStarts().empty());
+  CHECK(fixture.fleet_.Counts().jobsEnded_ == 1);
+}
+
+TEST_CASE("ends of jobs of which only the end is stored hold up no others")
+{
+  TakenOverFleet fixture;
+  const auto id = MakeJobId(1);
+  const auto ended = MakeJobId(2);
+  fixture.AddTarget("t");
+  fixture.loaded_.jobs_ = { MakeJob(id, "a", { 1 }) };
+  fixture.loaded_.progress_[id] = MakeRunningProgress();
+  fixture.loaded_.progress_[ended].state_ = JobState::Completed;
+  fixture.TakeOver();
+  CHECK(fixture.fleet_.StoredState(ended) == JobState::Completed);
+  fixture.AdvanceTime(Millis(10));
+  fixture.AnswerRenewal("t", {}, { MakeEnd(1, ended), MakeEnd(2, id) });
+  CHECK(fixture.fleet_.Counts().jobsEnded_ == 1);
+}
+
+TEST_CASE("nothing starts while cancellations may not have been read")
+{
+  // An owner that fell seconds behind started work whose cancellation had been
+  // acknowledged to the caller long before.
+  TakenOverFleet fixture;
+  fixture.AddTarget("t");
+  fixture.TakeOver();
+  fixture.AdvanceTime(Millis(10));
+  fixture.AnswerRenewal("t", {}, {});
+  for (int step = 0; step < 20; ++step) {
+    fixture.AdvanceTime(Millis(100), false);
+  }
+  fixture.AnswerRenewal("t", {}, {});
+  fixture.Deliver(JobArrived{ MakeJob(MakeJobId(1), "a", { 1 }), false });
+  fixture.AdvanceTime(Millis(100), false);
+  CHECK(fixture.TakeStarts().empty());
+
+  // The store is lost: then no cancellation can be acknowledged either.
+  fixture.Deliver(
+    Tick{ WallTime(fixture.now_.time_since_epoch()), false, false });
+  CHECK(fixture.TakeStarts().size() == 1);
+
+  // The store is back, and its changes have not been read yet.
+  fixture.AdvanceTime(Millis(10), false);
+  fixture.Deliver(JobArrived{ MakeJob(MakeJobId(2), "a", { 1 }), false });
+  fixture.AdvanceTime(Millis(10), false);
+  CHECK(fixture.TakeStarts().empty());
+  fixture.AdvanceTime(Millis(10), true);
+  CHECK(fixture.TakeStarts().size() == 1);
+}
+
+TEST_CASE("a start that is held up on its way has expired on arrival")
+{
+  // Its deadline and the age of what the owner knows of cancellations together
+  // stay below the time that the users allow for a cancellation.
+  TakenOverFleet fixture;
+  fixture.AddTarget("t");
+  fixture.TakeOver();
+  fixture.AdvanceTime(Millis(10));
+  fixture.AnswerRenewal("t", {}, {});
+  fixture.TakeStarts();
+  fixture.Deliver(JobArrived{ MakeJob(MakeJobId(1), "a", { 1 }), false });
+  fixture.AdvanceTime(Millis(10));
+  const auto starts = fixture.TakeStarts();
+  REQUIRE(starts.size() == 1);
+  const FleetOptions options;
+  const auto targetClock = 100 + 30; // at most, when the start was sent
+  CHECK(starts.front().leaseUntil_ <=
+        targetClock + options.startTimeout_.count());
+  CHECK(options.startTimeout_ + options.maxSubmissionAge_ < Millis(3000));
+}
+
+TEST_CASE("targets that were silent before do not hold up waiting jobs")
+{
+  // All that was started on a silent target is stored. Waiting jobs can't run
+  // there, and need not wait until its leases have expired.
+  for (const bool wasSilent : { false, true }) {
+    TakenOverFleet fixture;
+    const auto id = MakeJobId(1);
+    fixture.AddTarget("t");
+    fixture.AddTarget("u", wasSilent);
+    fixture.loaded_.jobs_ = { MakeJob(id, "a", { 1 }) };
+    fixture.TakeOver();
+    fixture.AdvanceTime(Millis(10));
+    fixture.AnswerRenewal("t", {}, {});
+    if (!wasSilent) {
+      fixture.LeaveUnanswered("u");
+    }
+    fixture.AdvanceTime(Millis(100));
+    CHECK(fixture.TakeStarts().size() == (wasSilent ? 1 : 0));
+  }
+}
+
+TEST_CASE("a target that was silent gets work once that is stored")
+{
+  TakenOverFleet fixture;
+  fixture.AddTarget("t", true);
+  fixture.TakeOver();
+  fixture.AdvanceTime(Millis(10));
+  fixture.fleet_.TakeEffects();
+  fixture.AnswerRenewal("t", {}, {});
+  fixture.Deliver(JobArrived{ MakeJob(MakeJobId(1), "a", { 1 }), false });
+  fixture.AdvanceTime(Millis(100));
+  std::uint64_t batch = 0;
+  bool hasStarted = false;
+  for (const auto& effect : fixture.fleet_.TakeEffects()) {
+    if (const auto* store = std::get_if<StoreProgress>(&effect)) {
+      REQUIRE(store->newTargets_.size() == 1);
+      CHECK_FALSE(store->newTargets_.front().isSilent_);
+      batch = store->batch_;
+    }
+    hasStarted = hasStarted || std::holds_alternative<StartRun>(effect);
+  }
+  CHECK_FALSE(hasStarted);
+  REQUIRE(batch != 0);
+  fixture.Deliver(ProgressStored{ batch });
+  fixture.AdvanceTime(Millis(10));
+  CHECK(fixture.TakeStarts().size() == 1);
+}
+
+TEST_CASE("a job that does not fit goes to a cell that has the capacity")
+{
+  TakenOverFleet fixture;
+  fixture.AddTarget("t"); // 8 cores
+  fixture.TakeOver();
+  fixture.AdvanceTime(Millis(10));
+  fixture.AnswerRenewal("t", {}, {});
+  fixture.fleet_.TakeEffects();
+  const auto submit = [&](int aNumber, int aItems, bool aIsGuest) {
+    fixture.Deliver(PeerCapacitySeen{ 1, { { "a", 12000 } } });
+    fixture.Deliver(
+      JobArrived{ MakeJob(MakeJobId(aNumber), "a", { aItems }), aIsGuest });
+    fixture.AdvanceTime(Millis(10));
+    int transfers = 0;
+    int starts = 0;
+    for (const auto& effect : fixture.fleet_.TakeEffects()) {
+      if (const auto* transfer = std::get_if<TransferJob>(&effect)) {
+        CHECK(transfer->cell_ == 1);
+        CHECK(transfer->job_.id_ == MakeJobId(aNumber));
+        ++transfers;
+      }
+      starts += std::holds_alternative<StartRun>(effect) ? 1 : 0;
+    }
+    return std::pair(transfers, starts);
+  };
+  CHECK(submit(1, 5, false) == std::pair(0, 5));  // fits here
+  CHECK(submit(2, 10, false) == std::pair(1, 0)); // fits there
+  CHECK(submit(3, 13, false) == std::pair(0, 3)); // fits nowhere as a whole
+  CHECK(submit(4, 10, true) == std::pair(0, 0));  // is never transferred again
+  CHECK(!fixture.fleet_.StoredState(MakeJobId(2)));
+  // Old reports say nothing any more.
+  fixture.AdvanceTime(Millis(1000));
+  fixture.Deliver(JobArrived{ MakeJob(MakeJobId(5), "a", { 10 }), false });
+  fixture.AdvanceTime(Millis(10));
+  CHECK(fixture.fleet_.Counts().jobsTransferred_ == 1);
+}
+
+TEST_CASE("an owner uses only its part of an account's limit")
+{
+  TakenOverFleet fixture;
+  auto options = FleetOptions{};
+  options.cells_ = 2;
+  fixture.Deliver(OptionsChanged{ options });
+  FleetConfig config = fixture.fleet_.State().config_;
+  config.version_ = 2;
+  Account account;
+  account.name_ = "limited";
+  account.limit_.cpu_ = 8000;
+  config.accounts_ = { account };
+  fixture.Deliver(ConfigSeen{ config });
+  fixture.AddTarget("t");
+  fixture.TakeOver();
+  fixture.AdvanceTime(Millis(10));
+  fixture.AnswerRenewal("t", {}, {});
+  fixture.TakeStarts();
+  auto job = MakeJob(MakeJobId(1), "a", { 8 });
+  job.account_ = "limited";
+  fixture.Deliver(JobArrived{ job, false });
+  fixture.AdvanceTime(Millis(10));
+  CHECK(fixture.TakeStarts().size() == 4); // an equal part
+  fixture.Deliver(LimitsGranted{ { { "limited", 750 } } });
+  fixture.AdvanceTime(Millis(10));
+  CHECK(fixture.TakeStarts().size() == 2);
+}
--- a/packages/jobs/include/cuminbridge/jobs.h
+++ b/packages/jobs/include/cuminbridge/jobs.h
@@ -127,6 +127,14 @@
   Cancelled,
 };
 
+// Whether a job in this state has ended.
+constexpr bool
+IsEnd(JobState aState)
+{
+  return aState == JobState::Completed || aState == JobState::Failed ||
+         aState == JobState::Cancelled;
+}
+
 // Identifies one work item in the whole fleet.
 struct ItemName
 {
