Targets are not stored again while they are being stored

Cause: each list of targets had those stored anew whose batch was on its way, and with the check for changed ones none was ever taken as stored (a test of the reducer showed it). Change: a target that is being stored is marked.

--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -131,6 +131,7 @@
   TargetReport report_;
   bool isListed_ = false;       // in the last list of targets
   bool isRecorded_ = false;     // stored, so that the next owner will find it
+  bool isRecording_ = false;    // is being stored
   bool isStoredSilent_ = false; // StoredTarget::isSilent_, stored or to be
   // The previous owner had stored it as silent, and it has not answered since:
   // what runs there is recorded.
--- a/packages/fleet/src/storing.cpp
+++ b/packages/fleet/src/storing.cpp
@@ -111,6 +111,7 @@
     if (target != aState.targets_.end() && !target->second.isRecorded_ &&
         !isChanged) {
       target->second.isRecorded_ = true;
+      target->second.isRecording_ = false;
       aState.dirtyPools_.insert(target->second.report_.pool_);
     }
   }
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -27,6 +27,15 @@
 constexpr Millis kUnknownRunGrace(2500);
 constexpr std::size_t kMaxListedEnds = 500; // in one answer of a target
 
+// Has the target stored anew. It gets no work before that is done.
+void
+RecordTarget(FleetState& aState, Target& aTarget, const std::string& aId)
+{
+  aTarget.isRecorded_ = false;
+  aTarget.isRecording_ = true;
+  aState.unrecordedTargets_.insert(aId);
+}
+
 // Whether all leases on a target have surely expired.
 bool
 HaveLeasesExpired(const FleetState& aState, const Target& aTarget)
@@ -327,8 +336,7 @@
   aTarget.wasSilentBefore_ = false;
   if (aTarget.isStoredSilent_) {
     aTarget.isStoredSilent_ = false;
-    aTarget.isRecorded_ = false;
-    aState.unrecordedTargets_.insert(aTarget.report_.id_);
+    RecordTarget(aState, aTarget, aTarget.report_.id_);
   }
   if (aTarget.contact_ != Contact::Good) {
     if (aTarget.contact_ == Contact::Unresponsive) {
@@ -500,9 +508,9 @@
     if (target.report_.sequence_ != report.sequence_ || isNewIncarnation) {
       aState.dirtyPools_.insert(report.pool_);
     }
-    if (!target.isRecorded_ || target.report_.address_ != report.address_) {
-      target.isRecorded_ = false;
-      aState.unrecordedTargets_.insert(report.id_);
+    const bool isNew = !target.isRecorded_ && !target.isRecording_;
+    if (isNew || target.report_.address_ != report.address_) {
+      RecordTarget(aState, target, report.id_);
     }
     target.report_ = report;
     target.isListed_ = true;
@@ -578,7 +586,7 @@
       target.nextRenewal_ = aState.now_ + kUnresponsiveRetry;
       if (!target.isStoredSilent_) {
         target.isStoredSilent_ = true;
-        aState.unrecordedTargets_.insert(aAnswer.target_);
+        RecordTarget(aState, target, aAnswer.target_);
       }
       break;
   }
