--- a/packages/daemon/src/caller_api.cpp
+++ b/packages/daemon/src/caller_api.cpp
@@ -29,6 +29,8 @@
 constexpr Millis kAnswerTimeout(2200);
 constexpr Millis kRetryPause(60);
 constexpr Millis kWaitingMaxAge(500); // older counts are read again
+// Counts that are older than this are no answer: callers may rely on them.
+constexpr Millis kWaitingLimit(3000);
 
 HttpResponse
 Problem(int aStatus, std::string_view aMessage)
@@ -57,6 +59,16 @@
   return aHost.substr(0, aHost.find(':'));
 }
 
+// Whether a rejected write shows that the key exists.
+bool
+ShowsKey(const StoreReply& aReply, const std::string& aKey)
+{
+  return std::any_of(
+    aReply.items_.begin(), aReply.items_.end(), [&](const StoreItem& aItem) {
+      return aItem.key_ == aKey && aItem.revision_ != 0;
+    });
+}
+
 } // namespace
 
 CallerApi::CallerApi(DaemonContext aContext)
@@ -72,10 +84,45 @@
   }
 }
 
+void
+CallerApi::SetCellCount(int aCount)
+{
+  for (int cell = 0; cell < aCount; ++cell) {
+    cells_.push_back({ CellKeys(cell), nullptr, "" });
+  }
+}
+
+void
+CallerApi::SetOwner(int aCell, std::shared_ptr<Owner> aOwner)
+{
+  cells_[static_cast<std::size_t>(aCell)].owner_ = std::move(aOwner);
+}
+
+void
+CallerApi::SetOwnerAddress(int aCell, std::string aAddress)
+{
+  cells_[static_cast<std::size_t>(aCell)].ownerAddress_ = std::move(aAddress);
+}
+
+const std::string&
+CallerApi::OwnerAddress(int aCell) const
+{
+  static const std::string kNone;
+  return aCell < CellCount()
+           ? cells_[static_cast<std::size_t>(aCell)].ownerAddress_
+           : kNone;
+}
+
+CallerApi::CellState&
+CallerApi::CellOfJob(const std::string& aId)
+{
+  return cells_[static_cast<std::size_t>(CellOf(aId, CellCount()))];
+}
+
 Awaitable<HttpResponse>
 CallerApi::Answer(const HttpRequest& aRequest)
 {
-  if (config_.version_ == 0) {
+  if (config_.version_ == 0 || cells_.empty()) {
     co_return Problem(kUnavailable, "no configuration yet");
   }
   const auto path =
@@ -118,21 +165,29 @@
 // Does not wait for an answer and does not retry: the owner also watches the
 // store.
 void
-CallerApi::NotifyOwner(const char* aPath, std::string aBody)
+CallerApi::NotifyOwner(const CellState& aCell,
+                       const char* aPath,
+                       std::string aBody)
 {
-  if (ownerAddress_.empty()) {
+  if (aCell.ownerAddress_.empty()) {
     return;
   }
   constexpr Millis kNotifyTimeout(
     300); // by then the owner's watch has reported it
   HttpCall call;
+  call.kind_ = "peer_notify";
   call.method_ = "POST";
   call.path_ = aPath;
+  if (CellCount() > 1) {
+    const auto number = &aCell - cells_.data();
+    call.path_ += '/' + std::to_string(number);
+  }
   call.body_ = std::move(aBody);
   call.limit_ = kNotifyTimeout;
-  boost::asio::co_spawn(context_.io_,
-                        context_.http_.Call(ownerAddress_, std::move(call)),
-                        boost::asio::detached);
+  boost::asio::co_spawn(
+    context_.io_,
+    context_.http_.Call(aCell.ownerAddress_, std::move(call)),
+    boost::asio::detached);
 }
 
 Awaitable<HttpResponse>
@@ -156,8 +211,9 @@
   job.stretch_ = aQueue.stretch_;
   job.allowance_ = aQueue.allowance_;
   job.accepted_ = context_.clocks_.TimeOfDay();
+  const auto& cell = CellOfJob(job.id_);
   StoreWrite write;
-  const std::string key = kJobPrefix + job.id_;
+  const auto key = cell.keys_.Of(kJobPrefix) + job.id_;
   write.conditions_.push_back({ key, 0 });
   write.puts_.push_back({ key, EncodeJob(job), 0 });
   bool mayBeStored = false;
@@ -178,10 +234,11 @@
                ? ", stored at revision " + std::to_string(reply.revision_)
                : ", already stored by an earlier submission") },
         context_.clocks_.Now());
-      if (reply.IsDone() && owner_ && owner_->IsLeaseValid()) {
-        owner_->Handle(JobArrived{ std::move(job) });
+      if (reply.IsDone() && cell.owner_ && cell.owner_->IsLeaseValid()) {
+        cell.owner_->HandleSubmittedJob(std::move(job));
       } else if (reply.IsDone()) {
-        NotifyOwner(kNotifyJobPath, std::move(write.puts_.front().value_));
+        NotifyOwner(
+          cell, kNotifyJobPath, std::move(write.puts_.front().value_));
       }
       co_return HttpResponse{};
     }
@@ -212,37 +269,57 @@
   co_return Problem(kUnavailable, "the store can't be reached from here");
 }
 
+CallerApi::CellState*
+CallerApi::MovedTo(const StoreItem& aJobRecord)
+{
+  const auto cell = DecodeMovedJob(aJobRecord.value_);
+  return cell && *cell >= 0 && *cell < CellCount()
+           ? &cells_[static_cast<std::size_t>(*cell)]
+           : nullptr;
+}
+
 Awaitable<HttpResponse>
 CallerApi::Read(std::string aId)
 {
   ++counts_.reads_;
-  if (owner_ && !owner_->HasEnded()) {
-    if (const auto state = owner_->GetFleet().StoredState(aId)) {
-      HttpResponse answer;
-      answer.body_ = FormatJobState(*state);
-      co_return answer;
+  const auto* cell = &CellOfJob(aId);
+  while (cell) {
+    if (cell->owner_ && !cell->owner_->HasEnded()) {
+      if (const auto state = cell->owner_->GetFleet().StoredState(aId)) {
+        HttpResponse answer;
+        answer.body_ = FormatJobState(*state);
+        co_return answer;
+      }
     }
-  }
-  if (context_.store_.IsUnreachable()) {
-    co_return Problem(kUnavailable, "the store can't be reached from here");
-  }
-  const auto progress = co_await context_.store_.Get(kProgressPrefix + aId);
-  if (progress.IsDone()) {
-    const auto record = DecodeProgress(progress.items_.front().value_);
-    HttpResponse answer;
-    answer.body_ = FormatJobState(record ? record->state_ : JobState::Serving);
-    co_return answer;
-  }
-  if (progress.status_ == StoreStatus::Missing) {
-    const auto job = co_await context_.store_.Get(kJobPrefix + aId);
-    if (job.IsDone()) {
+    if (context_.store_.IsUnreachable()) {
+      break;
+    }
+    const auto progress =
+      co_await context_.store_.Get(cell->keys_.Of(kProgressPrefix) + aId);
+    if (progress.IsDone()) {
+      const auto record = DecodeProgress(progress.items_.front().value_);
       HttpResponse answer;
-      answer.body_ = FormatJobState(JobState::Queued);
+      answer.body_ =
+        FormatJobState(record ? record->state_ : JobState::Serving);
       co_return answer;
     }
+    if (progress.status_ != StoreStatus::Missing) {
+      break;
+    }
+    const auto job =
+      co_await context_.store_.Get(cell->keys_.Of(kJobPrefix) + aId);
     if (job.status_ == StoreStatus::Missing) {
       co_return Problem(kGone, "no such job");
     }
+    if (!job.IsDone()) {
+      break;
+    }
+    cell = MovedTo(job.items_.front());
+    if (!cell) {
+      HttpResponse answer;
+      answer.body_ = FormatJobState(JobState::Queued);
+      co_return answer;
+    }
   }
   co_return Problem(kUnavailable, "the store can't be reached from here");
 }
@@ -252,25 +329,35 @@
 {
   const auto startedAt = context_.clocks_.Now();
   ++counts_.cancels_;
+  const auto* cell = &CellOfJob(aId);
   bool mayBeStored = false;
   while (mayBeStored || !context_.store_.IsUnreachable()) {
-    const auto job = co_await context_.store_.Get(kJobPrefix + aId);
+    const auto jobKey = cell->keys_.Of(kJobPrefix) + aId;
+    const auto job = co_await context_.store_.Get(jobKey);
     if (job.status_ == StoreStatus::Missing) {
       co_return Problem(kGone, "no such job");
     }
     if (job.IsDone()) {
+      if (const auto* moved = MovedTo(job.items_.front())) {
+        cell = moved;
+        continue;
+      }
       StoreWrite write;
-      const std::string key = kCancelPrefix + aId;
+      const auto key = cell->keys_.Of(kCancelPrefix) + aId;
       write.conditions_.push_back({ key, 0 });
+      // The job may be transferred to another cell in the meantime.
+      write.conditions_.push_back({ jobKey, job.items_.front().revision_ });
       write.puts_.push_back({ key, "{}", 0 });
       const auto reply = co_await context_.store_.Write(write);
-      if (reply.IsDone() || reply.status_ == StoreStatus::Conflict) {
+      const bool isStoredBefore =
+        reply.status_ == StoreStatus::Conflict && ShowsKey(reply, key);
+      if (reply.IsDone() || isStoredBefore) {
         WriteLine({ "job_cancelled", aId, "", "", "cancelled by its caller" },
                   context_.clocks_.Now());
-        if (owner_) {
-          owner_->Handle(JobCancelled{ aId });
+        if (cell->owner_) {
+          cell->owner_->HandleCancel(aId);
         } else {
-          NotifyOwner(kNotifyCancelPath, aId);
+          NotifyOwner(*cell, kNotifyCancelPath, aId);
         }
         co_return HttpResponse{};
       }
@@ -288,33 +375,52 @@
   co_return Problem(kTimeout, "it may have been cancelled: ask again");
 }
 
+// Reads the counts of all cells. False if the store does not answer.
+Awaitable<bool>
+CallerApi::ReadWaitingCounts()
+{
+  const auto readAt = context_.clocks_.Now();
+  const auto reply = co_await context_.store_.List(kLoadPrefix);
+  if (!reply.IsDone()) {
+    co_return false;
+  }
+  const auto now = context_.clocks_.TimeOfDay();
+  waiting_.clear();
+  waitingCountedAt_ = now;
+  waitingReadAt_ = readAt;
+  for (const auto& item : reply.items_) {
+    const auto load = DecodeLoad(item.value_);
+    for (const auto& [queue, count] : load.waiting_) {
+      waiting_[queue] += count;
+    }
+    if (load.countedAt_ != WallTime()) { // earlier versions store no time
+      waitingCountedAt_ = std::min(waitingCountedAt_, load.countedAt_);
+    }
+  }
+  if (reply.items_.size() < cells_.size()) {
+    waitingCountedAt_ = WallTime(); // some cell has had no owner yet
+  }
+  co_return true;
+}
+
 Awaitable<HttpResponse>
 CallerApi::AnswerWaiting(std::string aQueue)
 {
-  if (owner_ && owner_->IsLeaseValid()) {
-    int waiting = 0;
-    for (const auto& load : owner_->GetFleet().Loads()) {
-      waiting += load.queue_ == aQueue ? load.waiting_ : 0;
-    }
+  if (cells_.size() == 1 && cells_.front().owner_ &&
+      cells_.front().owner_->IsLeaseValid() &&
+      context_.clocks_.Now() - cells_.front().owner_->SubmissionsReadUpTo() <
+        kWaitingLimit) {
     HttpResponse answer;
-    answer.body_ = FormatWaitingCount(waiting);
+    answer.body_ = FormatWaitingCount(
+      cells_.front().owner_->CountWaiting().waiting_[aQueue]);
     co_return answer;
   }
-  const auto now = context_.clocks_.Now();
-  if (now - waitingReadAt_ > kWaitingMaxAge) {
-    const auto reply = co_await context_.store_.Get(kLoadKey);
-    if (!reply.IsDone() && reply.status_ != StoreStatus::Missing) {
-      co_return Problem(kUnavailable, "the store can't be reached from here");
-    }
-    waiting_.clear();
-    waitingReadAt_ = now;
-    if (reply.IsDone()) {
-      const auto loads =
-        nlohmann::json::parse(reply.items_.front().value_, nullptr, false);
-      if (loads.is_object()) {
-        waiting_ = loads.get<std::map<std::string, int>>();
-      }
-    }
+  if (context_.clocks_.Now() - waitingReadAt_ > kWaitingMaxAge &&
+      !co_await ReadWaitingCounts()) {
+    co_return Problem(kUnavailable, "the store can't be reached from here");
+  }
+  if (context_.clocks_.TimeOfDay() - waitingCountedAt_ > kWaitingLimit) {
+    co_return Problem(kUnavailable, "no recent count is known");
   }
   HttpResponse answer;
   answer.body_ = FormatWaitingCount(waiting_[aQueue]);
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -27,8 +27,9 @@
 
 constexpr int kExitSettings = 2;
 // A configuration version must be in force 2 s after its write was
-// acknowledged, also when some calls to the store are lost.
-constexpr Millis kConfigPollInterval(400);
+// acknowledged, also when a watch of it is lost.
+constexpr Millis kConfigWatchWait(700);
+constexpr Millis kConfigRetry(150);
 // An entry is not ready for callers once the store has not answered for this
 // long.
 constexpr Millis kStoreTimeout(1500);
@@ -100,14 +101,16 @@
   int Run();
 
 private:
-  Awaitable<void> PollConfig();
+  Awaitable<void> WatchConfig();
+  void ApplyConfig(const StoreItem& aItem);
   Awaitable<void> ShutDown();
   void WaitForSignals();
   void ReloadTuning();
   Awaitable<HttpResponse> AnswerReadiness(const HttpRequest& aRequest);
   Awaitable<HttpResponse> AnswerCaller(const HttpRequest& aRequest);
   Awaitable<HttpResponse> AnswerMetrics(const HttpRequest& aRequest);
-  void HandlePeerNotification(Owner& aOwner, const HttpRequest& aRequest);
+  Owner* FindOwner(const std::string& aPath, const std::string& aJob) const;
+  bool HandlePeerNotification(const HttpRequest& aRequest);
   Awaitable<HttpResponse> AnswerPeer(const HttpRequest& aRequest);
   bool IsReady() const;
   void Log(const char* aEvent, std::string aDetail);
@@ -183,6 +186,7 @@
 Daemon::IsReady() const
 {
   return !isStopping_ && callerApi_.Config().version_ > 0 &&
+         callerApi_.CellCount() > 0 &&
          clocks_.Now() - storeAnsweredAt_ < kStoreTimeout;
 }
 
@@ -224,22 +228,53 @@
   answer.body_ = FormatMetrics(metrics_,
                                callerApi_,
                                store_.Calls(),
-                               election_.CurrentOwner(),
+                               http_.GetTraffic(),
+                               election_.CurrentOwners(),
                                clocks_.Now() - storeAnsweredAt_);
   co_return answer;
 }
 
-// Passes on a job or a cancellation that another entry has stored.
-void
-Daemon::HandlePeerNotification(Owner& aOwner, const HttpRequest& aRequest)
+// The owner in this process of the cell that a path names as "/job/K", or of
+// the job's own cell if it names none. Null if another owner may have taken
+// over: it reads jobs and cancellations from the store.
+Owner*
+Daemon::FindOwner(const std::string& aPath, const std::string& aJob) const
+{
+  const auto slash = aPath.find('/', 1);
+  const int cell = slash == std::string::npos
+                     ? CellOf(aJob, callerApi_.CellCount())
+                     : std::atoi(aPath.c_str() + slash + 1);
+  auto* owner = election_.CurrentOwner(cell);
+  return owner && owner->IsLeaseValid() ? owner : nullptr;
+}
+
+// Passes on a job, a cancellation or a report. False if the path is none of
+// these.
+bool
+Daemon::HandlePeerNotification(const HttpRequest& aRequest)
 {
-  if (aRequest.path_ == kNotifyCancelPath) {
-    aOwner.Handle(JobCancelled{ aRequest.body_ });
-  } else if (auto job = DecodeJob(aRequest.body_)) {
-    aOwner.Handle(JobArrived{ std::move(*job) });
+  const auto path = aRequest.path_.substr(0, aRequest.path_.find('/', 1));
+  if (path == kNotifyCancelPath) {
+    if (auto* owner = FindOwner(aRequest.path_, aRequest.body_)) {
+      owner->HandleCancel(aRequest.body_);
+    }
+  } else if (path == kNotifyJobPath) {
+    auto job = DecodeJob(aRequest.body_);
+    if (!job) {
+      Log("record_unreadable", "job in a notification from another entry");
+    } else if (auto* owner = FindOwner(aRequest.path_, job->id_)) {
+      owner->HandleSubmittedJob(std::move(*job));
+    }
+  } else if (path == kCapacityPath) {
+    const auto report = DecodeCapacity(aRequest.body_);
+    auto* owner = FindOwner(aRequest.path_, "");
+    if (report && owner) {
+      owner->Handle(*report);
+    }
   } else {
-    Log("record_unreadable", "job in a notification from another entry");
+    return false;
   }
+  return true;
 }
 
 // Answers notifications and questions from other entries, and the views that
@@ -250,12 +285,7 @@
   constexpr int kNotFound = 404;
   HttpResponse answer;
   answer.contentType_ = "text/plain";
-  auto* owner = election_.CurrentOwner();
-  if (aRequest.path_ == kNotifyJobPath || aRequest.path_ == kNotifyCancelPath) {
-    // If another owner may have taken over, it reads new jobs from the store.
-    if (owner && owner->IsLeaseValid()) {
-      HandlePeerNotification(*owner, aRequest);
-    }
+  if (HandlePeerNotification(aRequest)) {
     co_return answer;
   }
   if (aRequest.path_ == kStandbyPath) {
@@ -265,24 +295,61 @@
   if (aRequest.path_.rfind(kViewPrefix, 0) == 0) {
     const auto view =
       std::string_view(aRequest.path_).substr(std::strlen(kViewPrefix));
-    co_return ShowView(view, callerApi_, owner, settings_);
+    co_return ShowView(view, callerApi_, election_.CurrentOwners(), settings_);
   }
-  if (aRequest.path_ != kOwnerPath) {
+  const auto cell = CellOfOwnerKey(
+    std::string_view(aRequest.path_).substr(1)); // paths are like keys
+  if (!cell) {
     answer.status_ = kNotFound;
     co_return answer;
   }
+  const auto* owner = election_.CurrentOwner(*cell);
   answer.body_ = std::to_string(owner ? owner->Term() : 0);
   co_return answer;
 }
 
+void
+Daemon::ApplyConfig(const StoreItem& aItem)
+{
+  if (aItem.isRemoved_ || aItem.revision_ <= configRevision_) {
+    return;
+  }
+  configRevision_ = aItem.revision_;
+  auto config = ReadConfig(aItem.value_);
+  if (!config) {
+    Log("config_unreadable",
+        "configuration at store revision " + std::to_string(configRevision_) +
+          " can't be decoded; the configuration in force stays");
+    return;
+  }
+  Log("config_seen",
+      "configuration version " + std::to_string(config->version_) +
+        ", store revision " + std::to_string(configRevision_));
+  for (auto* owner : election_.CurrentOwners()) {
+    owner->Handle(ConfigSeen{ *config });
+  }
+  callerApi_.SetConfig(std::move(*config));
+}
+
+// Reads the configuration once, then watches it: it is too large to read again
+// and again.
 Awaitable<void>
-Daemon::PollConfig()
+Daemon::WatchConfig()
 {
   bool isReached = false;
+  bool mustRead = true;
+  std::int64_t after = 0; // the watch reports changes after this revision
   while (!isStopping_) {
-    const auto reply = co_await store_.Get(kConfigKey);
-    const bool isNowReached =
-      reply.IsDone() || reply.status_ == StoreStatus::Missing;
+    StoreReply reply;
+    const bool wasRead = mustRead;
+    if (mustRead) {
+      reply = co_await store_.Get(kConfigKey);
+    } else {
+      reply = co_await store_.Watch(kConfigKey, after, kConfigWatchWait);
+    }
+    const bool isNowReached = reply.IsDone() ||
+                              reply.status_ == StoreStatus::Missing ||
+                              reply.status_ == StoreStatus::Expired;
     if (isNowReached != isReached) {
       isReached = isNowReached;
       Log(isReached ? "store_reached" : "store_lost",
@@ -292,24 +359,19 @@
     if (isNowReached) {
       storeAnsweredAt_ = clocks_.Now();
     }
-    if (reply.IsDone() && reply.items_.front().revision_ > configRevision_) {
-      configRevision_ = reply.items_.front().revision_;
-      if (auto config = ReadConfig(reply.items_.front().value_)) {
-        Log("config_seen",
-            "configuration version " + std::to_string(config->version_) +
-              ", store revision " + std::to_string(configRevision_));
-        if (auto* owner = election_.CurrentOwner()) {
-          owner->Handle(ConfigSeen{ *config });
-        }
-        callerApi_.SetConfig(std::move(*config));
-      } else {
-        Log("config_unreadable",
-            "configuration at store revision " +
-              std::to_string(configRevision_) +
-              " can't be decoded; the configuration in force stays");
+    for (const auto& item : reply.items_) {
+      if (item.key_ == kConfigKey) {
+        ApplyConfig(item);
       }
     }
-    co_await Sleep(io_, kConfigPollInterval);
+    // A watch that failed may have had more changes to report than the link can
+    // carry in time; a read returns only the last one.
+    mustRead = !reply.IsDone() || configRevision_ == 0;
+    if (reply.IsDone()) {
+      after = NextWatchRevision(after, reply, wasRead);
+    } else {
+      co_await Sleep(io_, kConfigRetry);
+    }
   }
 }
 
@@ -353,7 +415,7 @@
   }
   tuning_ = tuning;
   SetLogLimits(tuning_.log_);
-  if (auto* owner = election_.CurrentOwner()) {
+  for (auto* owner : election_.CurrentOwners()) {
     owner->ApplyTuning();
   }
 }
@@ -395,7 +457,7 @@
     }
   }
   WaitForSignals();
-  asio::co_spawn(io_, PollConfig(), asio::detached);
+  asio::co_spawn(io_, WatchConfig(), asio::detached);
   asio::co_spawn(io_, election_.Register(), asio::detached);
   asio::co_spawn(io_, election_.Run(), asio::detached);
   io_.run();
--- a/packages/daemon/src/daemon_context.h
+++ b/packages/daemon/src/daemon_context.h
@@ -23,16 +23,21 @@
 
 // Where a daemon answers its peers, the other entries.
 std::string PeerAddress(const PlatformSettings& aSettings);
-// Answers with the term in which the process owns the fleet, or 0.
+// Answers with the term in which the process owns the cell, or 0: "/owner" for
+// cell 0, "/owner/K" for cell K.
 inline constexpr const char* kOwnerPath = "/owner";
+std::string OwnerPath(int aCell);
 // Answers with kStandbyReady if the process could own the fleet now.
 inline constexpr const char* kStandbyPath = "/standby";
 inline constexpr const char* kStandbyReady = "ready";
 // An entry notifies the owner of each job or cancellation that it has stored,
 // so that the owner does not wait for its watch of the store, which is the
 // fallback. The body is the stored job, or the id of the cancelled one.
+// "/K" behind the path names the cell; without it, it is that of the job's id.
 inline constexpr const char* kNotifyJobPath = "/job";
 inline constexpr const char* kNotifyCancelPath = "/cancel";
+// An owner reports to the owner of cell K what its own cell has free.
+inline constexpr const char* kCapacityPath = "/capacity";
 
 } // namespace cuminbridge
 
--- a/packages/daemon/src/owner.h
+++ b/packages/daemon/src/owner.h
@@ -1,26 +1,35 @@
-// Internal: one term of ownership. Passes events to a Fleet and carries out its
-// effects.
+// Internal: one term of ownership of a cell. Passes events to a Fleet and
+// carries out its effects.
 
 #ifndef cuminbridge_daemon_owner_h
 #define cuminbridge_daemon_owner_h
 
 #include <memory>
 
+#include "account_grants.h"
+#include "cells.h"
 #include "fenced_writer.h"
+#include "records.h"
 
 namespace cuminbridge {
 
-// Time for which the owner's key outlives the last renewal of its lease. The
-// owner renews every 300 ms, and the slowest answer of the store takes 240 ms.
-inline constexpr Millis kOwnerLease(1500);
+// Time for which the owner's key outlives the last renewal of its lease, unless
+// the store allows only longer ones. The owner renews every 200 ms, and the
+// slowest answer of the store takes 240 ms.
+inline constexpr Millis kOwnerLease(1000);
+Millis OwnerLease(const PlatformSettings& aSettings);
 
 struct Ownership
 {
+  Cell cell_;
+  std::shared_ptr<const CellMap> map_;
+  // Address for peers of the owner of a cell; empty if none is known.
+  std::function<std::string(int)> findOwner_;
   std::int64_t token_ =
     0; // fencing token: creation revision of the owner's key
   std::int64_t lease_ = 0;    // its number in the store
   int term_ = 1;              // counts the owners, from 1
-  std::string previousOwner_; // value of kLastOwnerKey; empty for the first
+  std::string previousOwner_; // value of its kLastOwnerKey; empty for the first
   Instant validUntil_;        // the store does not end the lease before this
 };
 
@@ -41,40 +50,71 @@
   // True while no other owner can have taken over.
   bool IsLeaseValid() const;
   int Term() const { return ownership_.term_; }
+  Cell GetCell() const { return ownership_.cell_; }
 
   void Handle(const Event& aEvent);
+  Instant SubmissionsReadUpTo() const { return submissionsReadUpTo_; }
+  // A job or a cancellation that an entry has stored.
+  void HandleSubmittedJob(Job aJob);
+  void HandleCancel(const std::string& aJob);
+  LoadRecord CountWaiting() const;
   void ApplyTuning(); // call it after the tuning has changed
   const Fleet& GetFleet() const { return fleet_; }
+  const Traffic& TrafficToTargets() const { return targetHttp_.GetTraffic(); }
 
 private:
   Awaitable<void> Load();
+  void ReplaceOldTargetRecord(const StoredFleet& aStored,
+                              const JobsLoaded& aLoaded);
   Awaitable<PreviousOwner> AskPreviousOwner();
   Awaitable<void> Renew();
+  Awaitable<void> RenewOnce();
+  Awaitable<StoredFleet> ReadStoredFleet();
   Awaitable<void> WatchSubmissions(std::int64_t aRevision);
-  Awaitable<void> PollTargets();
+  void UpdateTarget(const StoreItem& aItem);
+  Awaitable<void> WatchTargets();
   Awaitable<void> PollVms();
   void LogReachability(const char* aService,
                        bool& aIsReachable,
                        bool aIsAnswered);
   Awaitable<void> PollWaves();
+  void CompleteWaves(const std::vector<Wave>& aWaves,
+                     const StoreReply& aRecords);
+  Awaitable<void> ShareLimits();
+  Awaitable<bool> WriteGrants(AccountGrants aGrants, std::int64_t aRevision);
+  void UseGrants(const AccountGrants& aGrants);
+  std::map<std::string, LimitUse> LimitUses() const;
   Awaitable<void> PublishLoad();
   Awaitable<void> RunTicks();
+  Awaitable<void> LogTraffic();
 
   bool HandleSubmission(const StoreItem& aItem); // false if it can't be decoded
   void Execute(Effect aEffect);
   void Store(const StoreProgress& aEffect);
   void Store(const StoreWave& aEffect);
   void RemoveJobs(const DeleteJobRecords& aEffect);
+  void Transfer(const TransferJob& aEffect);
+  void ForwardCancel(const std::string& aJob, int aCell);
+  void NotifyCell(int aCell, const char* aPath, std::string aBody);
+  Awaitable<void> ReportCapacity();
   template<typename Call>
   void Spawn(Call aCall);
 
   DaemonContext context_;
   Ownership ownership_;
   Fleet fleet_;
+  HttpClient targetHttp_; // its connections end with the term
   TargetClient targets_;
   VmClient vms_;
   AdviceClient advice_;
+  CellKeys keys_;
   FencedWriter writer_;
+  std::set<std::int64_t> completedWaves_; // whose status this owner has stored
+  std::map<std::string, TargetReport> reports_; // of the targets, by id
+  std::set<std::string> unreadableTargets_;     // keys that were logged
+  std::map<std::string, int> movedJobs_; // transferred ones, with their cell
+  int orderSlot_ = 0;                    // of kVmOrdersPrefix, written last
+  Instant submissionsReadUpTo_;          // as SubmissionsRead
   bool hasEnded_ = false;
   bool isVmServiceReachable_ = false;
   bool isAdviceReachable_ = false;
--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -67,6 +67,13 @@
   Millis ownerAllowance_{ 5000 };
   // A stop without an answer is sent again after this.
   Millis stopRetry_{ 400 };
+  // A start that arrives later than this after it was sent has no effect.
+  Millis startTimeout_{ 1300 };
+  // While the store is reachable, nothing is started on knowledge of
+  // submissions that is older than this: cancelled work must not start. The sum
+  // with startTimeout_ must be below the time that the users allow for a
+  // cancellation.
+  Millis maxSubmissionAge_{ 1500 };
   // Shortest time between two writes of changed progress. The end of a job is
   // written at once.
   Millis storeInterval_{ 50 };
@@ -91,6 +98,9 @@
   Millis paceInterval_{ 300 };
   // Ended jobs can be queried for this long. Comes from the settings.
   Millis keepEnded_{ 120000 };
+  // Cells of the fleet. Jobs are divided evenly, so a cell gets one job of this
+  // many of each account.
+  int cells_ = 1;
   // Run time on another rack than that of the data, relative to the run time on
   // the rack of the data.
   double remoteFactor_ = 1.5;
@@ -108,12 +118,19 @@
   std::string id_;
   std::string address_;
   std::string pool_;
+  // It was unresponsive. Everything that was started there is stored, as it
+  // gets no work before this is stored as false again.
+  bool isSilent_ = false;
 
   StoredTarget() = default;
-  StoredTarget(std::string aId, std::string aAddress, std::string aPool)
+  StoredTarget(std::string aId,
+               std::string aAddress,
+               std::string aPool,
+               bool aIsSilent = false)
     : id_(std::move(aId))
     , address_(std::move(aAddress))
     , pool_(std::move(aPool))
+    , isSilent_(aIsSilent)
   {
   }
   bool operator==(const StoredTarget&) const = default;
@@ -164,6 +181,7 @@
   std::vector<Job> jobs_;
   std::map<std::string, Progress> progress_; // by job
   std::set<std::string> cancelled_;          // ids of cancelled jobs
+  std::set<std::string> guests_; // ids of jobs that other cells transferred
   std::map<std::int64_t, WaveRecord> waves_;
   std::vector<StoredOrder> orders_;           // recent, of earlier owners
   std::vector<StoredTarget> targets_;         // used by the previous owner
@@ -178,6 +196,15 @@
 struct JobArrived
 {
   Job job_;
+  bool isGuest_ = false; // another cell has transferred it; it stays here
+};
+
+// Capacity of another cell that no work waits for, in thousandths of a core by
+// pool.
+struct PeerCapacitySeen
+{
+  int cell_ = 0;
+  std::map<std::string, std::int64_t> freeCpu_;
 };
 
 struct JobCancelled
@@ -185,6 +212,13 @@
   std::string job_;
 };
 
+// All jobs and cancellations that were stored before this time have been passed
+// on.
+struct SubmissionsRead
+{
+  Instant upTo_;
+};
+
 struct ConfigSeen
 {
   FleetConfig config_;
@@ -288,6 +322,13 @@
   std::uint64_t batch_ = 0;
 };
 
+// The parts of the accounts' limits that this owner may use, in thousandths. An
+// account that is not named may use an equal part.
+struct LimitsGranted
+{
+  std::map<std::string, int> parts_; // by account
+};
+
 // Changes options while the Fleet runs. Leases and other times on which
 // successive owners have to agree must not change.
 struct OptionsChanged
@@ -302,11 +343,14 @@
 {
   WallTime timeOfDay_;
   bool mayOrderVms_ = false;
+  bool isStoreReachable_ = true; // as seen from this process
 };
 
 using Event = std::variant<JobsLoaded,
                            JobArrived,
                            JobCancelled,
+                           SubmissionsRead,
+                           PeerCapacitySeen,
                            ConfigSeen,
                            TargetsSeen,
                            VmsSeen,
@@ -317,6 +361,7 @@
                            AdviceAnswered,
                            VmOrderAnswered,
                            ProgressStored,
+                           LimitsGranted,
                            OptionsChanged,
                            Tick>;
 
@@ -390,11 +435,11 @@
 {
   std::uint64_t batch_ = 0;
   std::vector<std::pair<std::string, Progress>> jobs_;
-  bool hasTargets_ = false; // targets_ replaces the stored list of targets
-  std::vector<StoredTarget> targets_;
-  bool hasOrders_ = false; // orders_ replaces the stored list of recent orders
-  std::vector<StoredOrder> orders_;
-  bool hasDemandPeaks_ = false; // demandPeaks_ replaces the stored list
+  std::vector<StoredTarget> newTargets_;    // used from now on
+  std::vector<std::string> removedTargets_; // ids of those not used any more
+  bool hasOrders_ = false;                  // orders_ is not empty
+  std::vector<StoredOrder> orders_; // new ones, besides those stored before
+  bool hasDemandPeaks_ = false;     // demandPeaks_ replaces the stored list
   std::vector<StoredDemandPeak> demandPeaks_;
 };
 
@@ -405,6 +450,14 @@
   bool isCompleted_ = false;
 };
 
+// Gives a job of which nothing has started to another cell. This Fleet does not
+// know the job any more.
+struct TransferJob
+{
+  Job job_;
+  int cell_ = 0;
+};
+
 // Deletes all records of jobs that ended more than keepEnded_ ago.
 struct DeleteJobRecords
 {
@@ -435,6 +488,7 @@
                             MaintainVm,
                             StoreProgress,
                             StoreWave,
+                            TransferJob,
                             DeleteJobRecords,
                             LogLine,
                             StepDown>;
@@ -468,7 +522,8 @@
 {
   std::string account_;
   Resources running_;
-  Resources limit_; // 0 in a part means no limit there
+  Resources waiting_; // what items need that could start, but for the limit
+  Resources limit_;   // 0 in a part means no limit there
 
   bool operator==(const AccountSummary&) const = default;
 };
@@ -494,6 +549,7 @@
   std::uint64_t moves_ = 0;
   std::uint64_t maintenanceStarts_ = 0;
   std::uint64_t jobsEnded_ = 0;
+  std::uint64_t jobsTransferred_ = 0; // to other cells
 };
 
 struct FleetState; // internal, declared in packages/fleet/src/state.h
@@ -514,10 +570,13 @@
   std::vector<PoolSummary> Pools() const;
   std::vector<AccountSummary> Accounts() const;
   std::vector<WaveSummary> Waves() const;
+  // As PeerCapacitySeen::freeCpu_, for the other cells.
+  std::map<std::string, std::int64_t> FreeCpu() const;
   // Until then, work of earlier owners may run on targets that this owner could
   // not ask.
   WallTime InheritedUntil() const;
   bool HasUnstoredChanges() const;
+  bool HasVmOrders() const; // some have not been completed
   const FleetCounts& Counts() const;
   const FleetState& State() const { return *state_; } // for tests
 
--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -8,6 +8,7 @@
 #include "placing.h"
 #include "runs.h"
 #include "targets.h"
+#include "transfers.h"
 
 namespace cuminbridge {
 
@@ -408,15 +409,92 @@
     return false;
   }
   const auto& pool = PoolOf(aState, aJob);
+  // Owners before the previous one may still have acted until then.
+  const bool isSilenceKnown = aState.now_ >= aState.inheritedUntil_;
   for (const auto& [id, target] : aState.targets_) {
+    const bool isRecorded = target.wasSilentBefore_ && isSilenceKnown;
     if (target.isInherited_ && !target.hasExited_ && !target.hasListedRuns_ &&
-        target.report_.pool_ == pool) {
+        !isRecorded && target.report_.pool_ == pool) {
       return true;
     }
   }
   return false;
 }
 
+// What the other cells have free. Old reports say nothing any more.
+std::map<int, FreeCpu>
+RecentPeers(const FleetState& aState)
+{
+  constexpr Millis kMaxAge(500); // reports come ten times a second
+  std::map<int, FreeCpu> peers;
+  for (const auto& [cell, peer] : aState.peers_) {
+    if (aState.now_ - peer.seenAt_ < kMaxAge) {
+      peers[cell] = peer.freeCpu_;
+    }
+  }
+  return peers;
+}
+
+// Whether nothing of the job has ever started or been stored, so that it can
+// still go to another cell.
+bool
+IsTransferable(const JobEntry& aJob)
+{
+  if (aJob.isGuest_ || aJob.storedState_ || aJob.isDirty_ ||
+      aJob.state_ != JobState::Queued || aJob.job_.repeats_ > 0) {
+    return false;
+  }
+  for (const auto& [number, occurrence] : aJob.occurrences_) {
+    for (const auto& step : occurrence.steps_) {
+      for (const auto& item : step.items_) {
+        if (item.run_ != 0 || item.phase_ != ItemPhase::Waiting) {
+          return false;
+        }
+      }
+    }
+  }
+  return true;
+}
+
+// Gives the job of a waiting step to another cell if the step does not fit here
+// as a whole and fits there. True if the job is gone.
+bool
+TransferIfFull(FleetState& aState,
+               const WaitingStep& aWaiting,
+               const std::vector<Candidate>& aCandidates)
+{
+  auto& job = *aWaiting.job_;
+  const auto& step = job.job_.steps_[aWaiting.step_];
+  const auto& state =
+    job.occurrences_[aWaiting.occurrence_].steps_[aWaiting.step_];
+  const int items =
+    static_cast<int>(state.items_.size()) - state.done_ - state.assigned_;
+  if (aState.peers_.empty() || !IsTransferable(job) ||
+      FitsItems(aCandidates, step, items)) {
+    return false;
+  }
+  const auto pool = PoolOf(aState, job);
+  const auto cpu = items * step.needs_.cpu_;
+  const auto cell = ChooseCell(RecentPeers(aState), pool, cpu);
+  if (!cell) {
+    return false;
+  }
+  aState.peers_[*cell].freeCpu_[pool] -= cpu;
+  ++aState.counts_.jobsTransferred_;
+  const std::string id = job.job_.id_;
+  aState.Log("job_transferred",
+             id,
+             "",
+             "",
+             "to cell " + std::to_string(*cell) + ": " + std::to_string(items) +
+               " items of " + std::to_string(step.needs_.cpu_) +
+               " thousandths of a core do not fit here");
+  aState.Emit(TransferJob{ job.job_, *cell });
+  aState.activeJobs_.erase(id);
+  aState.jobs_.erase(id);
+  return true;
+}
+
 void
 DispatchPool(FleetState& aState, const std::string& aPool)
 {
@@ -425,8 +503,14 @@
     return;
   }
   auto base = MakeCandidates(aState, targets);
+  std::set<const JobEntry*> transferred; // no longer exist
   for (const auto& waiting : CollectWaiting(aState, aPool)) {
-    if (MayRunUnreported(aState, *waiting.job_)) {
+    if (transferred.count(waiting.job_) != 0 ||
+        MayRunUnreported(aState, *waiting.job_)) {
+      continue;
+    }
+    if (TransferIfFull(aState, waiting, base)) {
+      transferred.insert(waiting.job_);
       continue;
     }
     const auto& step = waiting.job_->job_.steps_[waiting.step_];
@@ -463,6 +547,25 @@
   return true;
 }
 
+Resources
+UsableLimit(const FleetState& aState, const Account& aAccount)
+{
+  constexpr std::int64_t kWhole = 1000;
+  Resources limit = aAccount.limit_;
+  if (aState.options_.cells_ > 1) {
+    const auto granted = aState.limitParts_.find(aAccount.name_);
+    const auto part = granted == aState.limitParts_.end()
+                        ? kWhole / aState.options_.cells_
+                        : granted->second;
+    // At least 1, as 0 stands for no limit.
+    for (auto* amount : { &limit.cpu_, &limit.memMb_, &limit.gpu_ }) {
+      *amount =
+        *amount == 0 ? 0 : std::max<std::int64_t>(1, *amount * part / kWhole);
+    }
+  }
+  return limit;
+}
+
 bool
 IsWithinLimit(const FleetState& aState,
               const std::string& aAccount,
@@ -478,12 +581,74 @@
   if (running != aState.running_.end()) {
     sum += running->second;
   }
-  const auto& limit = account->limit_;
+  const auto limit = UsableLimit(aState, *account);
   return (limit.cpu_ == 0 || sum.cpu_ <= limit.cpu_) &&
          (limit.memMb_ == 0 || sum.memMb_ <= limit.memMb_) &&
          (limit.gpu_ == 0 || sum.gpu_ <= limit.gpu_);
 }
 
+std::map<std::string, Resources>
+WaitingNeedsByAccount(const FleetState& aState)
+{
+  std::map<std::string, Resources> needs;
+  for (const auto& id : aState.activeJobs_) {
+    const auto& job = *aState.jobs_.at(id);
+    if (job.unassigned_ == 0 || job.job_.account_.empty()) {
+      continue;
+    }
+    auto& sum = needs[job.job_.account_];
+    for (const auto& [number, occurrence] : job.occurrences_) {
+      for (std::size_t index = 0; index < occurrence.steps_.size(); ++index) {
+        const auto& step = occurrence.steps_[index];
+        const auto& spec = job.job_.steps_[index];
+        if (!HasWaiting(step) || !IsReady(job, occurrence, index)) {
+          continue;
+        }
+        const auto items = static_cast<std::int64_t>(step.items_.size()) -
+                           step.done_ - step.assigned_;
+        sum += { items * spec.needs_.cpu_,
+                 items * spec.needs_.memMb_,
+                 items * spec.needs_.gpu_ };
+      }
+    }
+  }
+  return needs;
+}
+
+// Targets that a step lacks because of its limit of items on one target.
+int
+CountLackingTargets(const FleetState& aState,
+                    const std::string& aPool,
+                    const Occurrence& aOccurrence,
+                    std::size_t aStep,
+                    const Step& aSpec)
+{
+  const auto pool = aState.byPool_.find(aPool);
+  const auto& items = aOccurrence.steps_[aStep].items_;
+  if (aSpec.maxPerTarget_ <= 0 || pool == aState.byPool_.end()) {
+    return 0;
+  }
+  std::map<std::string, int> used; // items by target
+  int waiting = 0;
+  for (const auto& item : items) {
+    waiting += item.phase_ == ItemPhase::Waiting ? 1 : 0;
+    if (item.phase_ == ItemPhase::Assigned) {
+      ++used[item.target_];
+    }
+  }
+  int space = 0;
+  for (const auto* target : pool->second) {
+    if (target->IsUsable(aState.now_)) {
+      const auto here = used.find(target->report_.id_);
+      space += std::max(
+        0, aSpec.maxPerTarget_ - (here == used.end() ? 0 : here->second));
+    }
+  }
+  return space >= waiting
+           ? 0
+           : (waiting - space + aSpec.maxPerTarget_ - 1) / aSpec.maxPerTarget_;
+}
+
 std::map<std::string, WaitingWork>
 WaitingWorkByPool(const FleetState& aState)
 {
@@ -508,6 +673,10 @@
         work.topPriorityItems_ += job.job_.priority_ == 0 ? items : 0;
         work.cpu_ += spec.isFiller_ ? 0 : items * spec.needs_.cpu_;
         work.largestCpu_ = std::max(work.largestCpu_, spec.needs_.cpu_);
+        work.lackingTargets_ =
+          std::max(work.lackingTargets_,
+                   CountLackingTargets(
+                     aState, PoolOf(aState, job), occurrence, index, spec));
       }
     }
   }
@@ -532,6 +701,10 @@
       aState.dirtyPools_.insert(pool.name_);
     }
   }
+  if (aState.isStoreReachable_ && aState.now_ - aState.submissionsReadUpTo_ >
+                                    aState.options_.maxSubmissionAge_) {
+    return; // cancellations may not have been read yet
+  }
   std::vector<std::string> due;
   for (const auto& pool : aState.dirtyPools_) {
     auto& last = aState.lastDispatch_[pool];
--- a/packages/fleet/src/dispatch.h
+++ b/packages/fleet/src/dispatch.h
@@ -15,6 +15,9 @@
   std::int64_t largestCpu_ = 0; // needed by the largest one, likewise
   int items_ = 0;
   int topPriorityItems_ = 0; // items of priority 0 among them
+  // Targets that the pool lacks for items that may not share one with others of
+  // their step.
+  int lackingTargets_ = 0;
 };
 
 void Dispatch(FleetState& aState);
@@ -28,6 +31,13 @@
              const Occurrence& aOccurrence,
              std::size_t aStep);
 
+// The limit of an account that this owner may use. 0 in a part means no limit.
+Resources UsableLimit(const FleetState& aState, const Account& aAccount);
+
+// What the waiting items of each account need whose steps may start now.
+std::map<std::string, Resources> WaitingNeedsByAccount(
+  const FleetState& aState);
+
 // True if a client account stays within its limit with aMore running besides
 // what it has running now.
 bool IsWithinLimit(const FleetState& aState,
--- a/packages/fleet/src/jobs.cpp
+++ b/packages/fleet/src/jobs.cpp
@@ -158,8 +158,10 @@
   if (!account || aJob.job_.repeats_ > 0) {
     return;
   }
-  aJob.isBeyondShare_ = !ConsumeShare(
-    aState.shares_[account->name_], account->weight_, aJob.job_.accepted_);
+  aJob.isBeyondShare_ =
+    !ConsumeShare(aState.shares_[account->name_],
+                  account->weight_ / std::max(1, aState.options_.cells_),
+                  aJob.job_.accepted_);
 }
 
 JobEntry&
@@ -315,6 +317,9 @@
   for (const auto& stored : aLoaded.targets_) {
     auto& target = aState.targets_[stored.id_];
     target.isInherited_ = true;
+    target.isRecorded_ = true;
+    target.isStoredSilent_ = stored.isSilent_;
+    target.wasSilentBefore_ = stored.isSilent_;
     if (!target.isListed_) {
       target.report_.id_ = stored.id_;
       target.report_.address_ = stored.address_;
@@ -329,6 +334,7 @@
   for (const auto& job : jobs) {
     auto& entry = InsertJob(aState, job);
     entry.wasLoaded_ = true;
+    entry.isGuest_ = aLoaded.guests_.count(job.id_) != 0;
     const auto progress = aLoaded.progress_.find(job.id_);
     if (progress != aLoaded.progress_.end()) {
       RestoreJob(aState, entry, progress->second);
@@ -342,6 +348,14 @@
       EndJob(aState, entry, JobState::Completed);
     }
   }
+  // Only the end of older jobs is stored.
+  for (const auto& [id, progress] : aLoaded.progress_) {
+    if (aState.jobs_.count(id) == 0 && IsEnd(progress.state_)) {
+      Job job;
+      job.id_ = id;
+      RestoreJob(aState, InsertJob(aState, job), progress);
+    }
+  }
   for (const auto& job : aLoaded.cancelled_) {
     CancelJob(aState, job);
   }
@@ -355,12 +369,13 @@
 }
 
 void
-AddJob(FleetState& aState, const Job& aJob)
+AddJob(FleetState& aState, const Job& aJob, bool aIsGuest)
 {
   if (aState.jobs_.count(aJob.id_) != 0) {
     return;
   }
   auto& entry = InsertJob(aState, aJob);
+  entry.isGuest_ = aIsGuest;
   aState.activeJobs_.insert(aJob.id_);
   OpenOccurrences(aState, entry);
   RecordOfferedLoad(aState, entry);
--- a/packages/fleet/src/reducer.cpp
+++ b/packages/fleet/src/reducer.cpp
@@ -68,6 +68,7 @@
     }
   }
   aState.mayOrderVms_ = aTick.mayOrderVms_;
+  aState.isStoreReachable_ = aTick.isStoreReachable_;
   if (aState.now_ < aState.nextSweep_) {
     return;
   }
@@ -90,13 +91,26 @@
   void operator()(const JobsLoaded& aEvent)
   {
     LoadJobs(state_, aEvent);
+    state_.submissionsReadUpTo_ = state_.now_;
     UpdateWatchedTargets(state_);
   }
-  void operator()(const JobArrived& aEvent) { AddJob(state_, aEvent.job_); }
+  void operator()(const JobArrived& aEvent)
+  {
+    AddJob(state_, aEvent.job_, aEvent.isGuest_);
+  }
   void operator()(const JobCancelled& aEvent)
   {
     CancelJob(state_, aEvent.job_);
   }
+  void operator()(const SubmissionsRead& aEvent)
+  {
+    state_.submissionsReadUpTo_ =
+      std::max(state_.submissionsReadUpTo_, aEvent.upTo_);
+  }
+  void operator()(const PeerCapacitySeen& aEvent)
+  {
+    state_.peers_[aEvent.cell_] = { aEvent.freeCpu_, state_.now_ };
+  }
   void operator()(const ConfigSeen& aEvent)
   {
     if (aEvent.config_.version_ > state_.config_.version_) {
@@ -140,6 +154,13 @@
   {
     HandleProgressStored(state_, aEvent.batch_);
   }
+  void operator()(const LimitsGranted& aEvent)
+  {
+    state_.limitParts_ = aEvent.parts_;
+    for (const auto& pool : state_.config_.pools_) {
+      state_.dirtyPools_.insert(pool.name_);
+    }
+  }
   void operator()(const OptionsChanged& aEvent)
   {
     state_.options_ = aEvent.options_;
@@ -220,7 +241,14 @@
 Fleet::HasUnstoredChanges() const
 {
   return state_->batch_ != 0 || !state_->dirtyJobs_.empty() ||
-         state_->mustStoreTargets_ || state_->mustStoreOrders_;
+         !state_->unrecordedTargets_.empty() ||
+         !state_->removedTargets_.empty() || state_->mustStoreOrders_;
+}
+
+bool
+Fleet::HasVmOrders() const
+{
+  return !state_->vmOrders_.empty();
 }
 
 const FleetCounts&
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -67,6 +67,7 @@
   bool isDirty_ = false;       // changed since it was last put into a batch
   bool wasLoaded_ = false;     // accepted before this owner began
   bool isBeyondShare_ = false; // exceeds the share of its client account
+  bool isGuest_ = false;       // another cell has transferred it
   std::map<int, Occurrence> occurrences_; // by number; only opened ones
   int nextOccurrence_ = 0;                // first that is not open yet
   int occurrencesDone_ = 0;
@@ -74,11 +75,7 @@
   Instant arrived_;    // when it was accepted, on this owner's clock
   Instant ended_;
 
-  bool HasEnded() const
-  {
-    return state_ == JobState::Completed || state_ == JobState::Failed ||
-           state_ == JobState::Cancelled;
-  }
+  bool HasEnded() const { return IsEnd(state_); }
 };
 
 //-----------------------------------------------------------------------------
@@ -132,8 +129,13 @@
 struct Target
 {
   TargetReport report_;
-  bool isListed_ = false;      // in the last list of targets
-  bool isRecorded_ = false;    // stored, so that the next owner will find it
+  bool isListed_ = false;       // in the last list of targets
+  bool isRecorded_ = false;     // stored, so that the next owner will find it
+  bool isRecording_ = false;    // is being stored
+  bool isStoredSilent_ = false; // StoredTarget::isSilent_, stored or to be
+  // The previous owner had stored it as silent, and it has not answered since:
+  // what runs there is recorded.
+  bool wasSilentBefore_ = false;
   bool isInherited_ = false;   // the previous owner used it
   bool hasListedRuns_ = false; // this owner has read its list of runs
   bool hasExited_ = false;     // its process has ended
@@ -151,6 +153,7 @@
   std::vector<Run> runs_;
   Resources used_; // sum of what its runs reserve
 
+  Instant listedAt_; // when the renewal was sent that last listed its runs
   bool isRenewalPending_ = false; // a renewal has not been answered
   Instant nextRenewal_;
   // Ended runs, by their number in the target's list. Each of these is a
@@ -217,6 +220,13 @@
   Millis decayTime_{ 1 }; // of the last arrival
 };
 
+// Capacity of another cell, as it reported it.
+struct PeerCapacity
+{
+  std::map<std::string, std::int64_t> freeCpu_;
+  Instant seenAt_;
+};
+
 //-----------------------------------------------------------------------------
 // [SECTION] The fleet
 //-----------------------------------------------------------------------------
@@ -228,7 +238,9 @@
   Instant now_;
   WallTime timeOfDay_;
   Instant timeOfDayAt_;
-  bool mayOrderVms_ = false;  // see Tick
+  bool mayOrderVms_ = false; // see Tick
+  bool isStoreReachable_ = true;
+  Instant submissionsReadUpTo_;
   bool hasJobs_ = false;      // JobsLoaded has come
   bool hasTargets_ = false;   // TargetsSeen has come
   bool isReconciling_ = true; // some target has not been asked what runs there
@@ -245,11 +257,13 @@
   // tick checks only these; the sweep adds those that need it anew.
   std::set<std::string> watchedTargets_;
   std::map<std::string, Resources> running_;    // in use, by account
+  std::map<std::string, int> limitParts_;       // as LimitsGranted::parts_
   std::map<std::string, ShareBucket> shares_;   // by account
   std::map<std::string, RunTimes> runTimes_;    // by queue
   std::map<std::string, PoolPeak> demandPeaks_; // by pool
   bool mustStoreDemandPeaks_ = false;
   std::map<std::string, OfferedLoad> offeredLoads_; // by pool
+  std::map<int, PeerCapacity> peers_;               // by cell
 
   std::map<std::string, Vm> vms_;
   Instant vmsSeen_; // when the list in vms_ was requested
@@ -258,7 +272,7 @@
   std::map<std::int64_t, WaveRecord> loadedWaves_; // from the store
   // VMs that an earlier owner ordered, and from when this one may order them.
   std::map<std::string, Instant> orderAllowedFrom_;
-  std::deque<StoredOrder> recentOrders_; // of this owner, for the store
+  std::vector<StoredOrder> newOrders_; // for the next batch
   bool mustStoreOrders_ = false;
   Instant nextPlan_;
 
@@ -268,8 +282,9 @@
   std::vector<std::pair<std::string, JobState>> batchStates_; // jobs in batch_
   Instant nextStore_;     // no batch before this, unless isUrgent_
   bool isUrgent_ = false; // a job has ended or a VM is ordered: store at once
-  bool mustStoreTargets_ = false;
-  std::vector<std::string> batchTargets_; // targets in batch_
+  std::set<std::string> unrecordedTargets_; // to store in the next batch
+  std::set<std::string> removedTargets_;    // to remove in the next batch
+  std::vector<std::string> batchTargets_;   // new targets in batch_
 
   std::map<std::string, Instant> lastDispatch_; // by pool
   std::set<std::string> dirtyPools_; // a change may allow work to start there
--- a/packages/fleet/tests/simulated_fleet.cpp
+++ b/packages/fleet/tests/simulated_fleet.cpp
@@ -106,7 +106,7 @@
     owner_->replacedAt_ = now_;
     owner_->hasEnded_ = owner_->hasEnded_ || aFormer != PreviousOwner::Unknown;
     if (!owner_->hasEnded_) {
-      Deliver(*owner_, Tick{ WallTime(now_.time_since_epoch()), false });
+      Deliver(*owner_, Tick{ WallTime(now_.time_since_epoch()), false, false });
     }
   }
   ++term_;
@@ -121,7 +121,9 @@
   }
   loaded.progress_ = progress_;
   loaded.cancelled_ = cancelled_;
-  loaded.targets_ = storedTargets_;
+  for (const auto& [id, target] : storedTargets_) {
+    loaded.targets_.push_back(target);
+  }
   loaded.previousOwner_ = term_ == 1 ? PreviousOwner::HandedOver : aFormer;
   loaded.term_ = term_;
   loaded.inheritedUntil_ = inheritedUntil_;
@@ -233,8 +235,14 @@
   if (aOwner->hasEnded_) {
     return;
   }
+  const bool isStoreReachable = !aOwner->replacedAt_;
+  if (isStoreReachable) {
+    Deliver(*aOwner, SubmissionsRead{ now_ });
+  }
   Deliver(*aOwner,
-          Tick{ WallTime(now_.time_since_epoch()), !aOwner->replacedAt_ });
+          Tick{ WallTime(now_.time_since_epoch()),
+                isStoreReachable,
+                isStoreReachable });
   At(kTickInterval, [this, aOwner] { TickOwner(aOwner); });
 }
 
@@ -337,8 +345,11 @@
         }
       }
     }
-    if (aStore.hasTargets_) {
-      storedTargets_ = aStore.targets_;
+    for (const auto& target : aStore.newTargets_) {
+      storedTargets_[target.id_] = target;
+    }
+    for (const auto& id : aStore.removedTargets_) {
+      storedTargets_.erase(id);
     }
     Deliver(*owner, ProgressStored{ aStore.batch_ });
   });
--- a/packages/web/src/client.cpp
+++ b/packages/web/src/client.cpp
@@ -57,6 +57,18 @@
   return { address, port };
 }
 
+void
+AddUp(Traffic& aSum, const Traffic& aMore)
+{
+  for (const auto& [kind, more] : aMore) {
+    auto& sum = aSum[kind];
+    sum.calls_ += more.calls_;
+    sum.connections_ += more.connections_;
+    sum.bytesSent_ += more.bytesSent_;
+    sum.bytesReceived_ += more.bytesReceived_;
+  }
+}
+
 struct HttpClient::Pool
 {
   struct Idle
@@ -143,13 +155,15 @@
 {
   HttpReply reply;
   Sweep();
+  auto& traffic = traffic_[aCall.kind_];
+  ++traffic.calls_;
   const auto deadline = steady_clock::now() + aCall.limit_;
   auto& entry = pools_[aAddress];
   if (!entry) {
     entry = std::make_shared<Pool>();
   }
   const auto pool = entry;
-  while (pool->inUse_ >= options_.maxConnections_) {
+  while (!aCall.isUrgent_ && pool->inUse_ >= options_.maxConnections_) {
     auto timer = std::make_shared<asio::steady_timer>(io_, deadline);
     pool->waiting_.push_back(timer);
     const auto [waitError] = co_await timer->async_wait(kAsTuple);
@@ -170,6 +184,7 @@
     }
   }
   if (!stream) {
+    ++traffic.connections_;
     stream = std::make_unique<tcp_stream>(io_);
     stream->expires_at(
       std::min(deadline, steady_clock::now() + options_.connectTimeout_));
@@ -202,6 +217,7 @@
   stream->expires_at(deadline);
   const auto [writeError, written] =
     co_await http::async_write(*stream, request, kAsTuple);
+  traffic.bytesSent_ += written;
   if (writeError) {
     co_return reply;
   }
@@ -210,6 +226,7 @@
   parser.body_limit(kMaxResponseBytes);
   const auto [readError, got] =
     co_await http::async_read(*stream, buffer, parser, kAsTuple);
+  traffic.bytesReceived_ += got;
   if (readError) {
     co_return reply;
   }
