--- a/packages/fleet/src/relocate.cpp
+++ b/packages/fleet/src/relocate.cpp
@@ -31,6 +31,7 @@
   const auto target = aState.targets_.find(aItem.target_);
   if (aItem.phase_ != ItemPhase::Assigned || target == aState.targets_.end() ||
       target->second.contact_ != Contact::Good ||
+      target->second.report_.isDraining_ || // stopped soon in any case
       aState.now_ - target->second.listedAt_ > kMaxListAge) {
     return false;
   }
--- a/packages/fleet/tests/takeover_test.cpp
+++ b/packages/fleet/tests/takeover_test.cpp
@@ -308,6 +308,73 @@
   CHECK(fixture.fleet_.Counts().jobsTransferred_ == 1);
 }
 
+TEST_CASE("an item on a draining target counts as away")
+{
+  // Such an item is stopped in any case. In the same pass, another item of its
+  // step was stopped for a wave, and both were away at once.
+  TakenOverFleet fixture;
+  for (const char* id : { "t1", "t2", "t3", "t4" }) {
+    fixture.AddTarget(id);
+  }
+  fixture.reports_[3].isDraining_ = true; // no free capacity elsewhere
+  fixture.TakeOver();
+  fixture.AdvanceTime(Millis(10));
+  for (const auto& report : fixture.reports_) {
+    fixture.AnswerRenewal(report.id_, {}, {});
+  }
+  fixture.fleet_.TakeEffects();
+  auto job = MakeJob(MakeJobId(1), "a", { 3 });
+  job.steps_.front().isLongRunning_ = true;
+  job.steps_.front().maxUnavailable_ = 1;
+  job.steps_.front().maxPerTarget_ = 1;
+  fixture.Deliver(JobArrived{ job, false });
+  fixture.AdvanceTime(Millis(10));
+  std::map<std::string, RunningRun> runs;
+  for (const auto& start : fixture.TakeStarts()) {
+    runs[start.target_] = { start.item_, start.run_, "", 100, 0 };
+  }
+  REQUIRE(runs.size() == 3);
+  std::vector<Vm> vms;
+  for (const auto& report : fixture.reports_) {
+    Vm vm;
+    vm.name_ = report.vm_;
+    vm.pool_ = "a";
+    vm.target_ = report.id_;
+    vm.state_ = VmState::Up;
+    vms.push_back(vm);
+  }
+  Wave wave;
+  wave.number_ = 1;
+  wave.vms_ = { "vm-t1" };
+  wave.duration_ = Millis(1000);
+  fixture.Deliver(VmsSeen{ vms, fixture.now_ });
+  fixture.Deliver(WavesSeen{ { wave } });
+  const auto countStops = [&] {
+    int stops = 0;
+    for (const auto& effect : fixture.fleet_.TakeEffects()) {
+      stops += std::holds_alternative<StopRun>(effect) ? 1 : 0;
+    }
+    return stops;
+  };
+  for (int step = 0; step < 8; ++step) {
+    for (const auto& [target, run] : runs) {
+      fixture.AnswerRenewal(target, { run }, {});
+    }
+    fixture.Deliver(VmsSeen{ vms, fixture.now_ });
+    fixture.AdvanceTime(Millis(200));
+  }
+  REQUIRE(fixture.fleet_.State().targets_.at("t1").isCordoned_);
+  REQUIRE(countStops() == 0);
+  fixture.reports_[1].isDraining_ = true;
+  fixture.reports_[3].isDraining_ = false;
+  for (auto& report : fixture.reports_) {
+    ++report.sequence_;
+  }
+  fixture.Deliver(TargetsSeen{ fixture.reports_ });
+  fixture.AdvanceTime(Millis(100));
+  CHECK(countStops() == 1); // on t2 only
+}
+
 TEST_CASE("an owner uses only its part of an account's limit")
 {
   TakenOverFleet fixture;
