End the lease of an owner whose process has ended

Cause: after a kill, a cell waits for the lease of its owner to run out (1 s), though every entry that notifies the owner gets the connection refused. Change: an entry or an owner whose call is refused asks once more, and then ends the lease; the former owner is fenced in any case. A dead peer is asked for 120 ms, not 250.

--- a/packages/daemon/src/caller_api.cpp
+++ b/packages/daemon/src/caller_api.cpp
@@ -162,32 +162,40 @@
   co_return Problem(kNotAllowed, "POST, GET or DELETE");
 }
 
-// Does not wait for an answer and does not retry: the owner also watches the
-// store.
-void
-CallerApi::NotifyOwner(const CellState& aCell,
-                       const char* aPath,
-                       std::string aBody)
+// Does not retry: the owner also watches the store.
+Awaitable<void>
+CallerApi::NotifyOwner(int aCell, const char* aPath, std::string aBody)
 {
-  if (aCell.ownerAddress_.empty()) {
-    return;
-  }
   constexpr Millis kNotifyTimeout(
     300); // by then the owner's watch has reported it
+  const std::string address = OwnerAddress(aCell);
+  if (address.empty()) {
+    co_return;
+  }
   HttpCall call;
   call.kind_ = "peer_notify";
   call.method_ = "POST";
   call.path_ = aPath;
   if (CellCount() > 1) {
-    const auto number = &aCell - cells_.data();
-    call.path_ += '/' + std::to_string(number);
+    call.path_ += '/' + std::to_string(aCell);
   }
   call.body_ = std::move(aBody);
   call.limit_ = kNotifyTimeout;
-  boost::asio::co_spawn(
-    context_.io_,
-    context_.http_.Call(aCell.ownerAddress_, std::move(call)),
-    boost::asio::detached);
+  const auto reply = co_await context_.http_.Call(address, std::move(call));
+  if (reply.outcome_ == CallOutcome::Refused && onOwnerRefused_) {
+    onOwnerRefused_(aCell, address);
+  }
+}
+
+void
+CallerApi::SpawnNotification(const CellState& aCell,
+                             const char* aPath,
+                             std::string aBody)
+{
+  const auto cell = static_cast<int>(&aCell - cells_.data());
+  boost::asio::co_spawn(context_.io_,
+                        NotifyOwner(cell, aPath, std::move(aBody)),
+                        boost::asio::detached);
 }
 
 Awaitable<HttpResponse>
@@ -237,7 +245,7 @@
       if (reply.IsDone() && cell.owner_ && cell.owner_->IsLeaseValid()) {
         cell.owner_->HandleSubmittedJob(std::move(job));
       } else if (reply.IsDone()) {
-        NotifyOwner(
+        SpawnNotification(
           cell, kNotifyJobPath, std::move(write.puts_.front().value_));
       }
       co_return HttpResponse{};
@@ -357,7 +365,7 @@
         if (cell->owner_) {
           cell->owner_->HandleCancel(aId);
         } else {
-          NotifyOwner(*cell, kNotifyCancelPath, aId);
+          SpawnNotification(*cell, kNotifyCancelPath, aId);
         }
         co_return HttpResponse{};
       }
--- a/packages/daemon/src/caller_api.h
+++ b/packages/daemon/src/caller_api.h
@@ -36,6 +36,12 @@
   void SetOwnerAddress(int aCell, std::string aAddress);
   const std::string& OwnerAddress(int aCell) const;
 
+  // Called with a cell and its owner's address when no process listens there.
+  void SetOnOwnerRefused(std::function<void(int, const std::string&)> aCallback)
+  {
+    onOwnerRefused_ = std::move(aCallback);
+  }
+
   Awaitable<HttpResponse> Answer(const HttpRequest& aRequest);
 
   const CallerApiCounts& Counts() const { return counts_; }
@@ -60,12 +66,14 @@
   // The cell to which a job was transferred, by the record in its own; null if
   // it was not.
   CellState* MovedTo(const StoreItem& aJobRecord);
-  void NotifyOwner(const CellState& aCell,
-                   const char* aPath,
-                   std::string aBody);
+  Awaitable<void> NotifyOwner(int aCell, const char* aPath, std::string aBody);
+  void SpawnNotification(const CellState& aCell,
+                         const char* aPath,
+                         std::string aBody);
   Awaitable<bool> ReadWaitingCounts();
 
   DaemonContext context_;
+  std::function<void(int, const std::string&)> onOwnerRefused_;
   FleetConfig config_;
   std::vector<CellState> cells_;       // empty until their number is known
   std::map<std::string, int> waiting_; // jobs by queue, in all cells
--- a/packages/daemon/src/election.cpp
+++ b/packages/daemon/src/election.cpp
@@ -46,6 +46,9 @@
   , callerApi_(aCallerApi)
   , yieldInterval_(kYieldInterval)
 {
+  callerApi_.SetOnOwnerRefused([this](int aCell, const std::string& aAddress) {
+    HandleRefused(aCell, aAddress);
+  });
 }
 
 Owner*
@@ -232,6 +235,46 @@
   }
 }
 
+void
+Election::HandleRefused(int aCell, const std::string& aAddress)
+{
+  auto& cell = cells_[static_cast<std::size_t>(aCell)];
+  if (cell.address_ == aAddress && !cell.isChecked_ && !isStopping_) {
+    cell.isChecked_ = true;
+    asio::co_spawn(
+      context_.io_, EndLeaseOfDeadOwner(aCell, aAddress), asio::detached);
+  }
+}
+
+// No process listens at the address of an owner, so its process has ended. Ends
+// its lease, so that the cell need not wait until it runs out. If the owner
+// lives all the same, it loses the cell: its writes and calls are fenced.
+Awaitable<void>
+Election::EndLeaseOfDeadOwner(int aCell, std::string aAddress)
+{
+  auto& cell = cells_[static_cast<std::size_t>(aCell)];
+  const auto current = co_await context_.store_.Get(CellKeys(aCell).Owner());
+  if (current.IsDone() && current.items_.front().value_ == aAddress) {
+    HttpCall call;
+    call.kind_ = "peer_ask";
+    call.path_ = OwnerPath(aCell);
+    call.limit_ = kStandbyTimeout;
+    const auto reply = co_await context_.http_.Call(aAddress, std::move(call));
+    const auto lease = current.items_.front().lease_;
+    if (reply.outcome_ == CallOutcome::Refused && lease != 0) {
+      WriteLine({ "owner_dead",
+                  "",
+                  "",
+                  "",
+                  "cell " + std::to_string(aCell) + ": no process listens at " +
+                    aAddress + "; its lease is ended" },
+                context_.clocks_.Now());
+      co_await context_.store_.RevokeLease(lease);
+    }
+  }
+  cell.isChecked_ = false;
+}
+
 Awaitable<Millis>
 Election::ComputeElectionDelay(int aCell)
 {
@@ -344,6 +387,9 @@
   ownership.findOwner_ = [this](int aOther) {
     return callerApi_.OwnerAddress(aOther);
   };
+  ownership.onOwnerRefused_ = [this](int aOther, const std::string& aAddress) {
+    HandleRefused(aOther, aAddress);
+  };
   ownership.token_ = reply.revision_;
   ownership.lease_ = aLease;
   ownership.term_ = newTerm;
--- a/packages/daemon/src/election.h
+++ b/packages/daemon/src/election.h
@@ -31,6 +31,7 @@
     std::shared_ptr<Owner> owner_; // in this process
     std::string address_;          // of its owner for peers; empty: none
     bool isContested_ = false;     // this process tries to take it
+    bool isChecked_ = false; // this process checks whether its owner lives
   };
 
   Awaitable<void> ReadCells();
@@ -38,6 +39,8 @@
   Awaitable<void> WatchOwners();
   void SetOwnerAddress(int aCell, std::string aAddress);
   void ContestFreeCells();
+  void HandleRefused(int aCell, const std::string& aAddress);
+  Awaitable<void> EndLeaseOfDeadOwner(int aCell, std::string aAddress);
   Awaitable<void> Contest(int aCell);
   Awaitable<void> FollowOwner(int aCell);
   Awaitable<bool> TakeOwnership(int aCell,
--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -306,7 +306,7 @@
   if (previous.hasHandedOver_ || previous.address_.empty()) {
     co_return PreviousOwner::HandedOver;
   }
-  constexpr Millis kTimeout(250); // a peer answers within a few milliseconds
+  constexpr Millis kTimeout(120); // a peer answers within a few milliseconds
   HttpCall call;
   call.kind_ = "peer_ask";
   call.path_ = OwnerPath(ownership_.cell_.number_);
--- a/packages/daemon/src/owner.h
+++ b/packages/daemon/src/owner.h
@@ -25,6 +25,9 @@
   std::shared_ptr<const CellMap> map_;
   // Address for peers of the owner of a cell; empty if none is known.
   std::function<std::string(int)> findOwner_;
+  // To be called with a cell and its owner's address when no process listens
+  // there.
+  std::function<void(int, const std::string&)> onOwnerRefused_;
   std::int64_t token_ =
     0; // fencing token: creation revision of the owner's key
   std::int64_t lease_ = 0;    // its number in the store
@@ -96,6 +99,7 @@
   void Transfer(const TransferJob& aEffect);
   void ForwardCancel(const std::string& aJob, int aCell);
   void NotifyCell(int aCell, const char* aPath, std::string aBody);
+  Awaitable<void> SendToCell(int aCell, std::string aAddress, HttpCall aCall);
   Awaitable<void> ReportCapacity();
   template<typename Call>
   void Spawn(Call aCall);
--- a/packages/daemon/src/owner_cells.cpp
+++ b/packages/daemon/src/owner_cells.cpp
@@ -188,9 +188,18 @@
   call.path_ = std::string(aPath) + '/' + std::to_string(aCell);
   call.body_ = std::move(aBody);
   call.limit_ = kTimeout;
-  asio::co_spawn(context_.io_,
-                 context_.http_.Call(address, std::move(call)),
-                 asio::detached);
+  asio::co_spawn(
+    context_.io_, SendToCell(aCell, address, std::move(call)), asio::detached);
+}
+
+Awaitable<void>
+Owner::SendToCell(int aCell, std::string aAddress, HttpCall aCall)
+{
+  const auto self = shared_from_this();
+  const auto reply = co_await context_.http_.Call(aAddress, std::move(aCall));
+  if (reply.outcome_ == CallOutcome::Refused) {
+    ownership_.onOwnerRefused_(aCell, aAddress);
+  }
 }
 
 // Tells the other cells what this one has free.
