Cells share their offered load, and round their part of the rate of moves

Cause: a cell sees a third of the jobs, so its offered load is noisy: peaks are noticed up to 1.3 s later in one cell than in another; its part of the rate of VM orders was rounded down (2.98 to 2 moves in 200 ms). Change: reports between owners carry the offered load, and peaks are found in the mean of all cells; the part is rounded.

--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -3,6 +3,7 @@
 #include "owner.h"
 
 #include <algorithm>
+#include <cmath>
 #include <cstring>
 
 #include <boost/asio/as_tuple.hpp>
@@ -88,11 +89,10 @@
     std::min(options.startTimeout_,
              aSettings.cancelLimit_ - options.maxSubmissionAge_ - kStartSlack);
   const std::chrono::duration<double> interval = options.planInterval_;
-  options.maxMovesPerPlan_ = std::max<std::size_t>(
+  options.maxMovesPerPlan_ = static_cast<std::size_t>(std::max<long>(
     1,
-    static_cast<std::size_t>(kMoveShare *
-                             static_cast<double>(aSettings.vmOrdersPerSecond_) *
-                             interval.count() / aCell.count_));
+    std::lround(kMoveShare * static_cast<double>(aSettings.vmOrdersPerSecond_) *
+                interval.count() / aCell.count_)));
   return options;
 }
 
--- a/packages/daemon/src/owner_cells.cpp
+++ b/packages/daemon/src/owner_cells.cpp
@@ -209,8 +209,8 @@
   const auto self = shared_from_this();
   while (!hasEnded_) {
     co_await Sleep(context_.io_, kCapacityInterval);
-    const auto report =
-      EncodeCapacity({ ownership_.cell_.number_, fleet_.FreeCpu() });
+    const auto report = EncodeCapacity(
+      { ownership_.cell_.number_, fleet_.FreeCpu(), fleet_.OfferedCpu() });
     for (int cell = 0; cell < ownership_.cell_.count_ && !hasEnded_; ++cell) {
       if (cell != ownership_.cell_.number_) {
         NotifyCell(cell, kCapacityPath, report);
--- a/packages/daemon/src/records.cpp
+++ b/packages/daemon/src/records.cpp
@@ -222,7 +222,11 @@
 std::string
 EncodeCapacity(const PeerCapacitySeen& aReport)
 {
-  return json{ { "cell", aReport.cell_ }, { "free", aReport.freeCpu_ } }.dump();
+  return json{
+    { "cell", aReport.cell_ },
+    { "free", aReport.freeCpu_ },
+    { "offered", aReport.offeredCpu_ }
+  }.dump();
 }
 
 std::optional<PeerCapacitySeen>
@@ -232,7 +236,8 @@
     const auto body = json::parse(aText);
     return PeerCapacitySeen{
       body.at("cell").get<int>(),
-      body.at("free").get<std::map<std::string, std::int64_t>>()
+      body.at("free").get<std::map<std::string, std::int64_t>>(),
+      body.at("offered").get<std::map<std::string, std::int64_t>>()
     };
   } catch (const json::exception&) {
     return std::nullopt;
--- a/packages/daemon/tests/owner_test.cpp
+++ b/packages/daemon/tests/owner_test.cpp
@@ -116,10 +116,12 @@
 
 TEST_CASE("a capacity report is decoded as it was encoded")
 {
-  const auto report = DecodeCapacity(EncodeCapacity({ 3, { { "a", 64000 } } }));
+  const auto report =
+    DecodeCapacity(EncodeCapacity({ 3, { { "a", 64000 } }, { { "b", 7 } } }));
   REQUIRE(report);
   CHECK(report->cell_ == 3);
   CHECK(report->freeCpu_.at("a") == 64000);
+  CHECK(report->offeredCpu_.at("b") == 7);
   CHECK(!DecodeCapacity("[]"));
 }
 
--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -199,12 +199,12 @@
   bool isGuest_ = false; // another cell has transferred it; it stays here
 };
 
-// Capacity of another cell that no work waits for, in thousandths of a core by
-// pool.
+// What another cell reports of its pools, in thousandths of a core.
 struct PeerCapacitySeen
 {
   int cell_ = 0;
-  std::map<std::string, std::int64_t> freeCpu_;
+  std::map<std::string, std::int64_t> freeCpu_;    // that no work waits for
+  std::map<std::string, std::int64_t> offeredCpu_; // offered load
 };
 
 struct JobCancelled
@@ -570,8 +570,9 @@
   std::vector<PoolSummary> Pools() const;
   std::vector<AccountSummary> Accounts() const;
   std::vector<WaveSummary> Waves() const;
-  // As PeerCapacitySeen::freeCpu_, for the other cells.
+  // As in PeerCapacitySeen, for the other cells.
   std::map<std::string, std::int64_t> FreeCpu() const;
+  std::map<std::string, std::int64_t> OfferedCpu() const;
   // Until then, work of earlier owners may run on targets that this owner could
   // not ask.
   WallTime InheritedUntil() const;
--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -425,10 +425,9 @@
 std::map<int, FreeCpu>
 RecentPeers(const FleetState& aState)
 {
-  constexpr Millis kMaxAge(500); // reports come ten times a second
   std::map<int, FreeCpu> peers;
   for (const auto& [cell, peer] : aState.peers_) {
-    if (aState.now_ - peer.seenAt_ < kMaxAge) {
+    if (peer.IsRecent(aState.now_)) {
       peers[cell] = peer.freeCpu_;
     }
   }
--- a/packages/fleet/src/reducer.cpp
+++ b/packages/fleet/src/reducer.cpp
@@ -109,7 +109,9 @@
   }
   void operator()(const PeerCapacitySeen& aEvent)
   {
-    state_.peers_[aEvent.cell_] = { aEvent.freeCpu_, state_.now_ };
+    state_.peers_[aEvent.cell_] = { aEvent.freeCpu_,
+                                    aEvent.offeredCpu_,
+                                    state_.now_ };
   }
   void operator()(const ConfigSeen& aEvent)
   {
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -224,7 +224,15 @@
 struct PeerCapacity
 {
   std::map<std::string, std::int64_t> freeCpu_;
+  std::map<std::string, std::int64_t> offeredCpu_;
   Instant seenAt_;
+
+  // Reports come ten times a second.
+  bool IsRecent(Instant aNow) const
+  {
+    constexpr Millis kMaxAge(500);
+    return aNow - seenAt_ < kMaxAge;
+  }
 };
 
 //-----------------------------------------------------------------------------
--- a/packages/fleet/src/summaries.cpp
+++ b/packages/fleet/src/summaries.cpp
@@ -63,6 +63,18 @@
   return pools;
 }
 
+std::map<std::string, std::int64_t>
+Fleet::OfferedCpu() const
+{
+  constexpr double kThousandths = 1000;
+  std::map<std::string, std::int64_t> pools;
+  for (const auto& [pool, load] : state_->offeredLoads_) {
+    pools[pool] = static_cast<std::int64_t>(
+      kThousandths * load.At(state_->now_, load.decayTime_));
+  }
+  return pools;
+}
+
 std::vector<AccountSummary>
 Fleet::Accounts() const
 {
--- a/packages/fleet/src/vms.cpp
+++ b/packages/fleet/src/vms.cpp
@@ -29,6 +29,26 @@
          MayOrder(aState, aVm) && !IsDownForOpenWave(aState, aVm);
 }
 
+// The mean of the loads that all cells are offered, if all have reported
+// recently. Jobs are divided evenly, so it tells better than the cell's own
+// load what comes next.
+std::int64_t
+MeanOfferedCpu(const FleetState& aState,
+               const std::string& aPool,
+               std::int64_t aOwn)
+{
+  std::int64_t sum = aOwn;
+  int cells = 1;
+  for (const auto& [cell, peer] : aState.peers_) {
+    const auto offered = peer.offeredCpu_.find(aPool);
+    if (peer.IsRecent(aState.now_)) {
+      ++cells;
+      sum += offered == peer.offeredCpu_.end() ? 0 : offered->second;
+    }
+  }
+  return cells == aState.options_.cells_ ? sum / cells : aOwn;
+}
+
 // Adds a demand sample for each pool, and to the snapshots what the peaks seen
 // so far let expect.
 void
@@ -45,7 +65,9 @@
       continue;
     }
     auto& peak = aState.demandPeaks_[name];
-    if (AddDemandSample(peak, { view.offeredCpu_, view.capacityCpu_, now })) {
+    const auto mean = MeanOfferedCpu(aState, name, view.offeredCpu_);
+    view.offeredCpu_ = std::max(view.offeredCpu_, mean);
+    if (AddDemandSample(peak, { mean, view.capacityCpu_, now })) {
       peak.lastPeak_.pool_ = name;
       aState.mustStoreDemandPeaks_ = true;
       aState.Log(peak.isActive_ ? "turn_began" : "turn_ended",
--- a/packages/fleet/tests/takeover_test.cpp
+++ b/packages/fleet/tests/takeover_test.cpp
@@ -280,7 +280,7 @@
   fixture.AnswerRenewal("t", {}, {});
   fixture.fleet_.TakeEffects();
   const auto submit = [&](int aNumber, int aItems, bool aIsGuest) {
-    fixture.Deliver(PeerCapacitySeen{ 1, { { "a", 12000 } } });
+    fixture.Deliver(PeerCapacitySeen{ 1, { { "a", 12000 } }, {} });
     fixture.Deliver(
       JobArrived{ MakeJob(MakeJobId(aNumber), "a", { aItems }), aIsGuest });
     fixture.AdvanceTime(Millis(10));
