Waves: long-running work leaves from the start (a try), shorter polls while an item starts

In one cell a step has 12 of its 24 items on VMs of the wave; they leave one at a time, 2.5 s each, from 13 s on. Change: pools get VMs for items on cordoned targets (targets without an item of the step were lacking); targets where a long-running item starts are polled every 250 ms; a sixth of the VMs with long-running work is cordoned from the start.

--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -3,6 +3,7 @@
 #include "dispatch.h"
 
 #include <algorithm>
+#include <tuple>
 
 #include "jobs.h"
 #include "placing.h"
@@ -614,7 +615,8 @@
   return needs;
 }
 
-// Targets that a step lacks because of its limit of items on one target.
+// Targets that a step lacks because of its limit of items on one target. Items
+// on cordoned targets have to go elsewhere too.
 int
 CountLackingTargets(const FleetState& aState,
                     const std::string& aPool,
@@ -623,15 +625,18 @@
                     const Step& aSpec)
 {
   const auto pool = aState.byPool_.find(aPool);
-  const auto& items = aOccurrence.steps_[aStep].items_;
   if (aSpec.maxPerTarget_ <= 0 || pool == aState.byPool_.end()) {
     return 0;
   }
   std::map<std::string, int> used; // items by target
   int waiting = 0;
-  for (const auto& item : items) {
-    waiting += item.phase_ == ItemPhase::Waiting ? 1 : 0;
-    if (item.phase_ == ItemPhase::Assigned) {
+  for (const auto& item : aOccurrence.steps_[aStep].items_) {
+    const auto target = aState.targets_.find(item.target_);
+    const bool mustLeave =
+      target != aState.targets_.end() && target->second.isCordoned_;
+    if (item.phase_ == ItemPhase::Waiting || mustLeave) {
+      ++waiting;
+    } else if (item.phase_ == ItemPhase::Assigned) {
       ++used[item.target_];
     }
   }
@@ -648,6 +653,40 @@
            : (waiting - space + aSpec.maxPerTarget_ - 1) / aSpec.maxPerTarget_;
 }
 
+// Adds the targets that are lacking for items on cordoned ones: a wave waits
+// for these items.
+void
+AddLackingForCordoned(const FleetState& aState,
+                      std::map<std::string, WaitingWork>& aByPool)
+{
+  std::set<std::tuple<std::string, int, int>> counted; // steps
+  for (const auto& [id, target] : aState.targets_) {
+    if (!target.isCordoned_) {
+      continue;
+    }
+    for (const auto& run : target.runs_) {
+      const auto& name = run.item_;
+      const auto found = aState.jobs_.find(name.job_);
+      if (!run.isLongRunning_ || found == aState.jobs_.end() ||
+          !counted.insert({ name.job_, name.occurrence_, name.step_ }).second) {
+        continue;
+      }
+      const auto& job = *found->second;
+      const auto occurrence = job.occurrences_.find(name.occurrence_);
+      if (occurrence == job.occurrences_.end()) {
+        continue;
+      }
+      const auto step = static_cast<std::size_t>(name.step_);
+      const auto& pool = PoolOf(aState, job);
+      auto& work = aByPool[pool];
+      work.lackingTargets_ = std::max(
+        work.lackingTargets_,
+        CountLackingTargets(
+          aState, pool, occurrence->second, step, job.job_.steps_[step]));
+    }
+  }
+}
+
 std::map<std::string, WaitingWork>
 WaitingWorkByPool(const FleetState& aState)
 {
@@ -679,6 +718,7 @@
       }
     }
   }
+  AddLackingForCordoned(aState, byPool);
   return byPool;
 }
 
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -404,6 +404,18 @@
   return hasServing && hasFiller;
 }
 
+// Whether a long-running item there is not at work yet. Others of its step may
+// have to wait for it.
+bool
+HasStartingItem(const Target& aTarget)
+{
+  constexpr int kAtWork = 100; // percent
+  return std::any_of(
+    aTarget.runs_.begin(), aTarget.runs_.end(), [](const Run& aRun) {
+      return aRun.isLongRunning_ && aRun.percent_ < kAtWork;
+    });
+}
+
 // Whether a run there ends by itself.
 bool
 HasBatchRuns(const Target& aTarget)
@@ -424,7 +436,7 @@
   aTarget.endsAcknowledged_ =
     std::max(aTarget.endsAcknowledged_, effect.acknowledgedEnds_);
   if (aTarget.contact_ == Contact::Good && !aTarget.runs_.empty()) {
-    effect.wait_ = HasStopped(aTarget)     ? kStopWait
+    effect.wait_ = HasStopped(aTarget) || HasStartingItem(aTarget) ? kStopWait
                    : NeedsPacing(aTarget)  ? aState.options_.pacedRenewalWait_
                    : HasBatchRuns(aTarget) ? aState.options_.batchRenewalWait_
                                            : aState.options_.renewalWait_;
--- a/packages/fleet/src/waves.cpp
+++ b/packages/fleet/src/waves.cpp
@@ -31,6 +31,39 @@
     std::ceil(std::min(1.0, fraction) * static_cast<double>(aWave.total_)));
 }
 
+// Of the VMs with long-running work, this part is cordoned from the start of
+// the wave on. Their work leaves one item of a step at a time, some 2 s each,
+// so the last ones would be late if they waited for their turn.
+constexpr int kLongRunningPart = 6;
+
+// Cordons VMs with long-running work, besides those in the plan.
+void
+CordonLongRunning(const WaveView& aWave,
+                  const std::vector<const WaveVm*>& aBusy,
+                  WavePlan& aPlan)
+{
+  int waiting = 0;
+  int cordoned = 0;
+  for (const auto& vm : aWave.waiting_) {
+    waiting += vm.longRunningRuns_ > 0 ? 1 : 0;
+    cordoned += vm.longRunningRuns_ > 0 && vm.isCordoned_ ? 1 : 0;
+  }
+  int wanted =
+    std::min(aWave.maxDown_, 1 + waiting / kLongRunningPart) - cordoned;
+  for (const auto* vm : aBusy) {
+    const bool isPlanned =
+      std::find(aPlan.cordon_.begin(), aPlan.cordon_.end(), vm->name_) !=
+      aPlan.cordon_.end();
+    if (wanted <= 0 || vm->longRunningRuns_ == 0) {
+      continue;
+    }
+    if (!isPlanned) {
+      aPlan.cordon_.push_back(vm->name_);
+    }
+    --wanted;
+  }
+}
+
 } // namespace
 
 WavePlan
@@ -58,18 +91,16 @@
       busy.push_back(&vm);
     }
   }
-  const int behind = CountDue(aWave, aWave.age_, kBusyFraction) + 1 - begun;
-  if (behind <= 0) {
-    return plan;
-  }
   std::sort(
     busy.begin(), busy.end(), [](const WaveVm* aLeft, const WaveVm* aRight) {
       return std::make_pair(aLeft->longRunningRuns_, aLeft->runs_) <
              std::make_pair(aRight->longRunningRuns_, aRight->runs_);
     });
+  const int behind = CountDue(aWave, aWave.age_, kBusyFraction) + 1 - begun;
   // Cordons one VM more than can go down now, as it takes a while to become
   // empty.
-  int wanted = std::min(aWave.maxDown_, behind) + 1 - cordoned;
+  int wanted =
+    behind <= 0 ? 0 : std::min(aWave.maxDown_, behind) + 1 - cordoned;
   for (const auto* vm : busy) {
     if (wanted <= 0) {
       break;
@@ -77,6 +108,7 @@
     plan.cordon_.push_back(vm->name_);
     --wanted;
   }
+  CordonLongRunning(aWave, busy, plan);
   return plan;
 }
 
