--- a/packages/fleet/src/waves.cpp
+++ b/packages/fleet/src/waves.cpp
@@ -31,39 +31,6 @@
     std::ceil(std::min(1.0, fraction) * static_cast<double>(aWave.total_)));
 }
 
-// Of the VMs with long-running work, this part is cordoned from the start of
-// the wave on. Their work leaves one item of a step at a time, some 2 s each,
-// so the last ones would be late if they waited for their turn.
-constexpr int kLongRunningPart = 6;
-
-// Cordons VMs with long-running work, besides those in the plan.
-void
-CordonLongRunning(const WaveView& aWave,
-                  const std::vector<const WaveVm*>& aBusy,
-                  WavePlan& aPlan)
-{
-  int waiting = 0;
-  int cordoned = 0;
-  for (const auto& vm : aWave.waiting_) {
-    waiting += vm.longRunningRuns_ > 0 ? 1 : 0;
-    cordoned += vm.longRunningRuns_ > 0 && vm.isCordoned_ ? 1 : 0;
-  }
-  int wanted =
-    std::min(aWave.maxDown_, 1 + waiting / kLongRunningPart) - cordoned;
-  for (const auto* vm : aBusy) {
-    const bool isPlanned =
-      std::find(aPlan.cordon_.begin(), aPlan.cordon_.end(), vm->name_) !=
-      aPlan.cordon_.end();
-    if (wanted <= 0 || vm->longRunningRuns_ == 0) {
-      continue;
-    }
-    if (!isPlanned) {
-      aPlan.cordon_.push_back(vm->name_);
-    }
-    --wanted;
-  }
-}
-
 } // namespace
 
 WavePlan
@@ -108,7 +75,6 @@
     plan.cordon_.push_back(vm->name_);
     --wanted;
   }
-  CordonLongRunning(aWave, busy, plan);
   return plan;
 }
 
