--- a/packages/daemon/src/cells.h
+++ b/packages/daemon/src/cells.h
@@ -66,7 +66,7 @@
 };
 
 // Smaller cells can't place wide steps.
-inline constexpr std::size_t kMinCellVms = 20;
+inline constexpr std::size_t kMinCellVms = 48;
 
 // The number of cells with which even the weakest entry can own one.
 int ChooseCellCount(std::size_t aVms,
--- a/packages/daemon/tests/cells_test.cpp
+++ b/packages/daemon/tests/cells_test.cpp
@@ -94,10 +94,10 @@
   CHECK(ChooseCellCount(540, { strong, strong }) == 1);
   CHECK(ChooseCellCount(540, { strong, weak }) == 3);
   CHECK(ChooseCellCount(350, { strong, MakeEntry(0.12, 10) }) == 3);
-  CHECK(ChooseCellCount(95, { MakeEntry(0.12, 2) }) == 4);
+  CHECK(ChooseCellCount(95, { MakeEntry(0.12, 2) }) == 2);
   CHECK(ChooseCellCount(0, { weak }) == 1);
   // Even for a link that carries nothing, cells keep a useful size.
-  CHECK(ChooseCellCount(100, { MakeEntry(0.001, 0.001) }) == 5);
+  CHECK(ChooseCellCount(100, { MakeEntry(0.001, 0.001) }) == 3);
 }
 
 TEST_CASE("strong entries come first, then those with fewer cells")
