--- a/packages/ctl/src/job_commands.cpp
+++ b/packages/ctl/src/job_commands.cpp
@@ -6,6 +6,7 @@
 #include <fstream>
 #include <iostream>
 #include <random>
+#include <set>
 #include <sstream>
 
 #include <boost/asio/co_spawn.hpp>
@@ -140,16 +141,40 @@
   return CallQueue(aOptions, "POST", aQueue, aId, FormatSubmission(job));
 }
 
-// Shows a view of the fleet from an entry, or from the owner that it names.
+// The addresses of the owners of all cells, each once.
+std::set<std::string>
+FindOwners(const ControlOptions& aOptions)
+{
+  std::set<std::string> owners;
+  const auto reply = aOptions.client_.Get("/v1/owners");
+  if (reply.status_ == kOk && reply.body_.is_object()) {
+    for (const auto& row : reply.body_.value("owners", json::array())) {
+      owners.insert(row.value("address", ""));
+    }
+    owners.erase("");
+  }
+  return owners;
+}
+
+// Shows a view of the fleet: of every entry, or of the owners of all cells.
 int
 ShowFleet(const ControlOptions& aOptions, const std::string& aView)
 {
-  auto reply = aOptions.client_.Get("/v1/" + aView);
-  if (reply.status_ == kMisdirectedRequest) {
+  std::vector<json> parts;
+  ControlReply reply;
+  for (const auto& address : FindOwners(aOptions)) {
     ControlClient owner;
-    owner.entries_ = { reply.body_.value("owner", "") };
-    reply = owner.Get("/v1/" + aView);
+    owner.entries_ = { address };
+    auto part = owner.Get("/v1/" + aView);
+    if (part.status_ == kOk) {
+      parts.push_back(part.body_);
+      reply = std::move(part);
+    }
+  }
+  if (parts.empty()) {
+    return Show(aOptions, aOptions.client_.Get("/v1/" + aView));
   }
+  reply.body_ = MergeViews(parts);
   return Show(aOptions, reply);
 }
 
@@ -182,6 +207,31 @@
   return step;
 }
 
+// Adds a row of one cell to those of others: amounts of the same pool or
+// account add up, any other row is a row of its own.
+void
+MergeRow(json& aRows, const json& aRow)
+{
+  const char* key = aRow.contains("pool")      ? "pool"
+                    : aRow.contains("account") ? "account"
+                                               : nullptr;
+  for (auto& row : aRows) {
+    if (!key || row.value(key, "") != aRow.value(key, "")) {
+      continue;
+    }
+    for (const auto& [name, value] : aRow.items()) {
+      // Limits are those of the whole fleet in every cell.
+      if (value.is_number_integer() && name.rfind("limit_", 0) != 0) {
+        row[name] = row[name].get<std::int64_t>() + value.get<std::int64_t>();
+      } else if (value.is_number_float()) {
+        row[name] = row[name].get<double>() + value.get<double>();
+      }
+    }
+    return;
+  }
+  aRows.push_back(aRow);
+}
+
 } // namespace
 
 Job
@@ -221,6 +271,23 @@
   return job;
 }
 
+json
+MergeViews(const std::vector<json>& aParts)
+{
+  json merged = aParts.front();
+  for (std::size_t index = 1; index < aParts.size(); ++index) {
+    for (const auto& [name, rows] : aParts[index].items()) {
+      if (!rows.is_array() || !merged[name].is_array()) {
+        continue;
+      }
+      for (const auto& row : rows) {
+        MergeRow(merged[name], row);
+      }
+    }
+  }
+  return merged;
+}
+
 std::optional<int>
 RunJobCommand(const ControlOptions& aOptions,
               const std::vector<std::string>& aWords)
--- a/packages/ctl/src/job_commands.h
+++ b/packages/ctl/src/job_commands.h
@@ -3,6 +3,8 @@
 #ifndef cuminbridge_ctl_job_commands_h
 #define cuminbridge_ctl_job_commands_h
 
+#include <nlohmann/json.hpp>
+
 #include "cuminbridge/findings.h"
 #include "cuminbridge/jobs.h"
 
@@ -19,6 +21,9 @@
 // on. Adds a finding for each fault.
 Job ReadJobFile(std::string_view aText, Findings& aFindings);
 
+// Views of the same name from the owners of several cells, as one.
+nlohmann::json MergeViews(const std::vector<nlohmann::json>& aParts);
+
 } // namespace cuminbridge
 
 #endif // cuminbridge_ctl_job_commands_h
--- a/packages/ctl/tests/job_file_test.cpp
+++ b/packages/ctl/tests/job_file_test.cpp
@@ -51,3 +51,29 @@
     CHECK(text.find(fault) != std::string::npos);
   }
 }
+
+TEST_CASE("views of several cells are shown as one")
+{
+  using nlohmann::json;
+  const json first = {
+    { "pools", { { { "pool", "a" }, { "vms", 3 }, { "offered_cores", 1.5 } } } }
+  };
+  const json second = {
+    { "pools",
+      { { { "pool", "a" }, { "vms", 2 }, { "offered_cores", 0.5 } },
+        { { "pool", "b" }, { "vms", 1 }, { "offered_cores", 0.0 } } } }
+  };
+  const auto pools = MergeViews({ first, second }).at("pools");
+  REQUIRE(pools.size() == 2);
+  CHECK(pools[0].at("vms") == 5);
+  CHECK(pools[0].at("offered_cores") == 2.0);
+  const json limited = {
+    { "accounts",
+      { { { "account", "x" }, { "running_cpu", 4 }, { "limit_cpu", 9 } } } }
+  };
+  const auto accounts = MergeViews({ limited, limited }).at("accounts");
+  CHECK(accounts[0].at("running_cpu") == 8);
+  CHECK(accounts[0].at("limit_cpu") == 9);
+  const json waves = { { "waves", { { { "wave", 1 }, { "cell", 0 } } } } };
+  CHECK(MergeViews({ waves, waves }).at("waves").size() == 2);
+}
