One entry decides the cells; their number follows the list of VMs

Every entry listed the 3,000 VMs at the start, beyond the platform's rate, so the number of cells was never decided. Change: entries decide in the order of their rank; lists are spaced so that all owners stay within 0.6 of the rate, and there are only as many cells as can then list VMs every 1.5 s.

--- a/packages/daemon/src/cells.cpp
+++ b/packages/daemon/src/cells.cpp
@@ -137,6 +137,24 @@
     1, static_cast<int>(std::ceil(static_cast<double>(aVms) / most)));
 }
 
+Millis
+VmListInterval(int aPages, int aCells, double aPagesPerSecond)
+{
+  constexpr double kUsedPart = 0.6; // owners change, and lists are read again
+  constexpr double kMillis = 1000;
+  return Millis(static_cast<std::int64_t>(
+    kMillis * aPages * aCells / std::max(1.0, kUsedPart * aPagesPerSecond)));
+}
+
+int
+MaxCellsByVmList(int aPages, double aPagesPerSecond)
+{
+  constexpr Millis kLongest(1500); // a move takes as long; see kOrderTimeout
+  const auto oneCell = VmListInterval(aPages, 1, aPagesPerSecond);
+  return static_cast<int>(std::max<std::int64_t>(
+    1, kLongest.count() / std::max<std::int64_t>(1, oneCell.count())));
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Who owns a cell
 //-----------------------------------------------------------------------------
--- a/packages/daemon/src/cells.h
+++ b/packages/daemon/src/cells.h
@@ -72,6 +72,13 @@
 int ChooseCellCount(std::size_t aVms,
                     const std::vector<EntryCapacity>& aEntries);
 
+// The most cells whose owners can all list the VMs often enough to plan moves.
+int MaxCellsByVmList(int aPages, double aPagesPerSecond);
+
+// How often each owner may list the VMs, so that all of them together stay
+// within the platform's rate of pages.
+Millis VmListInterval(int aPages, int aCells, double aPagesPerSecond);
+
 //-----------------------------------------------------------------------------
 // [SECTION] Who owns a cell
 //-----------------------------------------------------------------------------
--- a/packages/daemon/src/election.cpp
+++ b/packages/daemon/src/election.cpp
@@ -106,7 +106,9 @@
 }
 
 // The cells of a fleet that starts for the first time; nothing if they can't be
-// decided yet.
+// decided yet. Only one entry reads the list of VMs: all entries together would
+// exceed the platform's rate of such calls. The others take its place if it
+// does not decide in time.
 Awaitable<std::optional<CellMap>>
 Election::DecideCells()
 {
@@ -120,6 +122,16 @@
   if (context_.settings_.vmServiceAddress_.empty()) {
     co_return CellMap{};
   }
+  co_await Sleep(context_.io_, kRegistrationTime);
+  const auto reply = co_await context_.store_.List(kEntriesPrefix);
+  if (!reply.IsDone()) {
+    co_return std::nullopt;
+  }
+  const auto place = PlaceOf(reply, 0);
+  decisionsWaited_ += 1;
+  if (static_cast<std::size_t>(decisionsWaited_) <= place) {
+    co_return std::nullopt;
+  }
   VmClient client(context_.http_,
                   context_.settings_.vmServiceAddress_,
                   context_.settings_.name_,
@@ -128,20 +140,15 @@
   if (!vms) {
     co_return std::nullopt;
   }
-  if (vms->size() <= kMinCellVms) {
-    co_return CellMap{};
-  }
-  co_await Sleep(context_.io_, kRegistrationTime);
-  const auto reply = co_await context_.store_.List(kEntriesPrefix);
-  if (!reply.IsDone()) {
-    co_return std::nullopt;
-  }
   std::vector<EntryCapacity> entries;
   for (const auto& item : reply.items_) {
     const auto entry = DecodeEntry(item.value_);
     entries.push_back({ entry.cpuShare_, ToBytesPerSecond(entry.linkMbps_) });
   }
-  co_return DealVms(*vms, ChooseCellCount(vms->size(), entries));
+  const int most =
+    MaxCellsByVmList(client.Pages(), context_.settings_.vmReadsPerSecond_);
+  co_return DealVms(*vms,
+                    std::min(most, ChooseCellCount(vms->size(), entries)));
 }
 
 // Reads the map of cells, or decides and stores it.
@@ -275,13 +282,13 @@
   cell.isChecked_ = false;
 }
 
-Awaitable<Millis>
-Election::ComputeElectionDelay(int aCell)
+// The place of this entry among the registered ones, for a cell.
+std::size_t
+Election::PlaceOf(const StoreReply& aEntries, int aCell) const
 {
-  const auto reply = co_await context_.store_.List(kEntriesPrefix);
   const auto& own = context_.settings_.name_;
   std::vector<Candidate> candidates;
-  for (const auto& item : reply.items_) {
+  for (const auto& item : aEntries.items_) {
     const auto entry = DecodeEntry(item.value_);
     const auto name = item.key_.substr(std::string_view(kEntriesPrefix).size());
     if (name != own) {
@@ -297,7 +304,14 @@
     ranked.begin(), ranked.end(), [&](const Candidate& aCandidate) {
       return aCandidate.name_ == own;
     });
-  co_return ElectionDelay(static_cast<std::size_t>(place - ranked.begin()));
+  return static_cast<std::size_t>(place - ranked.begin());
+}
+
+Awaitable<Millis>
+Election::ComputeElectionDelay(int aCell)
+{
+  const auto reply = co_await context_.store_.List(kEntriesPrefix);
+  co_return ElectionDelay(PlaceOf(reply, aCell));
 }
 
 // Tries to take a cell until some entry owns it.
--- a/packages/daemon/src/election.h
+++ b/packages/daemon/src/election.h
@@ -46,6 +46,7 @@
   Awaitable<bool> TakeOwnership(int aCell,
                                 std::int64_t aLease,
                                 Instant aLeaseSentAt);
+  std::size_t PlaceOf(const StoreReply& aEntries, int aCell) const;
   Awaitable<Millis> ComputeElectionDelay(int aCell);
   Awaitable<void> YieldToStrongerEntry(int aCell);
   Awaitable<bool> IsStrongerEntryReady();
@@ -55,6 +56,7 @@
   CallerApi& callerApi_;
   std::shared_ptr<const CellMap> map_; // null until it is read
   std::vector<CellState> cells_;
+  int decisionsWaited_ = 0; // times that the cells were not decided yet
   Instant nextYieldAt_; // earliest time of the next check for a stronger entry
   Millis yieldInterval_;
   bool isStopping_ = false;
--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -571,8 +571,12 @@
       std::any_of(waves.begin(), waves.end(), [](const WaveSummary& aWave) {
         return !aWave.isCompleted_;
       });
-    co_await Sleep(context_.io_,
-                   isChanging ? kVmPollInterval : kIdleVmPollInterval);
+    const auto least = VmListInterval(vms_.Pages(),
+                                      ownership_.cell_.count_,
+                                      context_.settings_.vmReadsPerSecond_);
+    co_await Sleep(
+      context_.io_,
+      std::max(isChanging ? kVmPollInterval : kIdleVmPollInterval, least));
   }
 }
 
--- a/packages/daemon/tests/cells_test.cpp
+++ b/packages/daemon/tests/cells_test.cpp
@@ -100,6 +100,22 @@
   CHECK(ChooseCellCount(100, { MakeEntry(0.001, 0.001) }) == 3);
 }
 
+TEST_CASE("all owners together list VMs within the platform's rate")
+{
+  // 3,000 VMs on 15 pages, 15 owners: each list by each owner every 400 ms
+  // would take 560 pages a second.
+  const auto interval = VmListInterval(15, 15, 300);
+  CHECK(15.0 * 15 / (0.001 * static_cast<double>(interval.count())) <= 200);
+  CHECK(VmListInterval(1, 1, 64) < Millis(100));
+  // With more cells than that, no owner could plan moves (sweep at 300
+  // entries).
+  CHECK(MaxCellsByVmList(15, 54) == 3);
+  CHECK(MaxCellsByVmList(3, 54) >= 4);
+  CHECK(MaxCellsByVmList(1, 64) >= 16);
+  CHECK(MaxCellsByVmList(100, 10) == 1);
+  CHECK(VmListInterval(1, 1, 0) >= Millis(1000));
+}
+
 TEST_CASE("strong entries come first, then those with fewer cells")
 {
   const std::vector<Candidate> candidates = { { "weak-1", 0.12, 0 },
