A watch of targets that has more to report is not paused

The store limits the changes in one answer, so a pause of 300 ms after each let the watch fall behind until its history was gone, and the whole list was read again and again. Change: no pause after an answer of more than 200 changes.

--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -30,6 +30,9 @@
 // A target that reports that it drains must get no new work 2 s later.
 constexpr Millis kTargetWatchPause(300);
 constexpr Millis kTargetWatchWait(500);
+// The store limits the changes in one answer. After this many there may be
+// more, and a pause would let the watch fall behind for good.
+constexpr std::size_t kFullWatch = 200;
 constexpr Millis kVmPollInterval(400);
 // While no VM has an order and no wave is open, only the platform changes VMs.
 constexpr Millis kIdleVmPollInterval(900);
@@ -527,9 +530,12 @@
       }
       Handle(seen);
     }
+    const bool wasFull = !mustList && reply.items_.size() > kFullWatch;
     mustList =
       reply.status_ == StoreStatus::Expired || (mustList && !reply.IsDone());
-    co_await Sleep(context_.io_, kTargetWatchPause);
+    if (!wasFull) {
+      co_await Sleep(context_.io_, kTargetWatchPause);
+    }
   }
 }
 
