Fleets of more than 800 targets are listed, not watched

Without pauses each answer, however short, made the owner go through the whole list; reading on at once was not the answer. Change: that try is reverted; above 800 targets the list is read every 400 ms, as before cells.

--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -30,9 +30,10 @@
 // A target that reports that it drains must get no new work 2 s later.
 constexpr Millis kTargetWatchPause(300);
 constexpr Millis kTargetWatchWait(500);
-// The store limits the changes in one answer. After this many there may be
-// more, and a pause would let the watch fall behind for good.
-constexpr std::size_t kFullWatch = 200;
+// The reports of more targets come faster than a watch with pauses reads them:
+// it falls behind until its history is gone. Their whole list is read instead.
+constexpr std::size_t kMaxWatched = 800;
+constexpr Millis kTargetListPause(400);
 constexpr Millis kVmPollInterval(400);
 // While no VM has an order and no wave is open, only the platform changes VMs.
 constexpr Millis kIdleVmPollInterval(900);
@@ -507,6 +508,7 @@
 {
   const auto self = shared_from_this();
   std::int64_t after = 0;
+  std::size_t listed = 0; // targets of the whole fleet
   bool mustList = true;
   while (!hasEnded_) {
     StoreReply reply;
@@ -530,12 +532,13 @@
       }
       Handle(seen);
     }
-    const bool wasFull = !mustList && reply.items_.size() > kFullWatch;
-    mustList =
-      reply.status_ == StoreStatus::Expired || (mustList && !reply.IsDone());
-    if (!wasFull) {
-      co_await Sleep(context_.io_, kTargetWatchPause);
+    if (mustList && reply.IsDone()) {
+      listed = reply.items_.size();
     }
+    mustList = reply.status_ == StoreStatus::Expired ||
+               (mustList && !reply.IsDone()) || listed > kMaxWatched;
+    co_await Sleep(context_.io_,
+                   mustList ? kTargetListPause : kTargetWatchPause);
   }
 }
 
