Grants: what idle cells keep does not grow with their number

Each idle cell kept 60 thousandths of each account's limit, and gave back only 30 or more: of its equal part of 66 it gave nothing, so an account could use a fifteenth of its limit in each cell, and its jobs waited for ever. Change: all cells together keep at most 180 thousandths.

--- a/packages/daemon/src/account_grants.cpp
+++ b/packages/daemon/src/account_grants.cpp
@@ -11,10 +11,11 @@
 
 namespace {
 
-// What a cell keeps beyond its need, so that the next job finds room.
-constexpr int kSpare = 60;
-// A part is changed only by this much or more: each change is a write.
-constexpr int kMinChange = 30;
+// What a cell keeps beyond its need, so that the next job finds room: all cells
+// together keep at most this much.
+constexpr int kAllSpares = 180;
+// Changes of a part are at least half of a spare: each one is a write.
+constexpr int kSparesInChange = 2;
 
 std::vector<int>
 EqualParts(int aCount)
@@ -40,6 +41,8 @@
            const std::map<std::string, LimitUse>& aUses)
 {
   auto planned = aGrants;
+  const int spare = std::max(1, kAllSpares / std::max(3, aCell.count_));
+  const int minChange = std::max(1, spare / kSparesInChange);
   for (const auto& [account, use] : aUses) {
     const auto found = aGrants.parts_.find(account);
     auto parts =
@@ -47,12 +50,11 @@
     auto& own = parts[static_cast<std::size_t>(aCell.number_)];
     const int unheld =
       kWholeLimit - std::accumulate(parts.begin(), parts.end(), 0);
-    // An idle cell keeps a little, so that it can start its next job at once.
-    const int need = std::min(kWholeLimit, use.wanted_) + kSpare;
+    const int need = std::min(kWholeLimit, use.wanted_) + spare;
     const int change = need < own ? std::max(need, use.running_) - own
                                   : std::min(need - own, std::max(0, unheld));
     const bool isUrgent = change > 0 && use.wanted_ > own;
-    if (std::abs(change) >= kMinChange || isUrgent) {
+    if (std::abs(change) >= minChange || isUrgent) {
       own += change;
       planned.parts_[account] = std::move(parts);
     }
--- a/packages/daemon/tests/cells_test.cpp
+++ b/packages/daemon/tests/cells_test.cpp
@@ -222,6 +222,23 @@
   CHECK(PartOf(empty, "x", { 2, kCells }) >= 800);
 }
 
+TEST_CASE("an account's work in one of many cells gets nearly the whole limit")
+{
+  // With fifteen cells, what idle ones kept was nearly their equal part:
+  // nothing was given back, and jobs waited for ever (sweep at 300 entries).
+  for (const int cells : { 2, 3, 8, 15, 72 }) {
+    AccountGrants grants;
+    for (int round = 0; round < 2; ++round) {
+      for (int number = 0; number < cells; ++number) {
+        const LimitUse use{ 0, number == 1 ? kWholeLimit : 0 };
+        grants = PlanGrants(grants, { number, cells }, { { "x", use } });
+      }
+    }
+    INFO(cells << " cells");
+    CHECK(PartOf(grants, "x", { 1, cells }) >= 700);
+  }
+}
+
 TEST_CASE("grants are decoded as they were encoded, and damaged ones ignored")
 {
   AccountGrants grants;
