Fleet: waiting work, account limits and run lists in files of their own

Change: one visitor of waiting steps, one OfferedCpu(), waiting_work, account_limits and run_lists; one fixture for tests event by event. A comment of the forwarder that restated its code is shorter. Conclusion: behaviour stays.

--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -3,13 +3,14 @@
 #include "dispatch.h"
 
 #include <algorithm>
-#include <tuple>
 
+#include "account_limits.h"
 #include "jobs.h"
 #include "placing.h"
 #include "runs.h"
 #include "targets.h"
 #include "transfers.h"
+#include "waiting_work.h"
 
 namespace cuminbridge {
 
@@ -78,35 +79,22 @@
   return key;
 }
 
-bool
-HasWaiting(const StepState& aStep)
-{
-  return aStep.done_ + aStep.assigned_ < static_cast<int>(aStep.items_.size());
-}
-
 std::vector<WaitingStep>
-CollectWaiting(FleetState& aState, const std::string& aPool)
+CollectWaiting(const FleetState& aState, const std::string& aPool)
 {
   std::vector<WaitingStep> waiting;
-  for (const auto& id : aState.activeJobs_) {
-    auto& job = *aState.jobs_[id];
-    if (job.unassigned_ == 0 || PoolOf(aState, job) != aPool) {
-      continue;
-    }
-    for (auto& [number, occurrence] : job.occurrences_) {
-      for (std::size_t step = 0; step < occurrence.steps_.size(); ++step) {
-        if (HasWaiting(occurrence.steps_[step]) &&
-            IsReady(job, occurrence, step)) {
-          waiting.push_back(
-            { &job,
-              number,
-              step,
-              MakeSchedulingKey(
-                aState, job, occurrence, job.job_.steps_[step]) });
-        }
-      }
-    }
-  }
+  ForEachWaitingStep(
+    aState,
+    [&](const JobEntry& aJob) { return PoolOf(aState, aJob) == aPool; },
+    [&](JobEntry& aJob, int aNumber, std::size_t aStep) {
+      waiting.push_back({ &aJob,
+                          aNumber,
+                          aStep,
+                          MakeSchedulingKey(aState,
+                                            aJob,
+                                            aJob.occurrences_.at(aNumber),
+                                            aJob.job_.steps_[aStep]) });
+    });
   std::sort(waiting.begin(),
             waiting.end(),
             [](const WaitingStep& aLeft, const WaitingStep& aRight) {
@@ -467,8 +455,7 @@
   const auto& step = job.job_.steps_[aWaiting.step_];
   const auto& state =
     job.occurrences_[aWaiting.occurrence_].steps_[aWaiting.step_];
-  const int items =
-    static_cast<int>(state.items_.size()) - state.done_ - state.assigned_;
+  const int items = CountWaitingItems(state);
   if (aState.peers_.empty() || !IsTransferable(job) ||
       FitsItems(aCandidates, step, items)) {
     return false;
@@ -535,193 +522,6 @@
 
 } // namespace
 
-bool
-IsReady(const JobEntry& aJob, const Occurrence& aOccurrence, std::size_t aStep)
-{
-  for (const int before : aJob.job_.steps_[aStep].after_) {
-    const auto step = static_cast<std::size_t>(before);
-    if (aOccurrence.steps_[step].done_ < aJob.job_.steps_[step].count_) {
-      return false;
-    }
-  }
-  return true;
-}
-
-Resources
-UsableLimit(const FleetState& aState, const Account& aAccount)
-{
-  constexpr std::int64_t kWhole = 1000;
-  Resources limit = aAccount.limit_;
-  if (aState.options_.cells_ > 1) {
-    const auto granted = aState.limitParts_.find(aAccount.name_);
-    const auto part = granted == aState.limitParts_.end()
-                        ? kWhole / aState.options_.cells_
-                        : granted->second;
-    // At least 1, as 0 stands for no limit.
-    for (auto* amount : { &limit.cpu_, &limit.memMb_, &limit.gpu_ }) {
-      *amount =
-        *amount == 0 ? 0 : std::max<std::int64_t>(1, *amount * part / kWhole);
-    }
-  }
-  return limit;
-}
-
-bool
-IsWithinLimit(const FleetState& aState,
-              const std::string& aAccount,
-              const Resources& aMore)
-{
-  const auto* account =
-    aAccount.empty() ? nullptr : FindAccount(aState.config_, aAccount);
-  if (!account) {
-    return true;
-  }
-  Resources sum = aMore;
-  const auto running = aState.running_.find(aAccount);
-  if (running != aState.running_.end()) {
-    sum += running->second;
-  }
-  const auto limit = UsableLimit(aState, *account);
-  return (limit.cpu_ == 0 || sum.cpu_ <= limit.cpu_) &&
-         (limit.memMb_ == 0 || sum.memMb_ <= limit.memMb_) &&
-         (limit.gpu_ == 0 || sum.gpu_ <= limit.gpu_);
-}
-
-std::map<std::string, Resources>
-WaitingNeedsByAccount(const FleetState& aState)
-{
-  std::map<std::string, Resources> needs;
-  for (const auto& id : aState.activeJobs_) {
-    const auto& job = *aState.jobs_.at(id);
-    if (job.unassigned_ == 0 || job.job_.account_.empty()) {
-      continue;
-    }
-    auto& sum = needs[job.job_.account_];
-    for (const auto& [number, occurrence] : job.occurrences_) {
-      for (std::size_t index = 0; index < occurrence.steps_.size(); ++index) {
-        const auto& step = occurrence.steps_[index];
-        const auto& spec = job.job_.steps_[index];
-        if (!HasWaiting(step) || !IsReady(job, occurrence, index)) {
-          continue;
-        }
-        const auto items = static_cast<std::int64_t>(step.items_.size()) -
-                           step.done_ - step.assigned_;
-        sum += { items * spec.needs_.cpu_,
-                 items * spec.needs_.memMb_,
-                 items * spec.needs_.gpu_ };
-      }
-    }
-  }
-  return needs;
-}
-
-// Targets that a step lacks because of its limit of items on one target. Items
-// on cordoned targets have to go elsewhere too.
-int
-CountLackingTargets(const FleetState& aState,
-                    const std::string& aPool,
-                    const Occurrence& aOccurrence,
-                    std::size_t aStep,
-                    const Step& aSpec)
-{
-  const auto pool = aState.byPool_.find(aPool);
-  if (aSpec.maxPerTarget_ <= 0 || pool == aState.byPool_.end()) {
-    return 0;
-  }
-  std::map<std::string, int> used; // items by target
-  int waiting = 0;
-  for (const auto& item : aOccurrence.steps_[aStep].items_) {
-    const auto target = aState.targets_.find(item.target_);
-    const bool mustLeave =
-      target != aState.targets_.end() && target->second.isCordoned_;
-    if (item.phase_ == ItemPhase::Waiting || mustLeave) {
-      ++waiting;
-    } else if (item.phase_ == ItemPhase::Assigned) {
-      ++used[item.target_];
-    }
-  }
-  int space = 0;
-  for (const auto* target : pool->second) {
-    if (target->IsUsable(aState.now_)) {
-      const auto here = used.find(target->report_.id_);
-      space += std::max(
-        0, aSpec.maxPerTarget_ - (here == used.end() ? 0 : here->second));
-    }
-  }
-  return space >= waiting
-           ? 0
-           : (waiting - space + aSpec.maxPerTarget_ - 1) / aSpec.maxPerTarget_;
-}
-
-// Adds the targets that are lacking for items on cordoned ones: a wave waits
-// for these items.
-void
-AddLackingForCordoned(const FleetState& aState,
-                      std::map<std::string, WaitingWork>& aByPool)
-{
-  std::set<std::tuple<std::string, int, int>> counted; // steps
-  for (const auto& [id, target] : aState.targets_) {
-    if (!target.isCordoned_) {
-      continue;
-    }
-    for (const auto& run : target.runs_) {
-      const auto& name = run.item_;
-      const auto found = aState.jobs_.find(name.job_);
-      if (!run.isLongRunning_ || found == aState.jobs_.end() ||
-          !counted.insert({ name.job_, name.occurrence_, name.step_ }).second) {
-        continue;
-      }
-      const auto& job = *found->second;
-      const auto occurrence = job.occurrences_.find(name.occurrence_);
-      if (occurrence == job.occurrences_.end()) {
-        continue;
-      }
-      const auto step = static_cast<std::size_t>(name.step_);
-      const auto& pool = PoolOf(aState, job);
-      auto& work = aByPool[pool];
-      work.lackingTargets_ = std::max(
-        work.lackingTargets_,
-        CountLackingTargets(
-          aState, pool, occurrence->second, step, job.job_.steps_[step]));
-    }
-  }
-}
-
-std::map<std::string, WaitingWork>
-WaitingWorkByPool(const FleetState& aState)
-{
-  std::map<std::string, WaitingWork> byPool;
-  for (const auto& id : aState.activeJobs_) {
-    const auto& job = *aState.jobs_.at(id);
-    if (job.unassigned_ == 0) {
-      continue;
-    }
-    auto& work = byPool[PoolOf(aState, job)];
-    for (const auto& [number, occurrence] : job.occurrences_) {
-      for (std::size_t index = 0; index < occurrence.steps_.size(); ++index) {
-        const auto& step = occurrence.steps_[index];
-        const auto& spec = job.job_.steps_[index];
-        if (!HasWaiting(step) || !IsReady(job, occurrence, index) ||
-            !IsWithinLimit(aState, job.job_.account_, spec.needs_)) {
-          continue;
-        }
-        const int items =
-          static_cast<int>(step.items_.size()) - step.done_ - step.assigned_;
-        work.items_ += items;
-        work.topPriorityItems_ += job.job_.priority_ == 0 ? items : 0;
-        work.cpu_ += spec.isFiller_ ? 0 : items * spec.needs_.cpu_;
-        work.largestCpu_ = std::max(work.largestCpu_, spec.needs_.cpu_);
-        work.lackingTargets_ =
-          std::max(work.lackingTargets_,
-                   CountLackingTargets(
-                     aState, PoolOf(aState, job), occurrence, index, spec));
-      }
-    }
-  }
-  AddLackingForCordoned(aState, byPool);
-  return byPool;
-}
-
 void
 Dispatch(FleetState& aState)
 {
--- a/packages/fleet/src/jobs.cpp
+++ b/packages/fleet/src/jobs.cpp
@@ -274,6 +274,18 @@
   return cores_ * std::exp(-age / static_cast<double>(aDecayTime.count()));
 }
 
+std::int64_t
+OfferedCpu(const FleetState& aState, const std::string& aPool)
+{
+  constexpr double kThousandths = 1000;
+  const auto found = aState.offeredLoads_.find(aPool);
+  return found == aState.offeredLoads_.end()
+           ? 0
+           : static_cast<std::int64_t>(
+               kThousandths *
+               found->second.At(aState.now_, found->second.decayTime_));
+}
+
 void
 OfferedLoad::Add(double aCoreMillis, Millis aDecayTime, Instant aNow)
 {
--- a/packages/fleet/src/jobs.h
+++ b/packages/fleet/src/jobs.h
@@ -47,6 +47,9 @@
               ItemRef aRef,
               std::int64_t aRun);
 
+// Load that arriving work offers to a pool now, in thousandths of a core.
+std::int64_t OfferedCpu(const FleetState& aState, const std::string& aPool);
+
 } // namespace cuminbridge
 
 #endif // cuminbridge_fleet_jobs_h
--- /dev/null
+++ b/packages/fleet/src/run_lists.cpp
@@ -0,0 +1,289 @@
+// What targets list as running and as ended.
+
+#include "run_lists.h"
+
+#include <algorithm>
+
+#include "jobs.h"
+#include "runs.h"
+#include "targets.h"
+
+namespace cuminbridge {
+
+namespace {
+
+constexpr std::size_t kMaxListedEnds = 500; // in one answer of a target
+
+// Whether a run that this owner has no record of is the current run of its
+// item: an earlier owner started it without storing that, and its number is
+// above all that are known of the item. An older unconfirmed run of the item
+// has ended then, and is released.
+bool
+SupersedesUnconfirmed(FleetState& aState,
+                      const ItemRef& aRef,
+                      std::int64_t aRun)
+{
+  if (!aRef.item_ || aRef.job_->HasEnded() ||
+      aRef.item_->phase_ == ItemPhase::Done || aRun <= aRef.item_->run_) {
+    return false;
+  }
+  if (aRef.item_->phase_ == ItemPhase::Waiting) {
+    return true;
+  }
+  auto& target = aState.targets_[aRef.item_->target_];
+  for (const auto& run : target.runs_) {
+    if (run.run_ == aRef.item_->run_ && run.isUnconfirmed_ &&
+        FindItem(aState, run.item_).item_ == aRef.item_) {
+      const Run unconfirmed = run;
+      ReleaseRun(aState, target, unconfirmed.item_, unconfirmed.run_);
+      return true;
+    }
+  }
+  return false;
+}
+
+// Applies one entry of a target's list of ended runs.
+void
+ApplyEnd(FleetState& aState, Target& aTarget, const EndedRun& aEnd)
+{
+  auto* run = FindRun(aTarget, aEnd.item_, aEnd.run_);
+  const auto ref = FindItem(aState, aEnd.item_);
+  bool isCurrent = false;
+  if (run) {
+    // Runs of earlier owners teach nothing: their start time is not known.
+    if (aEnd.kind_ == EndKind::Done && ref.item_ &&
+        run->isStartedByThisOwner_) {
+      aState.runTimes_[ref.job_->job_.queue_].Learn(ref.spec_->estimate_,
+                                                    aState.now_ - run->sentAt_);
+    }
+    isCurrent = ref.item_ && ref.item_->phase_ == ItemPhase::Assigned &&
+                ref.item_->run_ == aEnd.run_ &&
+                ref.item_->target_ == aTarget.report_.id_;
+    if (!aEnd.checkpoint_.empty()) {
+      run->checkpoint_ = aEnd.checkpoint_;
+    }
+    ReleaseRun(aState, aTarget, aEnd.item_, aEnd.run_);
+  } else {
+    isCurrent = SupersedesUnconfirmed(aState, ref, aEnd.run_);
+    if (isCurrent && !aEnd.checkpoint_.empty()) {
+      ref.item_->checkpoint_ = aEnd.checkpoint_;
+    }
+  }
+  if (!ref.item_) {
+    return;
+  }
+  ref.item_->run_ = std::max(ref.item_->run_, aEnd.run_);
+  if (aEnd.kind_ == EndKind::Done) {
+    aTarget.consecutiveFailures_ = 0;
+    if (isCurrent) {
+      FinishItem(aState, aEnd.item_, ref);
+    }
+    return;
+  }
+  if (aEnd.kind_ == EndKind::Failed) {
+    ++aTarget.consecutiveFailures_;
+    ref.item_->avoidedTarget_ = aTarget.report_.id_;
+    FailItem(aState, aEnd.item_, ref, aEnd.run_);
+  }
+  static const char* const kEndNames[] = {
+    "done",
+    "failed",
+    "stopped",
+    "its lease expired",
+    "another member of its gang ended",
+    "the other members of its gang did not start"
+  };
+  aState.Log("run_ended",
+             aEnd.item_.job_,
+             FormatItem(aEnd.item_),
+             aTarget.report_.id_,
+             kEndNames[static_cast<int>(aEnd.kind_)]);
+}
+
+// Adopts or stops a run that the target lists and this owner has no record of.
+void
+HandleUnrecordedRun(FleetState& aState,
+                    Target& aTarget,
+                    const RunningRun& aSeen)
+{
+  const auto ref = FindItem(aState, aSeen.item_);
+  const bool isWanted = SupersedesUnconfirmed(aState, ref, aSeen.run_);
+  Run run;
+  run.item_ = aSeen.item_;
+  run.run_ = aSeen.run_;
+  run.phase_ = RunPhase::Running;
+  run.sentAt_ = aState.now_;
+  run.confirmedAt_ = aState.now_;
+  run.percent_ = aSeen.percent_;
+  run.checkpoint_ = aSeen.checkpoint_;
+  run.usage_ = aSeen.usage_;
+  run.progressBaseAt_ = aState.now_;
+  run.basePercent_ = aSeen.percent_;
+  if (isWanted) {
+    AddRun(aState, aTarget, std::move(run));
+    aState.Log("run_adopted",
+               aSeen.item_.job_,
+               FormatItem(aSeen.item_),
+               aTarget.report_.id_,
+               "run " + std::to_string(aSeen.run_));
+    return;
+  }
+  const bool isUnknown = !ref.job_;
+  auto& added = AddRun(aState, aTarget, std::move(run));
+  if (isUnknown) {
+    added.isJobUnknown_ = true; // its job may still arrive
+  } else {
+    Stop(aState, aTarget, added, "not the current run of its work item");
+  }
+}
+
+// Takes in what the target lists about a recorded run.
+void
+UpdateListedRun(Target& aTarget,
+                const RunningRun& aSeen,
+                Run& aRun,
+                Instant aNow)
+{
+  aRun.percent_ = aSeen.percent_;
+  aRun.usage_ = aSeen.usage_;
+  aRun.isUnconfirmed_ = false;
+  if (!aRun.progressBaseAt_) {
+    aRun.progressBaseAt_ = aNow;
+    aRun.basePercent_ = aSeen.percent_;
+  }
+  if (!aSeen.checkpoint_.empty()) {
+    aRun.checkpoint_ = aSeen.checkpoint_;
+  }
+  if (!aRun.confirmedAt_) {
+    aRun.confirmedAt_ = aNow;
+  }
+  if (aRun.phase_ == RunPhase::Starting) {
+    aRun.phase_ = RunPhase::Running;
+  }
+  if (aTarget.consecutiveFailures_ > 0 && aRun.isLongRunning_ &&
+      aRun.percent_ == 100) {
+    aTarget.consecutiveFailures_ = 0;
+  }
+}
+
+// Whether the answer lists the run as ended, behind an end of an unknown job.
+// The target will list it again.
+bool
+HasUnappliedEnd(const Target& aTarget,
+                const RenewalAnswered& aAnswer,
+                const Run& aRun)
+{
+  return std::any_of(
+    aAnswer.ended_.begin(), aAnswer.ended_.end(), [&](const EndedRun& aEnd) {
+      return aEnd.number_ > aTarget.endsApplied_ && aEnd.run_ == aRun.run_ &&
+             aEnd.item_ == aRun.item_;
+    });
+}
+
+// Releases runs that the target would have listed if they were still there.
+void
+ReleaseAbsent(FleetState& aState,
+              Target& aTarget,
+              const RenewalAnswered& aAnswer)
+{
+  std::vector<std::pair<ItemName, std::int64_t>> absent;
+  for (const auto& run : aTarget.runs_) {
+    const bool isListed = [&] {
+      for (const auto& seen : aAnswer.running_) {
+        if (seen.run_ == run.run_ && seen.item_ == run.item_) {
+          return true;
+        }
+      }
+      return false;
+    }();
+    const bool hasNoNewerConfirmation =
+      !run.confirmedAt_ || *run.confirmedAt_ < aAnswer.sentAt_;
+    const bool mustBeListed =
+      (run.isUnconfirmed_ && hasNoNewerConfirmation) ||
+      (run.confirmedAt_ && *run.confirmedAt_ < aAnswer.sentAt_) ||
+      (run.stoppedAt_ && *run.stoppedAt_ < aAnswer.sentAt_);
+    if (!isListed && mustBeListed && !HasUnappliedEnd(aTarget, aAnswer, run)) {
+      absent.emplace_back(run.item_, run.run_);
+    }
+  }
+  for (const auto& [item, run] : absent) {
+    aState.Log("run_lost",
+               item.job_,
+               FormatItem(item),
+               aTarget.report_.id_,
+               "its target no longer lists it");
+    ++aState.counts_.lost_;
+    ReleaseRun(aState, aTarget, item, run);
+  }
+}
+
+// An earlier owner that did not know of a restart may have sent deadlines on
+// the clock of the previous process. For as long as such a lease may last, no
+// lease on a young process counts as expired.
+void
+AllowForPreviousClock(const FleetState& aState,
+                      Target& aTarget,
+                      std::int64_t aClockMs)
+{
+  const auto& options = aState.options_;
+  const WallTime born{ Millis(aTarget.startUnixMs_) };
+  const bool isYoung =
+    aState.TimeOfDay() - born < options.ownerAllowance_ + options.longestLease_;
+  if (aState.term_ > 1 && !aTarget.hasListedRuns_ && isYoung) {
+    aTarget.leaseUntil_ =
+      std::max(aTarget.leaseUntil_, aClockMs + options.longestLease_.count());
+  }
+}
+
+} // namespace
+
+void
+HandleRunLists(FleetState& aState,
+               Target& aTarget,
+               const RenewalAnswered& aAnswer)
+{
+  if (aTarget.startUnixMs_ != aAnswer.startUnixMs_) {
+    BeginIncarnation(aState, aTarget, aAnswer.startUnixMs_, aAnswer.clockMs_);
+  }
+  UpdateClock(aState, aTarget, aAnswer.clockMs_);
+  AllowForPreviousClock(aState, aTarget, aAnswer.clockMs_);
+  aTarget.hasListedRuns_ = true;
+  aTarget.listedAt_ = aAnswer.sentAt_;
+  aTarget.wasSilentBefore_ = false;
+  if (aTarget.isStoredSilent_) {
+    aTarget.isStoredSilent_ = false;
+    RecordTarget(aState, aTarget, aTarget.report_.id_);
+  }
+  if (aTarget.contact_ != Contact::Good) {
+    if (aTarget.contact_ == Contact::Unresponsive) {
+      aState.Log(
+        "target_back", "", "", aTarget.report_.id_, "the target answers again");
+    }
+    aTarget.contact_ = Contact::Good;
+    aState.dirtyPools_.insert(aTarget.report_.pool_);
+  }
+  for (const auto& end : aAnswer.ended_) {
+    // The job may still arrive, and the target will list this end again.
+    if (aState.jobs_.count(end.item_.job_) == 0 &&
+        aState.now_ - aState.began_ < kUnknownRunGrace) {
+      break;
+    }
+    if (end.number_ > aTarget.endsApplied_) {
+      aTarget.endsApplied_ = end.number_;
+      ApplyEnd(aState, aTarget, end);
+    }
+  }
+  for (const auto& seen : aAnswer.running_) {
+    auto* run = FindRun(aTarget, seen.item_, seen.run_);
+    if (run) {
+      UpdateListedRun(aTarget, seen, *run, aState.now_);
+    } else {
+      HandleUnrecordedRun(aState, aTarget, seen);
+    }
+  }
+  if (aAnswer.ended_.size() < kMaxListedEnds) {
+    ReleaseAbsent(aState, aTarget, aAnswer);
+  }
+}
+
+} // namespace cuminbridge
--- a/packages/fleet/src/summaries.cpp
+++ b/packages/fleet/src/summaries.cpp
@@ -2,8 +2,10 @@
 
 #include "cuminbridge/fleet.h"
 
-#include "dispatch.h"
+#include "account_limits.h"
+#include "jobs.h"
 #include "state.h"
+#include "waiting_work.h"
 
 namespace cuminbridge {
 
@@ -17,13 +19,7 @@
     row.pool_ = pool.name_;
     const auto demand = demands.find(pool.name_);
     row.waiting_ = demand == demands.end() ? 0 : demand->second.items_;
-    const auto offered = state_->offeredLoads_.find(pool.name_);
-    if (offered != state_->offeredLoads_.end()) {
-      constexpr double kThousandths = 1000;
-      row.offeredCpu_ = static_cast<std::int64_t>(
-        kThousandths *
-        offered->second.At(state_->now_, offered->second.decayTime_));
-    }
+    row.offeredCpu_ = cuminbridge::OfferedCpu(*state_, pool.name_);
   }
   for (const auto& [name, vm] : state_->vms_) {
     ++pools[vm.pool_].vms_;
@@ -66,11 +62,9 @@
 std::map<std::string, std::int64_t>
 Fleet::OfferedCpu() const
 {
-  constexpr double kThousandths = 1000;
   std::map<std::string, std::int64_t> pools;
   for (const auto& [pool, load] : state_->offeredLoads_) {
-    pools[pool] = static_cast<std::int64_t>(
-      kThousandths * load.At(state_->now_, load.decayTime_));
+    pools[pool] = cuminbridge::OfferedCpu(*state_, pool);
   }
   return pools;
 }
--- a/packages/fleet/src/targets.h
+++ b/packages/fleet/src/targets.h
@@ -7,9 +7,23 @@
 
 namespace cuminbridge {
 
+// A run whose job has not arrived after this time belongs to no job. Jobs
+// arrive within milliseconds, and within 1.5 s if only the watch on the store
+// reports them.
+inline constexpr Millis kUnknownRunGrace(2500);
+
 void HandleTargetList(FleetState& aState, const TargetsSeen& aSeen);
 void HandleRenewalAnswer(FleetState& aState, const RenewalAnswered& aAnswer);
 
+// Has the target stored anew. It gets no work before that is done.
+void RecordTarget(FleetState& aState, Target& aTarget, const std::string& aId);
+
+// Another process has started at the target and knows no earlier runs.
+void BeginIncarnation(FleetState& aState,
+                      Target& aTarget,
+                      std::int64_t aStartUnixMs,
+                      std::int64_t aClockMs);
+
 // Adds the targets that need renewals to the watched ones. Start() adds its
 // target itself.
 void UpdateWatchedTargets(FleetState& aState);
--- a/packages/fleet/src/vms.cpp
+++ b/packages/fleet/src/vms.cpp
@@ -5,10 +5,11 @@
 
 #include <algorithm>
 
-#include "dispatch.h"
 #include "fleet_waves.h"
+#include "jobs.h"
 #include "moves.h"
 #include "vm_orders.h"
+#include "waiting_work.h"
 
 namespace cuminbridge {
 
@@ -106,13 +107,7 @@
       view.waitingCpu_ = waiting->second.cpu_;
       view.lackingVms_ = waiting->second.lackingTargets_;
     }
-    const auto offered = aState.offeredLoads_.find(pool.name_);
-    if (offered != aState.offeredLoads_.end()) {
-      constexpr double kThousandths = 1000;
-      view.offeredCpu_ = static_cast<std::int64_t>(
-        kThousandths *
-        offered->second.At(aState.now_, offered->second.decayTime_));
-    }
+    view.offeredCpu_ = OfferedCpu(aState, pool.name_);
   }
   for (auto& [id, target] : aState.targets_) {
     const auto view = views.find(target.report_.pool_);
--- a/packages/fleet/tests/one_target_test.cpp
+++ b/packages/fleet/tests/one_target_test.cpp
@@ -3,7 +3,7 @@
 
 #include <catch2/catch.hpp>
 
-#include "simulated_fleet.h"
+#include "reducer_fixture.h"
 
 using namespace cuminbridge;
 
@@ -11,19 +11,14 @@
 
 // A fleet of one target "t" on VM "vm" in pool "a". The target has already
 // listed its runs, none, so the fleet may place work there.
-struct OneTargetFleet
+struct OneTargetFleet : ReducerFixture
 {
   OneTargetFleet()
   {
     FleetConfig config;
     config.version_ = 1;
     config.pools_.push_back({ "a", true, false });
-    report_.id_ = report_.address_ = "t";
-    report_.pool_ = "a";
     report_.vm_ = "vm";
-    report_.capacity_ = { 8000, 32000, 0 };
-    report_.startUnixMs_ = 5;
-    report_.clockMs_ = 100;
     Deliver(ConfigSeen{ config });
     Deliver(JobsLoaded{});
     Deliver(TargetsSeen{ { report_ } });
@@ -32,27 +27,9 @@
     Deliver(ProgressStored{ 1 });
   }
 
-  void Deliver(const Event& aEvent) { fleet_.Handle(aEvent, now_); }
-
-  void AdvanceTime(Millis aTime)
-  {
-    now_ += aTime;
-    Deliver(SubmissionsRead{ now_ });
-    Deliver(Tick{ WallTime(now_.time_since_epoch()), true });
-  }
-
-  // The target answers a renewal and lists these runs.
   void AnswerRenewal(std::vector<RunningRun> aRunning)
   {
-    RenewalAnswered renewal;
-    renewal.target_ = "t";
-    renewal.outcome_ = RenewalOutcome::Answered;
-    renewal.sentAt_ = now_;
-    now_ += Millis(5);
-    renewal.startUnixMs_ = 5;
-    renewal.clockMs_ = 100;
-    renewal.running_ = std::move(aRunning);
-    Deliver(renewal);
+    ReducerFixture::AnswerRenewal("t", std::move(aRunning));
   }
 
   // In each round, the VMs are listed, one batch of stored progress is
@@ -71,19 +48,7 @@
     }
   }
 
-  template<typename EffectType>
-  int CountEffects()
-  {
-    int count = 0;
-    for (const auto& effect : fleet_.TakeEffects()) {
-      count += std::holds_alternative<EffectType>(effect) ? 1 : 0;
-    }
-    return count;
-  }
-
-  Instant now_{ Millis(1000000) };
-  Fleet fleet_{ FleetOptions{}, now_ };
-  TargetReport report_;
+  TargetReport report_ = MakeReport("t");
   std::uint64_t storedBatch_ = 1; // the last batch confirmed as stored
 };
 
--- a/packages/fleet/tests/takeover_test.cpp
+++ b/packages/fleet/tests/takeover_test.cpp
@@ -3,16 +3,15 @@
 
 #include <catch2/catch.hpp>
 
-#include "simulated_fleet.h"
+#include "reducer_fixture.h"
 #include "state.h"
 
 using namespace cuminbridge;
 
 namespace {
 
-// An owner that takes over a fleet with some targets in pool "a". Nothing is
-// answered unless a test does it.
-struct TakenOverFleet
+// An owner that takes over a fleet with some targets in pool "a".
+struct TakenOverFleet : ReducerFixture
 {
   TakenOverFleet()
   {
@@ -29,19 +28,10 @@
     loaded_.previousOwner_ = PreviousOwner::Unknown;
   }
 
-  void Deliver(const Event& aEvent) { fleet_.Handle(aEvent, now_); }
-
   void AddTarget(const std::string& aId, bool aIsSilent = false)
   {
-    TargetReport report;
-    report.id_ = report.address_ = aId;
-    report.pool_ = "a";
-    report.vm_ = "vm-" + aId;
-    report.capacity_ = { 8000, 32000, 0 };
-    report.startUnixMs_ = 5;
-    report.clockMs_ = 100;
-    report.sequence_ = 1;
-    reports_.push_back(report);
+    reports_.push_back(MakeReport(aId));
+    reports_.back().sequence_ = 1;
     loaded_.targets_.emplace_back(aId, aId, "a", aIsSilent);
   }
 
@@ -51,32 +41,6 @@
     Deliver(TargetsSeen{ reports_ });
   }
 
-  // A tick, with a confirmation that all submissions have been read.
-  void AdvanceTime(Millis aTime, bool aIsSubmissionRead = true)
-  {
-    now_ += aTime;
-    if (aIsSubmissionRead) {
-      Deliver(SubmissionsRead{ now_ });
-    }
-    Deliver(Tick{ WallTime(now_.time_since_epoch()), true });
-  }
-
-  void AnswerRenewal(const std::string& aTarget,
-                     std::vector<RunningRun> aRunning,
-                     std::vector<EndedRun> aEnded)
-  {
-    RenewalAnswered renewal;
-    renewal.target_ = aTarget;
-    renewal.outcome_ = RenewalOutcome::Answered;
-    renewal.sentAt_ = now_;
-    now_ += Millis(5);
-    renewal.startUnixMs_ = 5;
-    renewal.clockMs_ = 100;
-    renewal.running_ = std::move(aRunning);
-    renewal.ended_ = std::move(aEnded);
-    Deliver(renewal);
-  }
-
   void LeaveUnanswered(const std::string& aTarget)
   {
     RenewalAnswered renewal;
@@ -96,8 +60,6 @@
     return starts;
   }
 
-  Instant now_{ Millis(1000000) };
-  Fleet fleet_{ FleetOptions{}, now_ };
   JobsLoaded loaded_;
   std::vector<TargetReport> reports_;
 };
@@ -349,13 +311,6 @@
   wave.duration_ = Millis(1000);
   fixture.Deliver(VmsSeen{ vms, fixture.now_ });
   fixture.Deliver(WavesSeen{ { wave } });
-  const auto countStops = [&] {
-    int stops = 0;
-    for (const auto& effect : fixture.fleet_.TakeEffects()) {
-      stops += std::holds_alternative<StopRun>(effect) ? 1 : 0;
-    }
-    return stops;
-  };
   for (int step = 0; step < 8; ++step) {
     for (const auto& [target, run] : runs) {
       fixture.AnswerRenewal(target, { run }, {});
@@ -364,7 +319,7 @@
     fixture.AdvanceTime(Millis(200));
   }
   REQUIRE(fixture.fleet_.State().targets_.at("t1").isCordoned_);
-  REQUIRE(countStops() == 0);
+  REQUIRE(fixture.CountEffects<StopRun>() == 0);
   fixture.reports_[1].isDraining_ = true;
   fixture.reports_[3].isDraining_ = false;
   for (auto& report : fixture.reports_) {
@@ -372,7 +327,7 @@
   }
   fixture.Deliver(TargetsSeen{ fixture.reports_ });
   fixture.AdvanceTime(Millis(100));
-  CHECK(countStops() == 1); // on t2 only
+  CHECK(fixture.CountEffects<StopRun>() == 1); // on t2 only
 }
 
 TEST_CASE("an owner uses only its part of an account's limit")
--- a/packages/forwarder/core/src/coordinator.cpp
+++ b/packages/forwarder/core/src/coordinator.cpp
@@ -309,9 +309,7 @@
       permits.nextCoordinatorTick_ = aContext.now_ + kSwapResendInterval;
       return;
     case StoreStatus::Lost:
-      // Resending the same swap is idempotent: both attempts compare the same
-      // revision, so at most one takes effect. An answer to the resent one then
-      // tells the outcome.
+      // Both attempts compare the same revision, so at most one takes effect.
       permits.isSwapResendDue_ = true;
       permits.isSwapOutcomeUnknown_ = true;
       permits.nextCoordinatorTick_ = aContext.now_ + kSwapResendInterval;
