--- a/packages/daemon/src/caller_api.cpp
+++ b/packages/daemon/src/caller_api.cpp
@@ -4,8 +4,6 @@
 
 #include <algorithm>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <nlohmann/json.hpp>
 
 #include "daemon_log.h"
@@ -88,7 +86,7 @@
 CallerApi::SetCellCount(int aCount)
 {
   for (int cell = 0; cell < aCount; ++cell) {
-    cells_.push_back({ CellKeys(cell), nullptr, "" });
+    cells_.push_back({ cell, CellKeys(cell), nullptr });
   }
 }
 
@@ -98,25 +96,11 @@
   cells_[static_cast<std::size_t>(aCell)].owner_ = std::move(aOwner);
 }
 
-void
-CallerApi::SetOwnerAddress(int aCell, std::string aAddress)
-{
-  cells_[static_cast<std::size_t>(aCell)].ownerAddress_ = std::move(aAddress);
-}
-
-const std::string&
-CallerApi::OwnerAddress(int aCell) const
-{
-  static const std::string kNone;
-  return aCell < CellCount()
-           ? cells_[static_cast<std::size_t>(aCell)].ownerAddress_
-           : kNone;
-}
-
 CallerApi::CellState&
 CallerApi::CellOfJob(const std::string& aId)
 {
-  return cells_[static_cast<std::size_t>(CellOf(aId, CellCount()))];
+  return cells_[static_cast<std::size_t>(
+    CellOf(aId, static_cast<int>(cells_.size())))];
 }
 
 Awaitable<HttpResponse>
@@ -162,42 +146,6 @@
   co_return Problem(kNotAllowed, "POST, GET or DELETE");
 }
 
-// Does not retry: the owner also watches the store.
-Awaitable<void>
-CallerApi::NotifyOwner(int aCell, const char* aPath, std::string aBody)
-{
-  constexpr Millis kNotifyTimeout(
-    300); // by then the owner's watch has reported it
-  const std::string address = OwnerAddress(aCell);
-  if (address.empty()) {
-    co_return;
-  }
-  HttpCall call;
-  call.kind_ = "peer_notify";
-  call.method_ = "POST";
-  call.path_ = aPath;
-  if (CellCount() > 1) {
-    call.path_ += '/' + std::to_string(aCell);
-  }
-  call.body_ = std::move(aBody);
-  call.limit_ = kNotifyTimeout;
-  const auto reply = co_await context_.http_.Call(address, std::move(call));
-  if (reply.outcome_ == CallOutcome::Refused && onOwnerRefused_) {
-    onOwnerRefused_(aCell, address);
-  }
-}
-
-void
-CallerApi::SpawnNotification(const CellState& aCell,
-                             const char* aPath,
-                             std::string aBody)
-{
-  const auto cell = static_cast<int>(&aCell - cells_.data());
-  boost::asio::co_spawn(context_.io_,
-                        NotifyOwner(cell, aPath, std::move(aBody)),
-                        boost::asio::detached);
-}
-
 Awaitable<HttpResponse>
 CallerApi::Submit(const HttpRequest& aRequest,
                   const Queue& aQueue,
@@ -245,8 +193,8 @@
       if (reply.IsDone() && cell.owner_ && cell.owner_->IsLeaseValid()) {
         cell.owner_->HandleSubmittedJob(std::move(job));
       } else if (reply.IsDone()) {
-        SpawnNotification(
-          cell, kNotifyJobPath, std::move(write.puts_.front().value_));
+        context_.peers_.Notify(
+          cell.number_, kNotifyJobPath, std::move(write.puts_.front().value_));
       }
       co_return HttpResponse{};
     }
@@ -281,9 +229,10 @@
 CallerApi::MovedTo(const StoreItem& aJobRecord)
 {
   const auto cell = DecodeMovedJob(aJobRecord.value_);
-  return cell && *cell >= 0 && *cell < CellCount()
-           ? &cells_[static_cast<std::size_t>(*cell)]
-           : nullptr;
+  if (!cell || *cell < 0 || static_cast<std::size_t>(*cell) >= cells_.size()) {
+    return nullptr;
+  }
+  return &cells_[static_cast<std::size_t>(*cell)];
 }
 
 Awaitable<HttpResponse>
@@ -365,7 +314,7 @@
         if (cell->owner_) {
           cell->owner_->HandleCancel(aId);
         } else {
-          SpawnNotification(*cell, kNotifyCancelPath, aId);
+          context_.peers_.Notify(cell->number_, kNotifyCancelPath, aId);
         }
         co_return HttpResponse{};
       }
--- a/packages/daemon/src/caller_api.h
+++ b/packages/daemon/src/caller_api.h
@@ -29,18 +29,8 @@
 
   // Until the number of cells is known, jobs are answered 503.
   void SetCellCount(int aCount);
-  int CellCount() const { return static_cast<int>(cells_.size()); }
   // The owner of a cell in this process, or null.
   void SetOwner(int aCell, std::shared_ptr<Owner> aOwner);
-  // Address for peers of the owner of a cell; empty if there is none.
-  void SetOwnerAddress(int aCell, std::string aAddress);
-  const std::string& OwnerAddress(int aCell) const;
-
-  // Called with a cell and its owner's address when no process listens there.
-  void SetOnOwnerRefused(std::function<void(int, const std::string&)> aCallback)
-  {
-    onOwnerRefused_ = std::move(aCallback);
-  }
 
   Awaitable<HttpResponse> Answer(const HttpRequest& aRequest);
 
@@ -57,23 +47,18 @@
 
   struct CellState
   {
+    int number_ = 0;
     CellKeys keys_;
     std::shared_ptr<Owner> owner_; // in this process, or null
-    std::string ownerAddress_;     // empty: not known
   };
 
   CellState& CellOfJob(const std::string& aId);
   // The cell to which a job was transferred, by the record in its own; null if
   // it was not.
   CellState* MovedTo(const StoreItem& aJobRecord);
-  Awaitable<void> NotifyOwner(int aCell, const char* aPath, std::string aBody);
-  void SpawnNotification(const CellState& aCell,
-                         const char* aPath,
-                         std::string aBody);
   Awaitable<bool> ReadWaitingCounts();
 
   DaemonContext context_;
-  std::function<void(int, const std::string&)> onOwnerRefused_;
   FleetConfig config_;
   std::vector<CellState> cells_;       // empty until their number is known
   std::map<std::string, int> waiting_; // jobs by queue, in all cells
--- /dev/null
+++ b/packages/daemon/src/cell_peers.cpp
@@ -0,0 +1,101 @@
+// The owners of all cells, and messages to them.
+
+#include "cell_peers.h"
+
+#include <algorithm>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+namespace cuminbridge {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// By then the owner's watch of the store has reported the same.
+constexpr std::chrono::milliseconds kNotifyTimeout(300);
+
+} // namespace
+
+CellPeers::CellPeers(asio::io_context& aIo, HttpClient& aHttp)
+  : io_(aIo)
+  , http_(aHttp)
+{
+}
+
+void
+CellPeers::SetCount(int aCells)
+{
+  addresses_.resize(static_cast<std::size_t>(aCells));
+}
+
+void
+CellPeers::SetAddress(int aCell, std::string aAddress)
+{
+  if (aCell >= 0 && aCell < Count()) {
+    addresses_[static_cast<std::size_t>(aCell)] = std::move(aAddress);
+  }
+}
+
+const std::string&
+CellPeers::AddressOf(int aCell) const
+{
+  static const std::string kNone;
+  return aCell >= 0 && aCell < Count()
+           ? addresses_[static_cast<std::size_t>(aCell)]
+           : kNone;
+}
+
+std::string
+CellPeers::AnyAddress() const
+{
+  const auto found =
+    std::find_if(addresses_.begin(),
+                 addresses_.end(),
+                 [](const std::string& aAddress) { return !aAddress.empty(); });
+  return found == addresses_.end() ? "" : *found;
+}
+
+int
+CellPeers::CountCellsOf(const std::string& aAddress) const
+{
+  return static_cast<int>(
+    std::count(addresses_.begin(), addresses_.end(), aAddress));
+}
+
+void
+CellPeers::SetOnRefused(std::function<void(int, const std::string&)> aCallback)
+{
+  onRefused_ = std::move(aCallback);
+}
+
+void
+CellPeers::Notify(int aCell, const char* aPath, std::string aBody)
+{
+  const auto& address = AddressOf(aCell);
+  if (address.empty()) {
+    return;
+  }
+  HttpCall call;
+  call.kind_ = "peer_notify";
+  call.method_ = "POST";
+  call.path_ = aPath;
+  if (Count() > 1) {
+    call.path_ += '/' + std::to_string(aCell);
+  }
+  call.body_ = std::move(aBody);
+  call.limit_ = kNotifyTimeout;
+  asio::co_spawn(io_, Send(aCell, address, std::move(call)), asio::detached);
+}
+
+Awaitable<void>
+CellPeers::Send(int aCell, std::string aAddress, HttpCall aCall)
+{
+  const auto reply = co_await http_.Call(aAddress, std::move(aCall));
+  if (reply.outcome_ == CallOutcome::Refused && onRefused_) {
+    onRefused_(aCell, aAddress);
+  }
+}
+
+} // namespace cuminbridge
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -123,7 +123,9 @@
   asio::signal_set signals_{ io_, SIGTERM, SIGHUP };
   HttpClient http_{ io_, HttpClientOptions{} };
   StoreClient store_{ http_, settings_.storeAddress_, clocks_ };
-  DaemonContext context_{ io_, clocks_, settings_, tuning_, http_, store_ };
+  CellPeers peers_{ io_, http_ };
+  DaemonContext context_{ io_,   clocks_, settings_, tuning_,
+                          http_, store_,  peers_ };
   CallerApi callerApi_{ context_ };
   Election election_{ context_, callerApi_ };
   HttpServer callerServer_;
@@ -186,8 +188,7 @@
 Daemon::IsReady() const
 {
   return !isStopping_ && callerApi_.Config().version_ > 0 &&
-         callerApi_.CellCount() > 0 &&
-         clocks_.Now() - storeAnsweredAt_ < kStoreTimeout;
+         peers_.Count() > 0 && clocks_.Now() - storeAnsweredAt_ < kStoreTimeout;
 }
 
 Awaitable<HttpResponse>
@@ -242,7 +243,7 @@
 {
   const auto slash = aPath.find('/', 1);
   const int cell = slash == std::string::npos
-                     ? CellOf(aJob, callerApi_.CellCount())
+                     ? CellOf(aJob, peers_.Count())
                      : std::atoi(aPath.c_str() + slash + 1);
   auto* owner = election_.CurrentOwner(cell);
   return owner && owner->IsLeaseValid() ? owner : nullptr;
@@ -295,7 +296,8 @@
   if (aRequest.path_.rfind(kViewPrefix, 0) == 0) {
     const auto view =
       std::string_view(aRequest.path_).substr(std::strlen(kViewPrefix));
-    co_return ShowView(view, callerApi_, election_.CurrentOwners(), settings_);
+    co_return ShowView(
+      view, callerApi_, peers_, election_.CurrentOwners(), settings_);
   }
   const auto cell = CellOfOwnerKey(
     std::string_view(aRequest.path_).substr(1)); // paths are like keys
--- a/packages/daemon/src/daemon_context.h
+++ b/packages/daemon/src/daemon_context.h
@@ -5,6 +5,7 @@
 
 #include "cuminbridge/adapter.h"
 
+#include "cell_peers.h"
 #include "tuning.h"
 
 namespace cuminbridge {
@@ -17,6 +18,7 @@
   const Tuning& tuning_;
   HttpClient& http_;
   StoreClient& store_;
+  CellPeers& peers_;
 };
 
 Awaitable<void> Sleep(boost::asio::io_context& aIo, Millis aTime);
--- a/packages/daemon/src/election.cpp
+++ b/packages/daemon/src/election.cpp
@@ -46,7 +46,7 @@
   , callerApi_(aCallerApi)
   , yieldInterval_(kYieldInterval)
 {
-  callerApi_.SetOnOwnerRefused([this](int aCell, const std::string& aAddress) {
+  context_.peers_.SetOnRefused([this](int aCell, const std::string& aAddress) {
     HandleRefused(aCell, aAddress);
   });
 }
@@ -73,15 +73,6 @@
   return owners;
 }
 
-int
-Election::CountCells(const std::string& aAddress) const
-{
-  return static_cast<int>(
-    std::count_if(cells_.begin(), cells_.end(), [&](const CellState& aCell) {
-      return aCell.address_ == aAddress;
-    }));
-}
-
 //-----------------------------------------------------------------------------
 // [SECTION] The cells and the entries
 //-----------------------------------------------------------------------------
@@ -161,6 +152,7 @@
       map_ =
         std::make_shared<CellMap>(DecodeCellMap(stored.items_.front().value_));
       cells_.resize(static_cast<std::size_t>(map_->count_));
+      context_.peers_.SetCount(map_->count_);
       callerApi_.SetCellCount(map_->count_);
       WriteLine(
         { "cells_read", "", "", "", std::to_string(map_->count_) + " cells" },
@@ -185,16 +177,6 @@
 // [SECTION] Owners
 //-----------------------------------------------------------------------------
 
-void
-Election::SetOwnerAddress(int aCell, std::string aAddress)
-{
-  if (aCell < 0 || static_cast<std::size_t>(aCell) >= cells_.size()) {
-    return;
-  }
-  cells_[static_cast<std::size_t>(aCell)].address_ = aAddress;
-  callerApi_.SetOwnerAddress(aCell, std::move(aAddress));
-}
-
 Awaitable<void>
 Election::WatchOwners()
 {
@@ -214,12 +196,12 @@
     }
     if (mustList) {
       for (std::size_t cell = 0; cell < cells_.size(); ++cell) {
-        SetOwnerAddress(static_cast<int>(cell), "");
+        context_.peers_.SetAddress(static_cast<int>(cell), "");
       }
     }
     for (const auto& item : reply.items_) {
       if (const auto cell = CellOfOwnerKey(item.key_)) {
-        SetOwnerAddress(*cell, item.isRemoved_ ? "" : item.value_);
+        context_.peers_.SetAddress(*cell, item.isRemoved_ ? "" : item.value_);
       }
     }
     after = NextWatchRevision(after, reply, mustList);
@@ -233,8 +215,9 @@
 {
   for (std::size_t number = 0; number < cells_.size(); ++number) {
     auto& cell = cells_[number];
-    if (cell.address_.empty() && !cell.owner_ && !cell.isContested_ &&
-        !isStopping_) {
+    const bool isFree =
+      context_.peers_.AddressOf(static_cast<int>(number)).empty();
+    if (isFree && !cell.owner_ && !cell.isContested_ && !isStopping_) {
       cell.isContested_ = true;
       asio::co_spawn(
         context_.io_, Contest(static_cast<int>(number)), asio::detached);
@@ -246,7 +229,8 @@
 Election::HandleRefused(int aCell, const std::string& aAddress)
 {
   auto& cell = cells_[static_cast<std::size_t>(aCell)];
-  if (cell.address_ == aAddress && !cell.isChecked_ && !isStopping_) {
+  if (context_.peers_.AddressOf(aCell) == aAddress && !cell.isChecked_ &&
+      !isStopping_) {
     cell.isChecked_ = true;
     asio::co_spawn(
       context_.io_, EndLeaseOfDeadOwner(aCell, aAddress), asio::detached);
@@ -292,13 +276,15 @@
     const auto entry = DecodeEntry(item.value_);
     const auto name = item.key_.substr(std::string_view(kEntriesPrefix).size());
     if (name != own) {
-      candidates.push_back(
-        { name, entry.cpuShare_, CountCells(entry.address_) });
+      candidates.push_back({ name,
+                             entry.cpuShare_,
+                             context_.peers_.CountCellsOf(entry.address_) });
     }
   }
-  candidates.push_back({ own,
-                         context_.settings_.cpuShare_,
-                         CountCells(PeerAddress(context_.settings_)) });
+  candidates.push_back(
+    { own,
+      context_.settings_.cpuShare_,
+      context_.peers_.CountCellsOf(PeerAddress(context_.settings_)) });
   const auto ranked = RankCandidates(std::move(candidates), aCell);
   const auto place = std::find_if(
     ranked.begin(), ranked.end(), [&](const Candidate& aCandidate) {
@@ -320,7 +306,7 @@
 {
   auto& cell = cells_[static_cast<std::size_t>(aCell)];
   const auto key = CellKeys(aCell).Owner();
-  while (!isStopping_ && cell.address_.empty()) {
+  while (!isStopping_ && context_.peers_.AddressOf(aCell).empty()) {
     if (callerApi_.Config().version_ == 0) {
       co_await Sleep(context_.io_, kRetryPause);
       continue;
@@ -331,7 +317,7 @@
     }
     const auto current = co_await context_.store_.Get(key);
     if (current.IsDone()) {
-      SetOwnerAddress(aCell, current.items_.front().value_);
+      context_.peers_.SetAddress(aCell, current.items_.front().value_);
       break;
     }
     if (current.status_ != StoreStatus::Missing) {
@@ -346,7 +332,7 @@
       continue;
     }
     if (co_await TakeOwnership(aCell, lease.revision_, sentAt)) {
-      SetOwnerAddress(aCell, PeerAddress(context_.settings_));
+      context_.peers_.SetAddress(aCell, PeerAddress(context_.settings_));
       asio::co_spawn(context_.io_, FollowOwner(aCell), asio::detached);
       break;
     }
@@ -398,12 +384,6 @@
   Ownership ownership;
   ownership.cell_ = { aCell, static_cast<int>(cells_.size()) };
   ownership.map_ = map_;
-  ownership.findOwner_ = [this](int aOther) {
-    return callerApi_.OwnerAddress(aOther);
-  };
-  ownership.onOwnerRefused_ = [this](int aOther, const std::string& aAddress) {
-    HandleRefused(aOther, aAddress);
-  };
   ownership.token_ = reply.revision_;
   ownership.lease_ = aLease;
   ownership.term_ = newTerm;
@@ -435,8 +415,8 @@
   cell.owner_.reset();
   const auto current = co_await context_.store_.Get(CellKeys(aCell).Owner());
   if (current.IsDone() || current.status_ == StoreStatus::Missing) {
-    SetOwnerAddress(aCell,
-                    current.IsDone() ? current.items_.front().value_ : "");
+    context_.peers_.SetAddress(
+      aCell, current.IsDone() ? current.items_.front().value_ : "");
   }
   ContestFreeCells();
 }
@@ -444,11 +424,12 @@
 Awaitable<bool>
 Election::IsStrongerEntryReady()
 {
-  const int cells = std::max(1, CountCells(PeerAddress(context_.settings_)));
+  const int cells =
+    std::max(1, context_.peers_.CountCellsOf(PeerAddress(context_.settings_)));
   const auto reply = co_await context_.store_.List(kEntriesPrefix);
   for (const auto& item : reply.items_) {
     const auto entry = DecodeEntry(item.value_);
-    if (CountCells(entry.address_) > 0 ||
+    if (context_.peers_.CountCellsOf(entry.address_) > 0 ||
         !ShouldYield(context_.settings_.cpuShare_ / cells, entry.cpuShare_)) {
       continue;
     }
--- a/packages/daemon/src/election.h
+++ b/packages/daemon/src/election.h
@@ -29,7 +29,6 @@
   struct CellState
   {
     std::shared_ptr<Owner> owner_; // in this process
-    std::string address_;          // of its owner for peers; empty: none
     bool isContested_ = false;     // this process tries to take it
     bool isChecked_ = false; // this process checks whether its owner lives
   };
@@ -37,7 +36,6 @@
   Awaitable<void> ReadCells();
   Awaitable<std::optional<CellMap>> DecideCells();
   Awaitable<void> WatchOwners();
-  void SetOwnerAddress(int aCell, std::string aAddress);
   void ContestFreeCells();
   void HandleRefused(int aCell, const std::string& aAddress);
   Awaitable<void> EndLeaseOfDeadOwner(int aCell, std::string aAddress);
@@ -50,7 +48,6 @@
   Awaitable<Millis> ComputeElectionDelay(int aCell);
   Awaitable<void> YieldToStrongerEntry(int aCell);
   Awaitable<bool> IsStrongerEntryReady();
-  int CountCells(const std::string& aAddress) const; // that the address owns
 
   DaemonContext context_;
   CallerApi& callerApi_;
--- a/packages/daemon/src/owner.h
+++ b/packages/daemon/src/owner.h
@@ -6,6 +6,9 @@
 
 #include <memory>
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
 #include "account_grants.h"
 #include "cells.h"
 #include "fenced_writer.h"
@@ -23,11 +26,6 @@
 {
   Cell cell_;
   std::shared_ptr<const CellMap> map_;
-  // Address for peers of the owner of a cell; empty if none is known.
-  std::function<std::string(int)> findOwner_;
-  // To be called with a cell and its owner's address when no process listens
-  // there.
-  std::function<void(int, const std::string&)> onOwnerRefused_;
   std::int64_t token_ =
     0; // fencing token: creation revision of the owner's key
   std::int64_t lease_ = 0;    // its number in the store
@@ -98,11 +96,13 @@
   void RemoveJobs(const DeleteJobRecords& aEffect);
   void Transfer(const TransferJob& aEffect);
   void ForwardCancel(const std::string& aJob, int aCell);
-  void NotifyCell(int aCell, const char* aPath, std::string aBody);
-  Awaitable<void> SendToCell(int aCell, std::string aAddress, HttpCall aCall);
   Awaitable<void> ReportCapacity();
   template<typename Call>
-  void Spawn(Call aCall);
+  void Spawn(Call aCall)
+  {
+    boost::asio::co_spawn(
+      context_.io_, std::move(aCall), boost::asio::detached);
+  }
 
   DaemonContext context_;
   Ownership ownership_;
--- a/packages/daemon/src/owner_cells.cpp
+++ b/packages/daemon/src/owner_cells.cpp
@@ -3,15 +3,10 @@
 
 #include <algorithm>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-
 #include "owner.h"
 
 namespace cuminbridge {
 
-namespace asio = boost::asio;
-
 namespace {
 
 constexpr Millis kWavePollInterval(1000);
@@ -156,7 +151,7 @@
   write.puts_.push_back({ CellKeys(cell).Of(kJobPrefix) + id, record, 0 });
   write.puts_.push_back({ keys_.Of(kJobPrefix) + id, EncodeMovedJob(cell), 0 });
   write.onStored_ = [this, cell, record = std::move(record)] {
-    NotifyCell(cell, kNotifyJobPath, record);
+    context_.peers_.Notify(cell, kNotifyJobPath, record);
   };
   writer_.Queue(std::move(write));
 }
@@ -168,40 +163,11 @@
   FencedWriter::PendingWrite write;
   write.puts_.push_back({ CellKeys(aCell).Of(kCancelPrefix) + aJob, "{}", 0 });
   write.onStored_ = [this, aCell, aJob] {
-    NotifyCell(aCell, kNotifyCancelPath, aJob);
+    context_.peers_.Notify(aCell, kNotifyCancelPath, aJob);
   };
   writer_.Queue(std::move(write));
 }
 
-// Does not wait for an answer and does not retry.
-void
-Owner::NotifyCell(int aCell, const char* aPath, std::string aBody)
-{
-  constexpr Millis kTimeout(300);
-  const auto address = ownership_.findOwner_(aCell);
-  if (address.empty()) {
-    return;
-  }
-  HttpCall call;
-  call.kind_ = "peer_notify";
-  call.method_ = "POST";
-  call.path_ = std::string(aPath) + '/' + std::to_string(aCell);
-  call.body_ = std::move(aBody);
-  call.limit_ = kTimeout;
-  asio::co_spawn(
-    context_.io_, SendToCell(aCell, address, std::move(call)), asio::detached);
-}
-
-Awaitable<void>
-Owner::SendToCell(int aCell, std::string aAddress, HttpCall aCall)
-{
-  const auto self = shared_from_this();
-  const auto reply = co_await context_.http_.Call(aAddress, std::move(aCall));
-  if (reply.outcome_ == CallOutcome::Refused) {
-    ownership_.onOwnerRefused_(aCell, aAddress);
-  }
-}
-
 // Tells the other cells what this one has free.
 Awaitable<void>
 Owner::ReportCapacity()
@@ -213,7 +179,7 @@
       { ownership_.cell_.number_, fleet_.FreeCpu(), fleet_.OfferedCpu() });
     for (int cell = 0; cell < ownership_.cell_.count_ && !hasEnded_; ++cell) {
       if (cell != ownership_.cell_.number_) {
-        NotifyCell(cell, kCapacityPath, report);
+        context_.peers_.Notify(cell, kCapacityPath, report);
       }
     }
   }
--- a/packages/daemon/src/views.cpp
+++ b/packages/daemon/src/views.cpp
@@ -117,33 +117,21 @@
 }
 
 json
-ShowOwners(const CallerApi& aCallerApi)
+ShowOwners(const CellPeers& aPeers)
 {
   json rows = json::array();
-  for (int cell = 0; cell < aCallerApi.CellCount(); ++cell) {
-    rows.push_back(
-      { { "cell", cell }, { "address", aCallerApi.OwnerAddress(cell) } });
+  for (int cell = 0; cell < aPeers.Count(); ++cell) {
+    rows.push_back({ { "cell", cell }, { "address", aPeers.AddressOf(cell) } });
   }
   return { { "owners", std::move(rows) } };
 }
 
-// The address of some owner; empty if none is known.
-std::string
-AnyOwner(const CallerApi& aCallerApi)
-{
-  for (int cell = 0; cell < aCallerApi.CellCount(); ++cell) {
-    if (!aCallerApi.OwnerAddress(cell).empty()) {
-      return aCallerApi.OwnerAddress(cell);
-    }
-  }
-  return {};
-}
-
 } // namespace
 
 HttpResponse
 ShowView(std::string_view aView,
          const CallerApi& aCallerApi,
+         const CellPeers& aPeers,
          const std::vector<Owner*>& aOwners,
          const PlatformSettings& aSettings)
 {
@@ -151,13 +139,13 @@
   if (aView == "queues") {
     answer.body_ = ShowQueues(aCallerApi, aSettings).dump();
   } else if (aView == "owners") {
-    answer.body_ = ShowOwners(aCallerApi).dump();
+    answer.body_ = ShowOwners(aPeers).dump();
   } else if (aView != "pools" && aView != "accounts" && aView != "waves" &&
              aView != "owner") {
     answer.status_ = kNotFound;
   } else if (aOwners.empty()) {
     answer.status_ = kMisdirectedRequest;
-    answer.body_ = json{ { "owner", AnyOwner(aCallerApi) } }.dump();
+    answer.body_ = json{ { "owner", aPeers.AnyAddress() } }.dump();
   } else if (aView == "owner") {
     answer.body_ = ShowOwner(aOwners, aSettings).dump();
   } else {
--- a/packages/daemon/src/views.h
+++ b/packages/daemon/src/views.h
@@ -17,6 +17,7 @@
 // none answers 421 with the address of an owner.
 HttpResponse ShowView(std::string_view aView,
                       const CallerApi& aCallerApi,
+                      const CellPeers& aPeers,
                       const std::vector<Owner*>& aOwners,
                       const PlatformSettings& aSettings);
 
