Owner: forget a transferred job once its record is removed

Cause: the list of transferred jobs grew for as long as an owner lasted. Change: the watch of submissions shows when the other cell has removed the record.

--- a/packages/daemon/src/owner_reads.cpp
+++ b/packages/daemon/src/owner_reads.cpp
@@ -72,6 +72,7 @@
 Owner::HandleSubmission(const StoreItem& aItem)
 {
   if (aItem.isRemoved_) {
+    movedJobs_.erase(aItem.key_.substr(aItem.key_.rfind('/') + 1));
     return true;
   }
   const auto cancel = keys_.Of(kCancelPrefix);
