Log how old an owner's knowledge is when it starts work

Cause: nothing showed whether a start rested on old knowledge of cancellations, or that an owner started nothing because of it. Change: run_placed tells the age; starts_paused and starts_resumed mark the spans in which the age is above its limit.

--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -298,7 +298,9 @@
     std::to_string((aState.now_ - aWaiting.job_->arrived_).count()) +
       " ms after its job was accepted; the target has " +
       std::to_string(aTarget.report_.capacity_.cpu_ - aTarget.used_.cpu_) +
-      " thousandths of a core left");
+      " thousandths of a core left; submissions were read " +
+      std::to_string((aState.now_ - aState.submissionsReadUpTo_).count()) +
+      " ms before");
 }
 
 // Starts all members of a gang, or none. False if there is not enough free
@@ -520,6 +522,27 @@
   }
 }
 
+// Whether cancelled work might be started, because cancellations may not have
+// been read yet. Logs each change.
+bool
+AreStartsPaused(FleetState& aState)
+{
+  const auto age = aState.now_ - aState.submissionsReadUpTo_;
+  const bool isPaused =
+    aState.isStoreReachable_ && age > aState.options_.maxSubmissionAge_;
+  if (isPaused != aState.areStartsPaused_) {
+    aState.areStartsPaused_ = isPaused;
+    aState.Log(
+      isPaused ? "starts_paused" : "starts_resumed",
+      "",
+      "",
+      "",
+      "submissions were last read " + std::to_string(age.count()) + " ms ago" +
+        (aState.isStoreReachable_ ? "" : ", and the store is unreachable"));
+  }
+  return isPaused;
+}
+
 } // namespace
 
 void
@@ -540,9 +563,8 @@
       aState.dirtyPools_.insert(pool.name_);
     }
   }
-  if (aState.isStoreReachable_ && aState.now_ - aState.submissionsReadUpTo_ >
-                                    aState.options_.maxSubmissionAge_) {
-    return; // cancellations may not have been read yet
+  if (AreStartsPaused(aState)) {
+    return;
   }
   std::vector<std::string> due;
   for (const auto& pool : aState.dirtyPools_) {
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -249,8 +249,9 @@
   bool mayOrderVms_ = false; // see Tick
   bool isStoreReachable_ = true;
   Instant submissionsReadUpTo_;
-  bool hasJobs_ = false;      // JobsLoaded has come
-  bool hasTargets_ = false;   // TargetsSeen has come
+  bool areStartsPaused_ = false; // what is known of submissions is too old
+  bool hasJobs_ = false;         // JobsLoaded has come
+  bool hasTargets_ = false;      // TargetsSeen has come
   bool isReconciling_ = true; // some target has not been asked what runs there
   int term_ = 1;              // number of this owner, counted from 1
   PreviousOwner previousOwner_ = PreviousOwner::Unknown;
