Records that took long to read are no fresh knowledge

What callers saw: work that they had cancelled was started by a new owner. Cause: the freshness of what an owner knows of submissions was counted from the end of reading its records. A cancellation stored after its key was read was taken for read. With a slow store, a weak entry or retries the reading lasts longer than the limit. Evidence: 'records that took long to read are old knowledge' failed before (a start 2 s after the reading began; the limit is 1.5 s). Change: the records tell when their reading began; the count of waiting jobs is dated by the same time. The first answer of the watch, which comes within 0.5 s, starts work.

--- a/packages/daemon/src/owner_reads.cpp
+++ b/packages/daemon/src/owner_reads.cpp
@@ -162,10 +162,12 @@
   const auto self = shared_from_this();
   StoredFleet stored;
   PreviousOwner previousState = PreviousOwner::Unknown;
+  auto readAt = context_.clocks_.Now();
   std::tie(stored, previousState) =
     co_await (ReadStoredFleet() && AskPreviousOwner());
   while (!hasEnded_ && !IsWhole(stored)) {
     co_await Sleep(context_.io_, kRetryPause);
+    readAt = context_.clocks_.Now();
     stored = co_await ReadStoredFleet();
   }
   if (hasEnded_) {
@@ -176,6 +178,7 @@
   for (const auto& key : unreadable) {
     WriteLine({ "record_unreadable", "", "", "", key }, context_.clocks_.Now());
   }
+  loaded.readAt_ = readAt;
   loaded.term_ = ownership_.term_;
   loaded.previousOwner_ = previousState;
   loaded.inheritedUntil_ =
@@ -213,7 +216,7 @@
                             false };
   writer_.Queue(
     { { { keys_.Of(kLastOwnerKey), EncodeOwnerRecord(record), 0 } }, {}, {} });
-  submissionsReadUpTo_ = context_.clocks_.Now();
+  submissionsReadUpTo_ = readAt;
   hasLoaded_ = true;
   const auto revision = stored.submissions_.revision_;
   Spawn([self, revision] { return self->WatchSubmissions(revision); });
--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -178,6 +178,7 @@
 // before it.
 struct JobsLoaded
 {
+  Instant readAt_; // when the reading of the records began
   std::vector<Job> jobs_;
   std::map<std::string, Progress> progress_; // by job
   std::set<std::string> cancelled_;          // ids of cancelled jobs
--- a/packages/fleet/src/reducer.cpp
+++ b/packages/fleet/src/reducer.cpp
@@ -91,7 +91,7 @@
   void operator()(const JobsLoaded& aEvent)
   {
     LoadJobs(state_, aEvent);
-    state_.submissionsReadUpTo_ = state_.now_;
+    state_.submissionsReadUpTo_ = aEvent.readAt_;
     UpdateWatchedTargets(state_);
   }
   void operator()(const JobArrived& aEvent)
--- a/packages/fleet/tests/simulated_fleet.cpp
+++ b/packages/fleet/tests/simulated_fleet.cpp
@@ -116,6 +116,7 @@
   Deliver(*owner, ConfigSeen{ config_ });
   Deliver(*owner, Tick{ WallTime(now_.time_since_epoch()), true });
   JobsLoaded loaded;
+  loaded.readAt_ = now_;
   for (const auto& [id, job] : jobs_) {
     loaded.jobs_.push_back(job);
   }
--- a/packages/fleet/tests/takeover_test.cpp
+++ b/packages/fleet/tests/takeover_test.cpp
@@ -164,6 +164,22 @@
   CHECK(fixture.TakeStarts().size() == 1);
 }
 
+TEST_CASE("records that took long to read are old knowledge")
+{
+  // A cancellation that is stored after its key was read is not in the records.
+  TakenOverFleet fixture;
+  fixture.AddTarget("t");
+  fixture.loaded_.jobs_ = { MakeJob(MakeJobId(1), "a", { 1 }) };
+  fixture.loaded_.readAt_ = fixture.now_ - Millis(2000);
+  fixture.TakeOver();
+  fixture.AdvanceTime(Millis(10), false);
+  fixture.AnswerRenewal("t", {}, {});
+  fixture.AdvanceTime(Millis(10), false);
+  CHECK(fixture.TakeStarts().empty());
+  fixture.AdvanceTime(Millis(10));
+  CHECK(fixture.TakeStarts().size() == 1);
+}
+
 TEST_CASE("a start that is held up on its way has expired on arrival")
 {
   // Its deadline and the age of what the owner knows of cancellations together
