A long answer to a watch is not taken for the whole of it

What callers saw: work that they had cancelled was started by an owner under load. Cause: each answer to the watch of submissions counted as having reported everything stored before it was asked for. Evidence: 'a long answer to a watch does not show that all changes were read' failed before. Change: only an answer of at most 100 changes counts; the next watch follows at once.

--- a/packages/daemon/src/owner_reads.cpp
+++ b/packages/daemon/src/owner_reads.cpp
@@ -257,9 +257,11 @@
         }
       }
       after = NextWatchRevision(after, reply, mustList);
+      if (mustList || ReportsAllChanges(reply)) {
+        submissionsReadUpTo_ = sentAt;
+        Handle(SubmissionsRead{ sentAt });
+      }
       mustList = false;
-      submissionsReadUpTo_ = sentAt;
-      Handle(SubmissionsRead{ sentAt });
       continue;
     }
     mustList = mustList || reply.status_ == StoreStatus::Expired;
--- a/packages/daemon/src/records.cpp
+++ b/packages/daemon/src/records.cpp
@@ -389,4 +389,13 @@
   return next;
 }
 
+bool
+ReportsAllChanges(const StoreReply& aReply)
+{
+  // Far below the limit of a list, which is 500 items or 1 MB. A job's record
+  // takes up to 6 kB.
+  constexpr std::size_t kMaxWholeAnswer = 100;
+  return aReply.IsDone() && aReply.items_.size() <= kMaxWholeAnswer;
+}
+
 } // namespace cuminbridge
--- a/packages/daemon/src/records.h
+++ b/packages/daemon/src/records.h
@@ -186,6 +186,9 @@
 std::int64_t NextWatchRevision(std::int64_t aAfter,
                                const StoreReply& aReply,
                                bool aIsList);
+// Whether the answer to a watch certainly reports all changes before the watch
+// was sent. The store may cut an answer off, which nothing in it shows.
+bool ReportsAllChanges(const StoreReply& aReply);
 
 } // namespace cuminbridge
 
--- a/packages/daemon/tests/owner_test.cpp
+++ b/packages/daemon/tests/owner_test.cpp
@@ -20,6 +20,22 @@
   CHECK(NextWatchRevision(500, reply, false) == 640);
 }
 
+TEST_CASE("a long answer to a watch does not show that all changes were read")
+{
+  // The store limits its answers. Behind the last change may be a cancellation.
+  StoreReply reply;
+  reply.status_ = StoreStatus::Done;
+  CHECK(ReportsAllChanges(reply));
+  reply.items_.push_back({ "in/job/a", "", 620, 620, false });
+  CHECK(ReportsAllChanges(reply));
+  reply.items_.resize(500);
+  CHECK(!ReportsAllChanges(reply));
+  constexpr std::size_t kLargestJob = 6000; // bytes of its record
+  reply.items_.assign(
+    180, { "in/job/a", std::string(kLargestJob, 'x'), 7, 7, false });
+  CHECK(!ReportsAllChanges(reply));
+}
+
 TEST_CASE("after a list, a watch continues from the store's revision")
 {
   StoreReply reply;
