An owner that lags does not take the store for unreachable

What callers saw: work that they had cancelled was started although the store answered everyone. Cause: while the store is unreachable an owner goes on without the check of the age of its knowledge. Two failed calls and half a second without an answer count as an outage, and a process that is held up fails calls because it reads their answers too late. Evidence: 'an owner that lags does not take the store for unreachable' failed before. Change: for 1 s after a tick that came 300 ms late, the check of age stays on.

--- a/packages/fleet/src/reducer.cpp
+++ b/packages/fleet/src/reducer.cpp
@@ -56,6 +56,21 @@
   aState.dirtyPools_.insert(PoolOf(aState, *ref.job_));
 }
 
+// Whether this process was held up so recently that calls may have failed only
+// because it did not read their answers in time.
+bool
+HasLagged(FleetState& aState)
+{
+  constexpr Millis kLateTick(300); // ticks come every few tens of milliseconds
+  // Calls that waited while the process was held up have ended by then.
+  constexpr Millis kLagMemory(1000);
+  if (aState.now_ - aState.lastTickAt_ > kLateTick) {
+    aState.lagSuspectedUntil_ = aState.now_ + kLagMemory;
+  }
+  aState.lastTickAt_ = aState.now_;
+  return aState.now_ < aState.lagSuspectedUntil_;
+}
+
 void
 HandleTick(FleetState& aState, const Tick& aTick)
 {
@@ -68,7 +83,8 @@
     }
   }
   aState.mayOrderVms_ = aTick.mayOrderVms_;
-  aState.isStoreReachable_ = aTick.isStoreReachable_;
+  const bool hasLagged = HasLagged(aState);
+  aState.isStoreReachable_ = aTick.isStoreReachable_ || hasLagged;
   if (aState.now_ < aState.nextSweep_) {
     return;
   }
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -247,7 +247,9 @@
   WallTime timeOfDay_;
   Instant timeOfDayAt_;
   bool mayOrderVms_ = false; // see Tick
-  bool isStoreReachable_ = true;
+  bool isStoreReachable_ = true; // also true while that can't be told
+  Instant lastTickAt_;
+  Instant lagSuspectedUntil_;
   Instant submissionsReadUpTo_;
   bool areStartsPaused_ = false; // what is known of submissions is too old
   bool hasJobs_ = false;         // JobsLoaded has come
--- a/packages/fleet/tests/takeover_test.cpp
+++ b/packages/fleet/tests/takeover_test.cpp
@@ -164,6 +164,34 @@
   CHECK(fixture.TakeStarts().size() == 1);
 }
 
+TEST_CASE("an owner that lags does not take the store for unreachable")
+{
+  // Answers that wait in a process that lags look like answers that never came.
+  TakenOverFleet fixture;
+  fixture.AddTarget("t");
+  fixture.TakeOver();
+  fixture.AdvanceTime(Millis(10));
+  fixture.AnswerRenewal("t", {}, {});
+  const auto tickWithoutStore = [&fixture](Millis aTime) {
+    fixture.now_ += aTime;
+    fixture.Deliver(
+      Tick{ WallTime(fixture.now_.time_since_epoch()), false, false });
+  };
+  fixture.AdvanceTime(Millis(10));
+  fixture.Deliver(JobArrived{ MakeJob(MakeJobId(1), "a", { 1 }), false });
+  fixture.TakeStarts();
+  tickWithoutStore(Millis(2000));
+  fixture.Deliver(JobArrived{ MakeJob(MakeJobId(2), "a", { 1 }), false });
+  tickWithoutStore(Millis(10));
+  CHECK(fixture.TakeStarts().empty());
+
+  // The store still does not answer although the process keeps up again.
+  for (int tick = 0; tick < 110; ++tick) {
+    tickWithoutStore(Millis(10));
+  }
+  CHECK(fixture.TakeStarts().size() == 1);
+}
+
 TEST_CASE("records that took long to read are old knowledge")
 {
   // A cancellation that is stored after its key was read is not in the records.
