A run of an ended job is stopped at once by the next owner

What callers saw: work of a job that they had cancelled ran on for 2.5 s after a change of owner. Cause: of an ended job only its end is stored. A run of it that a target lists was handled like one whose job may still arrive, because its work item could not be found. Evidence: 'a run of a job that has ended is stopped at once by the next owner' failed before. Change: a job is unknown only if no record of it exists.

--- a/packages/fleet/src/run_lists.cpp
+++ b/packages/fleet/src/run_lists.cpp
@@ -128,7 +128,7 @@
                "run " + std::to_string(aSeen.run_));
     return;
   }
-  const bool isUnknown = !ref.job_;
+  const bool isUnknown = aState.jobs_.count(aSeen.item_.job_) == 0;
   auto& added = AddRun(aState, aTarget, std::move(run));
   if (isUnknown) {
     added.isJobUnknown_ = true; // its job may still arrive
--- a/packages/fleet/tests/takeover_test.cpp
+++ b/packages/fleet/tests/takeover_test.cpp
@@ -164,6 +164,23 @@
   CHECK(fixture.TakeStarts().size() == 1);
 }
 
+TEST_CASE("a run of a job that has ended is stopped at once by the next owner")
+{
+  // Only the end of the job is stored. The run of the cancelled job went on for
+  // as long as one whose job may still arrive.
+  TakenOverFleet fixture;
+  const auto ended = MakeJobId(1);
+  fixture.AddTarget("t");
+  fixture.loaded_.progress_[ended].state_ = JobState::Cancelled;
+  fixture.TakeOver();
+  fixture.AdvanceTime(Millis(10));
+  RunningRun run;
+  run.item_ = { ended, 0, 0, 0 };
+  run.run_ = 1;
+  fixture.AnswerRenewal("t", { run });
+  CHECK(fixture.CountEffects<StopRun>() == 1);
+}
+
 TEST_CASE("an owner that lags does not take the store for unreachable")
 {
   // Answers that wait in a process that lags look like answers that never came.
