A job that its caller has cancelled is not transferred

What callers saw: a cancelled job was started by another cell. Cause: a transfer did not look at cancellations. One that was stored just before it lay in the former cell, whose owner had to pass it on; the owner of the other cell, however fresh its own knowledge, started the job for as long as the former one was held up. Evidence: 'a job that its caller has cancelled is not transferred' failed with the condition taken out (stored instead of rejected). Change: the write of a transfer is conditional on no cancellation; a rejected one leaves the job in its cell, where it is cancelled. A cancellation that comes later finds the transferred record. The owner's writer tells a condition of its own that is not met from the loss of the cell.

--- a/packages/daemon/src/fenced_writer.cpp
+++ b/packages/daemon/src/fenced_writer.cpp
@@ -61,7 +61,7 @@
   wakeTimer_.cancel();
 }
 
-Awaitable<bool>
+Awaitable<FencedWriter::Outcome>
 FencedWriter::Write(StoreWrite aWrite)
 {
   // The token makes the value unique among all owners: the chain of the next
@@ -76,25 +76,57 @@
     const auto reply = co_await context_.store_.Write(aWrite);
     if (reply.IsDone()) {
       revision_ = reply.revision_;
-      co_return true;
+      co_return Outcome::Stored;
     }
     if (reply.status_ == StoreStatus::Conflict) {
+      bool isOwner = false;
+      bool isChainUnchanged = false;
       for (const auto& item : reply.items_) {
         // The chain key holds this write's number: an earlier attempt that
         // got no answer was carried out.
         if (item.key_ == chain && item.value_ == number &&
             item.revision_ != revision_) {
           revision_ = item.revision_;
-          co_return true;
+          co_return Outcome::Stored;
         }
+        isOwner =
+          isOwner || (item.key_ == keys_.Owner() && item.revision_ == token_);
+        isChainUnchanged = isChainUnchanged ||
+                           (item.key_ == chain && item.revision_ == revision_);
+      }
+      if (isOwner && isChainUnchanged) {
+        co_return Outcome::Rejected;
       }
       onLost_(
         "a write to the store was rejected: another owner has taken over");
-      co_return false;
+      co_return Outcome::Stopped;
     }
     co_await Sleep(context_.io_, kRetryPause);
   }
-  co_return false;
+  co_return Outcome::Stopped;
+}
+
+// Takes the pending writes that fit into one. A write that may be rejected goes
+// alone.
+std::vector<FencedWriter::PendingWrite>
+FencedWriter::TakeBatch()
+{
+  std::vector<PendingWrite> batch;
+  std::size_t size = 0;
+  while (!pending_.empty()) {
+    auto& front = pending_.front();
+    size += front.puts_.size() + front.removes_.size();
+    const bool isAlone = !front.mustBeAbsent_.empty();
+    if (!batch.empty() && (isAlone || size > kMaxPending)) {
+      break;
+    }
+    batch.push_back(std::move(front));
+    pending_.pop_front();
+    if (isAlone) {
+      break;
+    }
+  }
+  return batch;
 }
 
 Awaitable<void>
@@ -107,26 +139,23 @@
       continue;
     }
     isWriting_ = true;
+    const auto batch = TakeBatch();
     StoreWrite write;
-    std::vector<std::function<void()>> callbacks;
-    while (!pending_.empty() && write.puts_.size() + write.removes_.size() +
-                                    pending_.front().puts_.size() +
-                                    pending_.front().removes_.size() <=
-                                  kMaxPending) {
-      auto& front = pending_.front();
-      for (auto& put : front.puts_) {
-        write.puts_.push_back(std::move(put));
-      }
-      for (auto& key : front.removes_) {
-        write.removes_.push_back(std::move(key));
+    for (const auto& pending : batch) {
+      write.puts_.insert(
+        write.puts_.end(), pending.puts_.begin(), pending.puts_.end());
+      write.removes_.insert(
+        write.removes_.end(), pending.removes_.begin(), pending.removes_.end());
+      for (const auto& key : pending.mustBeAbsent_) {
+        write.conditions_.push_back({ key, 0 });
       }
-      callbacks.push_back(std::move(front.onStored_));
-      pending_.pop_front();
     }
-    const bool isStored = co_await Write(std::move(write));
+    const auto outcome = co_await Write(std::move(write));
     isWriting_ = false;
-    for (const auto& callback : callbacks) {
-      if (isStored && !isStopped_ && callback) {
+    for (const auto& pending : batch) {
+      const auto& callback =
+        outcome == Outcome::Stored ? pending.onStored_ : pending.onRejected_;
+      if (outcome != Outcome::Stopped && !isStopped_ && callback) {
         callback();
       }
     }
--- a/packages/daemon/src/fenced_writer.h
+++ b/packages/daemon/src/fenced_writer.h
@@ -27,6 +27,10 @@
     std::vector<StoreWrite::Put> puts_;
     std::vector<std::string> removes_;
     std::function<void()> onStored_; // may be empty
+    // If one of these keys exists, nothing is written and onRejected_ is called
+    // instead.
+    std::vector<std::string> mustBeAbsent_ = {};
+    std::function<void()> onRejected_ = {};
   };
 
   // aOnLost is called once, when a write shows that another owner has taken
@@ -36,7 +40,8 @@
                std::int64_t aToken,
                std::function<void(const std::string&)> aOnLost);
 
-  // aPending must have no more than kMaxPending puts and removes together.
+  // aPending must have no more than kMaxPending puts, removes and keys that
+  // must be absent together.
   void Queue(PendingWrite aPending);
   // Splits any number of puts into writes; the last one calls aOnStored.
   void QueueAll(std::vector<StoreWrite::Put> aPuts,
@@ -49,7 +54,15 @@
   static constexpr std::size_t kMaxPending = kMaxOperationsPerWrite - 4;
 
 private:
-  Awaitable<bool> Write(StoreWrite aWrite);
+  enum class Outcome
+  {
+    Stored,
+    Rejected, // a key exists that must be absent
+    Stopped,  // this is the owner no longer
+  };
+
+  Awaitable<Outcome> Write(StoreWrite aWrite);
+  std::vector<PendingWrite> TakeBatch();
 
   DaemonContext context_;
   CellKeys keys_;
--- a/packages/daemon/src/owner.h
+++ b/packages/daemon/src/owner.h
@@ -116,9 +116,10 @@
   std::set<std::int64_t> completedWaves_; // whose status this owner has stored
   std::map<std::string, TargetReport> reports_; // of the targets, by id
   std::set<std::string> unreadableTargets_;     // keys that were logged
-  std::map<std::string, int> movedJobs_; // transferred ones, with their cell
-  int orderSlot_ = 0;                    // of kVmOrdersPrefix, written last
-  Instant submissionsReadUpTo_;          // as SubmissionsRead
+  std::map<std::string, int> movedJobs_;   // transferred ones, with their cell
+  std::set<std::string> pendingTransfers_; // of movedJobs_: not stored yet
+  int orderSlot_ = 0;                      // of kVmOrdersPrefix, written last
+  Instant submissionsReadUpTo_;            // as SubmissionsRead
   bool hasEnded_ = false;
   bool isVmServiceReachable_ = false;
   bool isAdviceReachable_ = false;
--- a/packages/daemon/src/owner_cells.cpp
+++ b/packages/daemon/src/owner_cells.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "daemon_log.h"
 #include "owner.h"
 
 namespace cuminbridge {
@@ -131,6 +132,9 @@
 void
 Owner::HandleCancel(const std::string& aJob)
 {
+  if (pendingTransfers_.count(aJob) != 0) {
+    return; // Transfer() finds the cancellation in the store
+  }
   if (const auto moved = movedJobs_.find(aJob); moved != movedJobs_.end()) {
     ForwardCancel(aJob, moved->second);
   } else {
@@ -139,24 +143,37 @@
 }
 
 // Moves the record of a job to another cell, in one write. Until that is
-// stored, the job waits in this one; nobody starts it.
+// stored, the job waits in this one; nobody starts it. A job that its caller
+// has cancelled stays: the owner of the other cell would not know of it.
 void
 Owner::Transfer(const TransferJob& aEffect)
 {
   const auto& id = aEffect.job_.id_;
   const int cell = aEffect.cell_;
   movedJobs_[id] = cell;
+  pendingTransfers_.insert(id);
   auto record = EncodeJob(aEffect.job_);
   FencedWriter::PendingWrite write;
   write.puts_.push_back({ CellKeys(cell).Of(kJobPrefix) + id, record, 0 });
   write.puts_.push_back({ keys_.Of(kJobPrefix) + id, EncodeMovedJob(cell), 0 });
-  write.onStored_ = [this, cell, record = std::move(record)] {
+  write.mustBeAbsent_.push_back(keys_.Of(kCancelPrefix) + id);
+  write.onStored_ = [this, id, cell, record = std::move(record)] {
+    pendingTransfers_.erase(id);
     context_.peers_.Notify(cell, kNotifyJobPath, record);
   };
+  write.onRejected_ = [this, job = aEffect.job_] {
+    WriteLine({ "job_transfer_dropped", job.id_, "", "", "it was cancelled" },
+              context_.clocks_.Now());
+    pendingTransfers_.erase(job.id_);
+    movedJobs_.erase(job.id_);
+    Handle(JobArrived{ job, false });
+    Handle(JobCancelled{ job.id_ });
+  };
   writer_.Queue(std::move(write));
 }
 
-// A caller may cancel a job while it is being transferred.
+// Passes on a cancellation that an earlier version, which transfers cancelled
+// jobs, has left in this cell.
 void
 Owner::ForwardCancel(const std::string& aJob, int aCell)
 {
--- /dev/null
+++ b/packages/daemon/tests/fenced_writer_test.cpp
@@ -0,0 +1,142 @@
+// An owner's writes, against the stand-in of the platform's store.
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <catch2/catch.hpp>
+
+#include "fenced_writer.h"
+#include "standin.h"
+
+using namespace cuminbridge;
+
+namespace {
+
+constexpr const char* kStoreAddress = "127.0.43.3:18711";
+
+// A store with the keys of an owner of cell 0, and the writer of that owner.
+struct OwnedStore
+{
+  OwnedStore()
+  {
+    REQUIRE(server_.Open(kStoreAddress).empty());
+    StoreWrite write;
+    write.puts_ = { { keys_.Owner(), "", 0 }, { keys_.Of(kChainKey), "0", 0 } };
+    const auto token = Write(write);
+    writer_ = std::make_unique<FencedWriter>(
+      context_, keys_, token, [this](const std::string&) { isLost_ = true; });
+    boost::asio::co_spawn(io_, writer_->Run(), boost::asio::detached);
+  }
+
+  template<typename Result>
+  Result Await(Awaitable<Result> aCall)
+  {
+    std::optional<Result> result;
+    boost::asio::co_spawn(
+      io_,
+      [&]() -> Awaitable<void> { result = co_await std::move(aCall); },
+      boost::asio::detached);
+    while (!result) {
+      io_.run_one();
+    }
+    return *result;
+  }
+
+  std::int64_t Write(const StoreWrite& aWrite)
+  {
+    return Await(store_.Write(aWrite)).revision_;
+  }
+
+  std::string Read(const std::string& aKey)
+  {
+    const auto reply = Await(store_.Get(aKey));
+    return reply.IsDone() ? reply.items_.front().value_ : "";
+  }
+
+  void RunUntilIdle()
+  {
+    while (!writer_->IsIdle()) {
+      io_.run_one();
+    }
+  }
+
+  // Moves the job to cell 1, unless its caller has cancelled it.
+  FencedWriter::PendingWrite MakeTransfer()
+  {
+    FencedWriter::PendingWrite write;
+    write.puts_ = { { CellKeys(1).Of(kJobPrefix) + "j", "job", 0 },
+                    { keys_.Of(kJobPrefix) + "j", EncodeMovedJob(1), 0 } };
+    write.mustBeAbsent_ = { keys_.Of(kCancelPrefix) + "j" };
+    write.onStored_ = [this] { ++stored_; };
+    write.onRejected_ = [this] { ++rejected_; };
+    return write;
+  }
+
+  boost::asio::io_context io_;
+  standin::Context standinContext_{ io_, {} };
+  standin::Store standin_{ standinContext_ };
+  HttpServer server_{ io_, {}, [this](const HttpRequest& aRequest) {
+                       return standin_.Serve(aRequest);
+                     } };
+  SystemClocks clocks_;
+  PlatformSettings settings_;
+  Tuning tuning_;
+  HttpClient http_{ io_, HttpClientOptions{} };
+  StoreClient store_{ http_, kStoreAddress, clocks_ };
+  CellPeers peers_{ io_, http_ };
+  DaemonContext context_{ io_,   clocks_, settings_, tuning_,
+                          http_, store_,  peers_ };
+  CellKeys keys_{ 0 };
+  std::unique_ptr<FencedWriter> writer_;
+  bool isLost_ = false;
+  int stored_ = 0;
+  int rejected_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("a job that its caller has cancelled is not transferred")
+{
+  // Its cancellation would be known to the former cell only.
+  OwnedStore fixture;
+  StoreWrite submitted;
+  submitted.puts_ = { { fixture.keys_.Of(kJobPrefix) + "j", "job", 0 },
+                      { fixture.keys_.Of(kCancelPrefix) + "j", "{}", 0 } };
+  fixture.Write(submitted);
+  fixture.writer_->Queue(fixture.MakeTransfer());
+  fixture.writer_->Queue({ { { "progress/k", "x", 0 } }, {}, {} });
+  fixture.RunUntilIdle();
+  CHECK(fixture.rejected_ == 1);
+  CHECK(fixture.stored_ == 0);
+  CHECK(!fixture.isLost_);
+  CHECK(fixture.Read(fixture.keys_.Of(kJobPrefix) + "j") == "job");
+  CHECK(fixture.Read("progress/k") == "x");
+}
+
+TEST_CASE("a job is transferred in the order of the owner's writes")
+{
+  OwnedStore fixture;
+  fixture.writer_->Queue({ { { "progress/j", "x", 0 } }, {}, {} });
+  fixture.writer_->Queue(fixture.MakeTransfer());
+  fixture.writer_->Queue({ {}, { "progress/j" }, {} });
+  fixture.RunUntilIdle();
+  CHECK(fixture.stored_ == 1);
+  CHECK(fixture.rejected_ == 0);
+  CHECK(fixture.Read(fixture.keys_.Of(kJobPrefix) + "j") == EncodeMovedJob(1));
+  CHECK(fixture.Read("progress/j").empty());
+}
+
+TEST_CASE("an owner whose cell has another owner writes nothing")
+{
+  OwnedStore fixture;
+  StoreWrite takeover;
+  takeover.puts_ = { { fixture.keys_.Owner(), "next", 0 },
+                     { fixture.keys_.Of(kChainKey), "0", 0 } };
+  fixture.Write(takeover);
+  fixture.writer_->Queue(fixture.MakeTransfer());
+  while (!fixture.isLost_) {
+    fixture.io_.run_one();
+  }
+  CHECK(fixture.stored_ == 0);
+  CHECK(fixture.rejected_ == 0);
+  CHECK(fixture.Read(fixture.keys_.Of(kJobPrefix) + "j").empty());
+}
