A cancellation is passed on by an entry whose ownership may be over

What callers saw: a cancelled job ran on until the next owner's watch reported it. Cause: an entry that still held an owner object told only that one, also when its lease had run out and another entry owned the cell. Submissions already did this right. Change: without a valid lease the owner of the cell is notified as well. Conclusion: kept; found by reading, no test reaches it (the watch reports the same within 0.5 s, and nothing is started on older knowledge).

--- a/packages/daemon/src/caller_api.cpp
+++ b/packages/daemon/src/caller_api.cpp
@@ -313,7 +313,8 @@
                   context_.clocks_.Now());
         if (cell->owner_) {
           cell->owner_->HandleCancel(aId);
-        } else {
+        }
+        if (!cell->owner_ || !cell->owner_->IsLeaseValid()) {
           context_.peers_.Notify(cell->number_, kNotifyCancelPath, aId);
         }
         co_return HttpResponse{};
