A cancellation that comes before its job is kept

What callers saw: a cancelled job was started and stopped again. Cause: a cancellation of a job that the fleet did not know was dropped. The watch repeats it, but only after the records, which may be older, have started work. Evidence: 'a cancellation that comes before its job is kept' failed before (3 starts instead of 1). Change: it is kept for 10 s and applied when the job is loaded or arrives.

--- a/packages/fleet/src/jobs.cpp
+++ b/packages/fleet/src/jobs.cpp
@@ -164,6 +164,15 @@
                   aJob.job_.accepted_);
 }
 
+// Cancels a job whose cancellation became known before it.
+void
+ApplyEarlyCancellation(FleetState& aState, const std::string& aJob)
+{
+  if (aState.earlyCancellations_.erase(aJob) != 0) {
+    CancelJob(aState, aJob);
+  }
+}
+
 JobEntry&
 InsertJob(FleetState& aState, const Job& aJob)
 {
@@ -371,6 +380,9 @@
   for (const auto& job : aLoaded.cancelled_) {
     CancelJob(aState, job);
   }
+  for (const auto& job : jobs) {
+    ApplyEarlyCancellation(aState, job.id_);
+  }
   aState.Log("jobs_loaded",
              "",
              "",
@@ -392,6 +404,7 @@
   OpenOccurrences(aState, entry);
   RecordOfferedLoad(aState, entry);
   AdoptUnknownRuns(aState, aJob.id_);
+  ApplyEarlyCancellation(aState, aJob.id_);
   aState.dirtyPools_.insert(PoolOf(aState, entry));
 }
 
@@ -399,10 +412,21 @@
 CancelJob(FleetState& aState, const std::string& aJob)
 {
   const auto found = aState.jobs_.find(aJob);
-  if (found == aState.jobs_.end() || found->second->HasEnded()) {
-    return;
+  if (found == aState.jobs_.end()) {
+    aState.earlyCancellations_[aJob] = aState.now_;
+  } else if (!found->second->HasEnded()) {
+    EndJob(aState, *found->second, JobState::Cancelled);
   }
-  EndJob(aState, *found->second, JobState::Cancelled);
+}
+
+void
+ForgetEarlyCancellations(FleetState& aState)
+{
+  // By then the records or the watch of the store have shown its job.
+  constexpr Millis kLongestWait(10000);
+  std::erase_if(aState.earlyCancellations_, [&](const auto& aEntry) {
+    return aState.now_ - aEntry.second > kLongestWait;
+  });
 }
 
 void
--- a/packages/fleet/src/jobs.h
+++ b/packages/fleet/src/jobs.h
@@ -10,7 +10,10 @@
 // Restores the stored jobs and the unconfirmed runs of earlier owners.
 void LoadJobs(FleetState& aState, const JobsLoaded& aLoaded);
 void AddJob(FleetState& aState, const Job& aJob, bool aIsGuest);
+// Keeps the cancellation of a job that is not known yet.
 void CancelJob(FleetState& aState, const std::string& aJob);
+// Drops kept cancellations whose job can't arrive any more.
+void ForgetEarlyCancellations(FleetState& aState);
 
 // The pool that serves a job now: the configured one of its queue, or the one
 // from its submission if the queue no longer exists.
--- a/packages/fleet/src/reducer.cpp
+++ b/packages/fleet/src/reducer.cpp
@@ -98,6 +98,7 @@
   PlanVms(aState);
   PaceFillers(aState);
   DeleteExpiredJobs(aState);
+  ForgetEarlyCancellations(aState);
 }
 
 struct Reducer
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -246,7 +246,7 @@
   Instant now_;
   WallTime timeOfDay_;
   Instant timeOfDayAt_;
-  bool mayOrderVms_ = false; // see Tick
+  bool mayOrderVms_ = false;     // see Tick
   bool isStoreReachable_ = true; // also true while that can't be told
   Instant lastTickAt_;
   Instant lagSuspectedUntil_;
@@ -262,6 +262,8 @@
   FleetConfig config_;
   std::unordered_map<std::string, std::unique_ptr<JobEntry>> jobs_;
   std::set<std::string> activeJobs_; // ids of jobs that have not ended
+  // Jobs that are not known yet, and when their cancellation became known.
+  std::map<std::string, Instant> earlyCancellations_;
   std::map<std::string, Target> targets_;
   std::map<std::string, std::vector<Target*>> byPool_; // listed ones
   // Targets that may need a renewal, a stop or the release of lapsed runs. Each
--- a/packages/fleet/tests/takeover_test.cpp
+++ b/packages/fleet/tests/takeover_test.cpp
@@ -181,6 +181,27 @@
   CHECK(fixture.CountEffects<StopRun>() == 1);
 }
 
+TEST_CASE("a cancellation that comes before its job is kept")
+{
+  // An owner that was still reading its records was told of it, and started the
+  // job because the records were older.
+  TakenOverFleet fixture;
+  fixture.AddTarget("t");
+  fixture.loaded_.jobs_ = { MakeJob(MakeJobId(1), "a", { 1 }) };
+  fixture.loaded_.readAt_ = fixture.now_;
+  fixture.Deliver(JobCancelled{ MakeJobId(1) });
+  fixture.Deliver(JobCancelled{ MakeJobId(2) });
+  fixture.TakeOver();
+  fixture.AdvanceTime(Millis(10));
+  fixture.AnswerRenewal("t", {}, {});
+  fixture.Deliver(JobArrived{ MakeJob(MakeJobId(2), "a", { 1 }), false });
+  fixture.Deliver(JobArrived{ MakeJob(MakeJobId(3), "a", { 1 }), false });
+  fixture.AdvanceTime(Millis(10));
+  const auto starts = fixture.TakeStarts();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts.front().item_.job_ == MakeJobId(3));
+}
+
 TEST_CASE("an owner that lags does not take the store for unreachable")
 {
   // Answers that wait in a process that lags look like answers that never came.
