Fleet: the clock of a target is not that of its previous process

Callers saw: a work item ran twice after its target had restarted under its id. Cause: the owner learned of the new process from a renewal, and then read the report of the process before, which the store still held. Its clock, far ahead, was taken for the clock of the new process, and leases just given counted as expired. Change: only a report of the current process tells its clock.

--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -172,6 +172,9 @@
   Instant slowUntil_;              // was found slow: used last until then
   int consecutiveFailures_ = 0;    // failed runs since the last success there
 
+  // Whether its report is that of its current process. After a restart, the
+  // store may still hold that of the process before.
+  bool HasReported() const { return report_.startUnixMs_ == startUnixMs_; }
   bool IsUsable(Instant aNow) const
   {
     return isListed_ && isRecorded_ && !hasExited_ && !isUnfenced_ &&
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -249,7 +249,7 @@
     }
     target.report_ = report;
     target.isListed_ = true;
-    if (isNewReport) {
+    if (isNewReport && target.HasReported()) {
       UpdateClock(aState, target, report.clockMs_);
     }
   }
--- a/packages/fleet/tests/one_target_test.cpp
+++ b/packages/fleet/tests/one_target_test.cpp
@@ -272,3 +272,39 @@
   fixture.AdvanceTime(Millis(4000));
   CHECK(fixture.CountEffects<StopRun>() == 1);
 }
+
+TEST_CASE(
+  "a report of the process before says nothing about the clock of a new one")
+{
+  // The target had restarted, and its new process listed its runs. The report
+  // in the store was still that of the former process, whose clock was far
+  // ahead. Leases on the new process counted as expired, and their items ran
+  // twice.
+  OneTargetFleet fixture;
+  const auto job = MakeJob(MakeJobId(1), "a", { 1 });
+  fixture.report_.clockMs_ = 600000;
+  ++fixture.report_.sequence_;
+  fixture.Deliver(TargetsSeen{ { fixture.report_ } });
+  RenewalAnswered renewal;
+  renewal.target_ = "t";
+  renewal.outcome_ = RenewalOutcome::Answered;
+  renewal.startUnixMs_ = 1000;
+  renewal.clockMs_ = 400;
+  renewal.sentAt_ = fixture.now_;
+  fixture.Deliver(renewal);
+  fixture.Deliver(TargetsSeen{ { fixture.report_ } }); // read, but outdated
+  fixture.report_.startUnixMs_ = 1000;
+  fixture.report_.clockMs_ = 500;
+  fixture.Deliver(TargetsSeen{ { fixture.report_ } });
+  fixture.Deliver(JobArrived{ job });
+  fixture.AdvanceTime(Millis(100));
+  std::int64_t lease = 0;
+  for (const auto& effect : fixture.fleet_.TakeEffects()) {
+    if (const auto* start = std::get_if<StartRun>(&effect)) {
+      lease = start->leaseUntil_;
+    }
+  }
+  const auto clock = renewal.clockMs_ + 100;
+  CHECK(lease > clock);
+  CHECK(lease <= clock + FleetOptions{}.targetLease_.count());
+}
