Fleet: no starts on a process that has not reported itself

Cause: after a restart under the same id, the report of the process before stayed in use until the next one was read. Starts went by its capacity and labels, which the new process need not have. Change: such a target gets no starts until its own report is read. Evidence: the new test failed before (one start, none allowed).

--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -177,9 +177,9 @@
   bool HasReported() const { return report_.startUnixMs_ == startUnixMs_; }
   bool IsUsable(Instant aNow) const
   {
-    return isListed_ && isRecorded_ && !hasExited_ && !isUnfenced_ &&
-           contact_ == Contact::Good && !report_.isDraining_ && !isCordoned_ &&
-           avoidUntil_ <= aNow && leavingUntil_ <= aNow;
+    return isListed_ && HasReported() && isRecorded_ && !hasExited_ &&
+           !isUnfenced_ && contact_ == Contact::Good && !report_.isDraining_ &&
+           !isCordoned_ && avoidUntil_ <= aNow && leavingUntil_ <= aNow;
   }
 };
 
--- a/packages/fleet/tests/one_target_test.cpp
+++ b/packages/fleet/tests/one_target_test.cpp
@@ -308,3 +308,26 @@
   CHECK(lease > clock);
   CHECK(lease <= clock + FleetOptions{}.targetLease_.count());
 }
+
+TEST_CASE("nothing starts on a new process before it has reported itself")
+{
+  // A target may come back with less capacity or other labels.
+  OneTargetFleet fixture;
+  RenewalAnswered renewal;
+  renewal.target_ = "t";
+  renewal.outcome_ = RenewalOutcome::Answered;
+  renewal.startUnixMs_ = 1000;
+  renewal.clockMs_ = 400;
+  renewal.sentAt_ = fixture.now_;
+  fixture.Deliver(renewal);
+  fixture.Deliver(JobArrived{ MakeJob(MakeJobId(1), "a", { 1 }) });
+  fixture.AdvanceTime(Millis(100));
+  fixture.Deliver(TargetsSeen{ { fixture.report_ } });
+  fixture.AdvanceTime(Millis(100));
+  CHECK(fixture.CountEffects<StartRun>() == 0);
+  fixture.report_.startUnixMs_ = 1000;
+  fixture.report_.clockMs_ = 600;
+  fixture.Deliver(TargetsSeen{ { fixture.report_ } });
+  fixture.AdvanceTime(Millis(100));
+  CHECK(fixture.CountEffects<StartRun>() == 1);
+}
