Fleet: no starts on outdated reports where targets start whatever they are told

Callers saw: nothing yet; by the rule LIMIT a start may not bring such a target over a capacity that shrank more than the bound of contact and one heartbeat interval before. Cause: a report counted for as long as it was listed. An owner without the store goes on for up to 5 s beyond its lease, and a target without the store stays listed for three heartbeat intervals. Change: in a pool that does not reject overload, a target gets starts only while its report, by the target's own clock, is young enough for the start to arrive within the bound, which comes from the settings. Other pools are as before. Evidence: SimulatedFleet has such pools, capacities that change, reports once in a heartbeat interval, owners and targets without the store, and checks each start.

--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -51,6 +51,7 @@
   options.startTimeout_ =
     std::min(options.startTimeout_,
              aSettings.cancelLimit_ - options.maxSubmissionAge_ - kStartSlack);
+  options.maxReportAge_ = aSettings.contactLimit_ + aSettings.heartbeat_;
   const std::chrono::duration<double> interval = options.planInterval_;
   options.maxMovesPerPlan_ = static_cast<std::size_t>(std::max<long>(
     1,
--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -74,6 +74,10 @@
   // with startTimeout_ must be below the time that the users allow for a
   // cancellation.
   Millis maxSubmissionAge_{ 1500 };
+  // In a pool that does not reject overload, a start must reach its target
+  // while the report that it goes by is younger than this: capacities shrink.
+  // Comes from the settings.
+  Millis maxReportAge_{ 4500 };
   // Shortest time between two writes of changed progress. The end of a job is
   // written at once.
   Millis storeInterval_{ 50 };
--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -108,7 +108,7 @@
 {
   Targets targets;
   for (auto* target : aState.byPool_[aPool]) {
-    if (target->IsUsable(aState.now_)) {
+    if (target->IsUsable(aState.now_) && IsCapacityKnown(aState, *target)) {
       targets.push_back(target);
     }
   }
--- a/packages/fleet/src/relocate.cpp
+++ b/packages/fleet/src/relocate.cpp
@@ -7,6 +7,7 @@
 #include "jobs.h"
 #include "run_speed.h"
 #include "runs.h"
+#include "targets.h"
 
 namespace cuminbridge {
 
@@ -75,6 +76,7 @@
 {
   for (const auto& [id, target] : aState.targets_) {
     if (id == aFrom.report_.id_ || !target.IsUsable(aState.now_) ||
+        !IsCapacityKnown(aState, target) ||
         target.report_.pool_ != aFrom.report_.pool_ ||
         target.slowUntil_ > aState.now_ ||
         !IsAllowedByAdvice(*aRef.step_, id)) {
--- a/packages/fleet/src/summaries.cpp
+++ b/packages/fleet/src/summaries.cpp
@@ -5,6 +5,7 @@
 #include "account_limits.h"
 #include "jobs.h"
 #include "state.h"
+#include "targets.h"
 #include "waiting_work.h"
 
 namespace cuminbridge {
@@ -47,7 +48,8 @@
   for (const auto& [id, target] : state_->targets_) {
     const auto& capacity = target.report_.capacity_.cpu_;
     const auto free = capacity - target.used_.cpu_;
-    if (target.IsUsable(state_->now_) && free * kUsefulPart >= capacity) {
+    if (target.IsUsable(state_->now_) && IsCapacityKnown(*state_, target) &&
+        free * kUsefulPart >= capacity) {
       pools[target.report_.pool_] += free;
     }
   }
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -217,6 +217,19 @@
                   aState.began_ + allowance + lease + kExpirySlack);
 }
 
+bool
+IsCapacityKnown(const FleetState& aState, const Target& aTarget)
+{
+  const auto* pool = FindPool(aState.config_, aTarget.report_.pool_);
+  if (pool && pool->rejectsOverload_) {
+    return true;
+  }
+  const auto& options = aState.options_;
+  const Millis age(ClockOf(aState, aTarget) - aTarget.report_.clockMs_);
+  return aTarget.clockMs_ != 0 &&
+         age + options.startTimeout_ <= options.maxReportAge_;
+}
+
 void
 HandleTargetList(FleetState& aState, const TargetsSeen& aSeen)
 {
--- a/packages/fleet/src/targets.h
+++ b/packages/fleet/src/targets.h
@@ -41,6 +41,10 @@
 // is known to be unresponsive.
 bool IsReconciled(const FleetState& aState);
 
+// Whether starts may rely on the target's capacity as this owner knows it. True
+// if the target itself rejects what does not fit.
+bool IsCapacityKnown(const FleetState& aState, const Target& aTarget);
+
 } // namespace cuminbridge
 
 #endif // cuminbridge_fleet_targets_h
--- a/packages/fleet/tests/history_test.cpp
+++ b/packages/fleet/tests/history_test.cpp
@@ -7,10 +7,10 @@
 // A seed that has failed once stays in kRegressionSeeds, with its cause.
 
 #include <array>
-#include <cstdlib>
 
 #include <catch2/catch.hpp>
 
+#include "seeds.h"
 #include "simulated_fleet.h"
 
 using namespace cuminbridge;
@@ -35,14 +35,6 @@
   11, 45, 86, 387, 1088, 3433, 4092, 6710, 7398, 8337, 9879, 9929
 };
 
-unsigned
-ReadNumber(const char* aName, unsigned aDefault)
-{
-  const char* text = std::getenv(aName);
-  return text ? static_cast<unsigned>(std::strtoul(text, nullptr, 10))
-              : aDefault;
-}
-
 class History
 {
 public:
@@ -180,9 +172,8 @@
 
 TEST_CASE("random histories keep every rule")
 {
-  const auto first = ReadNumber("CUMINBRIDGE_FIRST", 1);
-  const auto count = ReadNumber("CUMINBRIDGE_HISTORIES", kDefaultHistories);
-  for (unsigned seed = first; seed < first + count; ++seed) {
+  const auto seeds = ReadSeeds(kDefaultHistories);
+  for (unsigned seed = seeds.first_; seed < seeds.end_; ++seed) {
     RunSeed(seed);
   }
 }
--- a/packages/fleet/tests/simulated_fleet.cpp
+++ b/packages/fleet/tests/simulated_fleet.cpp
@@ -14,6 +14,9 @@
 constexpr Millis kStoreWriteTime(5);
 constexpr Millis kTickInterval(20);
 constexpr Millis kListInterval(400);
+constexpr Millis kHeartbeat(1500);
+// The store drops the report of a target that has been silent for this long.
+constexpr Millis kReportLifetime = 3 * kHeartbeat;
 // A late call is carried out after a delay between these two.
 constexpr Millis kLateDelayMin(2000);
 constexpr Millis kLateDelayMax(12000);
@@ -54,10 +57,12 @@
 //-----------------------------------------------------------------------------
 
 void
-SimulatedFleet::AddTargets(const std::string& aPool, int aCount)
+SimulatedFleet::AddTargets(const std::string& aPool,
+                           int aCount,
+                           bool aRejectsOverload)
 {
   if (!FindPool(config_, aPool)) {
-    config_.pools_.push_back({ aPool, true, false });
+    config_.pools_.push_back({ aPool, aRejectsOverload, false });
     Queue queue;
     queue.name_ = "queue-" + aPool;
     queue.pool_ = aPool;
@@ -70,7 +75,13 @@
     target->startedAt_ = now_ - Millis(5000);
     target->incarnation_ = target->startedAt_.time_since_epoch().count();
     target->capacity_ = { 8000, 32000, 0 };
-    targets_[target->id_] = std::move(target);
+    target->capacities_[target->startedAt_] = target->capacity_;
+    target->rejectsOverload_ = aRejectsOverload;
+    const auto id = target->id_;
+    targets_[id] = std::move(target);
+    if (!aRejectsOverload) {
+      SendHeartbeats(id);
+    }
   }
 }
 
@@ -103,12 +114,13 @@
 SimulatedFleet::StartOwner(PreviousOwner aFormer)
 {
   if (owner_) {
-    owner_->replacedAt_ = now_;
+    owner_->replacedAt_ = ownerCutUntil_ > now_ ? ownerCutAt_ : now_;
     owner_->hasEnded_ = owner_->hasEnded_ || aFormer != PreviousOwner::Unknown;
     if (!owner_->hasEnded_) {
       Deliver(*owner_, Tick{ WallTime(now_.time_since_epoch()), false, false });
     }
   }
+  ownerCutUntil_ = now_;
   ++term_;
   token_ += 100;
   owner_ = std::make_shared<SimulatedOwner>(token_, now_);
@@ -167,6 +179,27 @@
   targets_.at(aTarget)->speed_ = aSpeed;
 }
 
+void
+SimulatedFleet::SetCapacity(const std::string& aTarget, Resources aCapacity)
+{
+  auto& target = *targets_.at(aTarget);
+  target.capacity_ = aCapacity;
+  target.capacities_[now_] = aCapacity;
+}
+
+void
+SimulatedFleet::CutOwnerFromStore(Millis aTime)
+{
+  ownerCutAt_ = now_;
+  ownerCutUntil_ = now_ + aTime;
+}
+
+void
+SimulatedFleet::CutTargetFromStore(const std::string& aTarget, Millis aTime)
+{
+  targets_.at(aTarget)->cutUntil_ = now_ + aTime;
+}
+
 void
 SimulatedFleet::DrainTarget(const std::string& aTarget)
 {
@@ -235,7 +268,7 @@
   if (aOwner->hasEnded_) {
     return;
   }
-  const bool isStoreReachable = !aOwner->replacedAt_;
+  const bool isStoreReachable = !aOwner->replacedAt_ && ownerCutUntil_ <= now_;
   if (isStoreReachable) {
     Deliver(*aOwner, SubmissionsRead{ now_ });
   }
@@ -252,27 +285,53 @@
   if (aOwner->hasEnded_ || aOwner->replacedAt_) {
     return;
   }
+  if (ownerCutUntil_ > now_) {
+    At(kListInterval, [this, aOwner] { ListTargets(aOwner); });
+    return;
+  }
   TargetsSeen seen;
   for (auto& [id, target] : targets_) {
     if (target->delistedUntil_ > now_) {
       continue;
     }
-    TargetReport report;
-    report.id_ = id;
-    report.address_ = id;
-    report.pool_ = target->pool_;
-    report.vm_ = "vm-" + id;
-    report.capacity_ = target->capacity_;
-    report.isDraining_ = target->isDraining_;
-    report.startUnixMs_ = target->incarnation_;
-    report.clockMs_ = ClockOf(*target);
-    report.sequence_ = ++target->sequence_;
-    seen.targets_.push_back(std::move(report));
+    if (target->rejectsOverload_) {
+      seen.targets_.push_back(MakeReport(*target));
+    } else if (target->report_ &&
+               now_ < target->reportedAt_ + kReportLifetime) {
+      seen.targets_.push_back(*target->report_);
+    }
   }
   Deliver(*aOwner, seen);
   At(kListInterval, [this, aOwner] { ListTargets(aOwner); });
 }
 
+TargetReport
+SimulatedFleet::MakeReport(SimulatedTarget& aTarget)
+{
+  TargetReport report;
+  report.id_ = aTarget.id_;
+  report.address_ = aTarget.id_;
+  report.pool_ = aTarget.pool_;
+  report.vm_ = "vm-" + aTarget.id_;
+  report.capacity_ = aTarget.capacity_;
+  report.isDraining_ = aTarget.isDraining_;
+  report.startUnixMs_ = aTarget.incarnation_;
+  report.clockMs_ = ClockOf(aTarget);
+  report.sequence_ = ++aTarget.sequence_;
+  return report;
+}
+
+void
+SimulatedFleet::SendHeartbeats(const std::string& aTarget)
+{
+  auto& target = *targets_.at(aTarget);
+  if (target.cutUntil_ <= now_) {
+    target.report_ = MakeReport(target);
+    target.reportedAt_ = now_;
+  }
+  At(kHeartbeat, [this, aTarget] { SendHeartbeats(aTarget); });
+}
+
 template<typename Answer, typename Execution, typename Reply>
 void
 SimulatedFleet::Call(SimulatedOwner& aOwner,
@@ -333,6 +392,11 @@
     if (owner->replacedAt_ || owner->hasEnded_) {
       return;
     }
+    if (ownerCutUntil_ > now_) {
+      At(ownerCutUntil_ - now_,
+         [this, owner, aStore] { Store(*owner, aStore); });
+      return;
+    }
     for (const auto& [job, progress] : aStore.jobs_) {
       progress_[job] = progress;
       if (progress.state_ == JobState::Failed) {
--- a/packages/fleet/tests/simulated_fleet.h
+++ b/packages/fleet/tests/simulated_fleet.h
@@ -38,7 +38,11 @@
   explicit SimulatedFleet(unsigned aSeed, SimulatedFaults aFaults = {});
   ~SimulatedFleet();
 
-  void AddTargets(const std::string& aPool, int aCount);
+  // Targets of a pool that does not reject overload start whatever they are
+  // told to, and report themselves only once in each heartbeat interval.
+  void AddTargets(const std::string& aPool,
+                  int aCount,
+                  bool aRejectsOverload = true);
   void SetAccount(Account aAccount);
   void Submit(Job aJob);
   void Cancel(const std::string& aJob);
@@ -59,6 +63,11 @@
   // Runs started from now on work at this part of the usual speed; 0 makes no
   // progress.
   void SlowTarget(const std::string& aTarget, double aSpeed);
+  // What runs there goes on, even above the new capacity.
+  void SetCapacity(const std::string& aTarget, Resources aCapacity);
+  // The owner, or the target, can't reach the store for the time.
+  void CutOwnerFromStore(Millis aTime);
+  void CutTargetFromStore(const std::string& aTarget, Millis aTime);
 
   void RunFor(Millis aTime);
 
@@ -84,6 +93,8 @@
   void Execute(SimulatedOwner& aOwner, Effect& aEffect);
   void TickOwner(const std::shared_ptr<SimulatedOwner>& aOwner);
   void ListTargets(const std::shared_ptr<SimulatedOwner>& aOwner);
+  TargetReport MakeReport(SimulatedTarget& aTarget);
+  void SendHeartbeats(const std::string& aTarget);
   template<typename Answer, typename Execution, typename Reply>
   void Call(SimulatedOwner& aOwner,
             const std::string& aTarget,
@@ -101,6 +112,7 @@
   void Advance(SimulatedTarget& aTarget);
   void AcknowledgeEnds(SimulatedTarget& aTarget, std::int64_t aLastStored);
   void CheckStart(const SimulatedTarget& aTarget, const StartRun& aStart);
+  void CheckCapacity(const SimulatedTarget& aTarget, const StartRun& aStart);
   void CheckFailed(const std::string& aJob);
   void CheckDone(const Job& aJob, int aOccurrence);
   std::vector<std::pair<SimulatedTarget*, std::size_t>> FindGang(
@@ -124,6 +136,8 @@
   std::int64_t token_ = 0;
   int term_ = 0;
   FleetConfig config_;
+  Instant ownerCutAt_; // from the store, last time
+  Instant ownerCutUntil_;
 
   // The contents of the store.
   std::map<std::string, Job> jobs_;
--- a/packages/fleet/tests/simulated_fleet_parts.h
+++ b/packages/fleet/tests/simulated_fleet_parts.h
@@ -27,7 +27,12 @@
   std::string pool_;
   std::int64_t incarnation_ = 0;
   Instant startedAt_;
+  bool rejectsOverload_ = true;
   Resources capacity_;
+  std::map<Instant, Resources> capacities_; // by when each began to hold
+  std::optional<TargetReport> report_;      // last one in the store, if kept
+  Instant reportedAt_;
+  Instant cutUntil_;       // from the store
   std::int64_t token_ = 0; // highest fencing token seen
   std::int64_t lease_ = 0; // until then, on its own clock, in ms
   std::vector<SimulatedRun> runs_;
--- a/packages/fleet/tests/simulated_targets.cpp
+++ b/packages/fleet/tests/simulated_targets.cpp
@@ -13,6 +13,9 @@
 // No item may start this long after its job was cancelled.
 constexpr Millis kCancelBound(3000);
 constexpr Millis kGangTimeout(3000); // a gang member waits this long for others
+// A capacity that has shrunk counts this long afterwards: the bound of contact
+// plus one heartbeat interval.
+constexpr Millis kCapacityBound(3000 + 1500);
 // A timed start may come this much before its scheduled time.
 constexpr Millis kTimedStartTolerance(250);
 
@@ -160,6 +163,44 @@
   }
 }
 
+void
+SimulatedFleet::CheckCapacity(const SimulatedTarget& aTarget,
+                              const StartRun& aStart)
+{
+  if (aTarget.rejectsOverload_) {
+    return;
+  }
+  // The most of each resource that the target had within the bound.
+  Resources allowed;
+  for (auto it = aTarget.capacities_.begin(); it != aTarget.capacities_.end();
+       ++it) {
+    const auto next = std::next(it);
+    if (next == aTarget.capacities_.end() ||
+        now_ < next->first + kCapacityBound) {
+      allowed.cpu_ = std::max(allowed.cpu_, it->second.cpu_);
+      allowed.memMb_ = std::max(allowed.memMb_, it->second.memMb_);
+      allowed.gpu_ = std::max(allowed.gpu_, it->second.gpu_);
+    }
+  }
+  const auto needsOf = [this](const ItemName& aItem) {
+    const auto& step =
+      jobs_.at(aItem.job_).steps_[static_cast<std::size_t>(aItem.step_)];
+    auto needs = step.needs_;
+    needs.cpu_ = step.isFiller_ ? 0 : needs.cpu_;
+    return needs;
+  };
+  auto used = needsOf(aStart.item_);
+  for (const auto& run : aTarget.runs_) {
+    used += needsOf(run.item_);
+  }
+  if (!used.Fits(allowed)) {
+    ReportViolation(
+      "item started beyond the capacity of " + aTarget.id_ + ": " +
+      FormatItem(aStart.item_) + ", " + std::to_string(used.cpu_) + " of " +
+      std::to_string(allowed.cpu_) + " thousandths of a core in use");
+  }
+}
+
 void
 SimulatedFleet::CheckStart(const SimulatedTarget& aTarget,
                            const StartRun& aStart)
@@ -170,6 +211,7 @@
     ReportViolation("start of an item whose job was never submitted: " + name);
     return;
   }
+  CheckCapacity(aTarget, aStart);
   if (runningNow_[aStart.item_] > 0) {
     ReportViolation("item started while another run of it is running: " + name);
   }
@@ -299,7 +341,7 @@
   } else if (closed != target.closedRuns_.end() &&
              aStart.run_ <= closed->second) {
     answer.outcome_ = StartOutcome::StaleRun;
-  } else if (!spec.needs_.Fits(freeCapacity)) {
+  } else if (target.rejectsOverload_ && !spec.needs_.Fits(freeCapacity)) {
     answer.outcome_ = StartOutcome::NoCapacity;
   }
   if (answer.outcome_ != StartOutcome::Started) {
