Fleet: runs of unknown needs leave no capacity to starts

Cause: a run that a target lists and whose job the owner does not know, because it has ended long ago or has yet to arrive, counted as needing nothing, also while it was being stopped. Starts then brought the target over its capacity if it starts whatever it is told. A target that rejects overload answers 409 and is unharmed. Change: in a pool that does not reject overload, a target with such a run gets no starts. Evidence: the new test failed before, 8 starts beside such a run where none fits for sure; after: none, and 8 once it is gone.

--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -224,6 +224,12 @@
   if (pool && pool->rejectsOverload_) {
     return true;
   }
+  // What such a run needs is not known, even while it is being stopped.
+  if (std::any_of(aTarget.runs_.begin(),
+                  aTarget.runs_.end(),
+                  [](const Run& aRun) { return aRun.isJobUnknown_; })) {
+    return false;
+  }
   const auto& options = aState.options_;
   const Millis age(ClockOf(aState, aTarget) - aTarget.report_.clockMs_);
   return aTarget.clockMs_ != 0 &&
--- a/packages/fleet/tests/capacity_test.cpp
+++ b/packages/fleet/tests/capacity_test.cpp
@@ -140,8 +140,60 @@
   int jobs_ = 0;
 };
 
+// One target "t" in pool "a", which starts whatever it is told to.
+struct UnguardedFleet : ReducerFixture
+{
+  UnguardedFleet()
+  {
+    FleetConfig config;
+    config.version_ = 1;
+    config.pools_.push_back({ "a", false, false });
+    Deliver(ConfigSeen{ config });
+    Deliver(JobsLoaded{});
+    Report();
+    AdvanceTime(Millis(10));
+    AnswerRenewal("t", {});
+    Deliver(ProgressStored{ 1 });
+  }
+
+  void Report()
+  {
+    Deliver(TargetsSeen{ { report_ } });
+    report_.clockMs_ += 100;
+    ++report_.sequence_;
+  }
+
+  // The target reports itself and lists these runs once in each round. Returns
+  // the number of starts sent.
+  int CountStarts(int aRounds, const std::vector<RunningRun>& aRunning)
+  {
+    for (int round = 0; round < aRounds; ++round) {
+      AdvanceTime(Millis(100));
+      Report();
+      AnswerRenewal("t", aRunning);
+    }
+    return CountEffects<StartRun>();
+  }
+
+  TargetReport report_ = MakeReport("t");
+};
+
 } // namespace
 
+TEST_CASE("a run of unknown needs leaves no capacity to starts")
+{
+  // Its job may have ended long ago or not have arrived yet. It counted as
+  // nothing, also while it was being stopped.
+  UnguardedFleet fixture;
+  RunningRun run;
+  run.item_ = { MakeJobId(2), 0, 0, 0 };
+  run.run_ = 7;
+  CHECK(fixture.CountStarts(1, { run }) == 0);
+  fixture.Deliver(JobArrived{ MakeJob(MakeJobId(1), "a", { 8 }) });
+  CHECK(fixture.CountStarts(40, { run }) == 0);
+  CHECK(fixture.CountStarts(2, {}) == 8);
+}
+
 TEST_CASE("work waits while a capacity is too small, and goes on once it grows")
 {
   SimulatedFleet fleet(1);
