Fleet: a restart shown by a start's answer is not undone by an old report

Callers saw: a work item ran twice after its target had restarted under its id. Cause: the answer to a start showed a clock that had gone back, so leases were counted on the clock of the new process. The last report of the process before, read after that, put the clock ahead again, and the lease of the start counted as expired. Change: until a list of runs or a report shows which process it is, no report tells the clock of such a target, and it gets no starts. Evidence: the new test failed before (one run lost, none allowed).

--- a/packages/fleet/src/run_lists.cpp
+++ b/packages/fleet/src/run_lists.cpp
@@ -248,6 +248,7 @@
   UpdateClock(aState, aTarget, aAnswer.clockMs_);
   AllowForPreviousClock(aState, aTarget, aAnswer.clockMs_);
   aTarget.hasListedRuns_ = true;
+  aTarget.mayHaveRestarted_ = false;
   aTarget.listedAt_ = aAnswer.sentAt_;
   aTarget.wasSilentBefore_ = false;
   if (aTarget.isStoredSilent_) {
--- a/packages/fleet/src/runs.cpp
+++ b/packages/fleet/src/runs.cpp
@@ -256,6 +256,7 @@
   if (HasClockRestarted(aState, target, aAnswer.clockMs_)) {
     // The target has restarted, and neither its report nor a renewal has shown
     // that yet. Leases on it now run on the clock of the new process.
+    target.mayHaveRestarted_ = true;
     target.clockMs_ = 0;
     target.leaseUntil_ =
       std::min(target.leaseUntil_,
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -142,6 +142,9 @@
   // Its process began while another owner may have taken over. It may not have
   // seen that owner's fencing token yet, so it would accept starts of this one.
   bool isUnfenced_ = false;
+  // Its clock went back, and no list of runs or report has shown which process
+  // it is now.
+  bool mayHaveRestarted_ = false;
   Contact contact_ = Contact::Unreconciled;
   std::int64_t startUnixMs_ = 0; // start of its process; 0: unknown
 
@@ -174,7 +177,10 @@
 
   // Whether its report is that of its current process. After a restart, the
   // store may still hold that of the process before.
-  bool HasReported() const { return report_.startUnixMs_ == startUnixMs_; }
+  bool HasReported() const
+  {
+    return !mayHaveRestarted_ && report_.startUnixMs_ == startUnixMs_;
+  }
   bool IsUsable(Instant aNow) const
   {
     return isListed_ && HasReported() && isRecorded_ && !hasExited_ &&
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -167,6 +167,7 @@
   }
   const auto lastDeadline = aTarget.leaseUntil_;
   aTarget.startUnixMs_ = aStartUnixMs;
+  aTarget.mayHaveRestarted_ = false;
   aTarget.endsApplied_ = 0;
   aTarget.endsStored_ = 0;
   aTarget.endsInBatch_ = 0;
--- a/packages/fleet/tests/one_target_test.cpp
+++ b/packages/fleet/tests/one_target_test.cpp
@@ -331,3 +331,31 @@
   fixture.AdvanceTime(Millis(100));
   CHECK(fixture.CountEffects<StartRun>() == 1);
 }
+
+TEST_CASE(
+  "a restart shown by the answer to a start is not undone by an old report")
+{
+  // The last report of the former process was read after the new one had taken
+  // a start. Its clock counted, the start's lease as expired, and the item ran
+  // twice.
+  OneTargetFleet fixture;
+  const auto job = MakeJob(MakeJobId(1), "a", { 1 });
+  fixture.report_.clockMs_ = 600000;
+  ++fixture.report_.sequence_;
+  fixture.Deliver(TargetsSeen{ { fixture.report_ } });
+  fixture.Deliver(JobArrived{ job });
+  fixture.AdvanceTime(Millis(10));
+  CHECK(fixture.CountEffects<StartRun>() == 1);
+  fixture.Deliver(
+    StartAnswered{ "t", { job.id_, 0, 0, 0 }, 1, StartOutcome::Started, 400 });
+  fixture.report_.clockMs_ += 1500;
+  ++fixture.report_.sequence_;
+  fixture.Deliver(TargetsSeen{ { fixture.report_ } });
+  RenewalAnswered noAnswer;
+  noAnswer.target_ = "t";
+  noAnswer.sentAt_ = fixture.now_;
+  noAnswer.outcome_ = RenewalOutcome::Unresponsive;
+  fixture.Deliver(noAnswer);
+  fixture.AdvanceTime(Millis(500));
+  CHECK(fixture.fleet_.Counts().lost_ == 0);
+}
