Fleet: idle targets too small for waiting work are no capacity for it

Callers saw: a job waited with VMs on standby after all targets of its pool had shrunk below the needs of its item. Cause: idle targets counted by the sum of their capacities, so the pool lacked nothing. Change: if no target of a pool has the processor capacity of the largest waiting item and a standby VM has, the pool lacks one VM. Evidence: the new test failed before (no VM moved, one expected). Conclusion: kept; on pools whose VMs are all alike and as large as their items nothing changes.

--- a/packages/fleet/src/vms.cpp
+++ b/packages/fleet/src/vms.cpp
@@ -98,6 +98,8 @@
 {
   const auto waitingByPool = WaitingWorkByPool(aState);
   std::map<std::string, PoolView> views;
+  std::map<std::string, std::int64_t> largestTarget; // cpu, by pool
+  std::int64_t largestStandby = 0;                   // cpu
   for (const auto& pool : aState.config_.pools_) {
     auto& view = views[pool.name_];
     view.name_ = pool.name_;
@@ -117,6 +119,8 @@
     }
     ++view->second.size_;
     view->second.capacityCpu_ += target.report_.capacity_.cpu_;
+    auto& largest = largestTarget[target.report_.pool_];
+    largest = std::max(largest, target.report_.capacity_.cpu_);
     if (target.runs_.empty() && IsMovable(aState, target.report_.vm_)) {
       view->second.idle_.push_back({ target.report_.vm_,
                                      aState.now_ - target.idleSince_,
@@ -129,6 +133,15 @@
         IsMovable(aState, name)) {
       ++view->second.size_;
       view->second.idle_.push_back({ name, Millis(0), vm.capacity_.cpu_ });
+      largestStandby = std::max(largestStandby, vm.capacity_.cpu_);
+    }
+  }
+  for (const auto& [name, work] : waitingByPool) {
+    const auto view = views.find(name);
+    // Idle targets are no capacity for an item that needs more than any has.
+    if (view != views.end() && work.largestCpu_ > largestTarget[name] &&
+        work.largestCpu_ <= largestStandby) {
+      view->second.lackingVms_ = std::max(view->second.lackingVms_, 1);
     }
   }
   for (const auto& [name, order] : aState.vmOrders_) {
--- a/packages/fleet/src/waiting_work.cpp
+++ b/packages/fleet/src/waiting_work.cpp
@@ -123,7 +123,8 @@
       work.items_ += items;
       work.topPriorityItems_ += aJob.job_.priority_ == 0 ? items : 0;
       work.cpu_ += spec.isFiller_ ? 0 : items * spec.needs_.cpu_;
-      work.largestCpu_ = std::max(work.largestCpu_, spec.needs_.cpu_);
+      work.largestCpu_ =
+        std::max(work.largestCpu_, spec.isFiller_ ? 0 : spec.needs_.cpu_);
       work.lackingTargets_ =
         std::max(work.lackingTargets_,
                  CountLackingTargets(aState, pool, occurrence, aStep, spec));
--- a/packages/fleet/tests/capacity_test.cpp
+++ b/packages/fleet/tests/capacity_test.cpp
@@ -194,6 +194,51 @@
   CHECK(fixture.CountStarts(2, {}) == 8);
 }
 
+TEST_CASE("a VM moves in when no target is large enough for waiting work")
+{
+  // Idle targets counted as capacity for the item, although each of them had
+  // shrunk below its needs.
+  UnguardedFleet fixture;
+  FleetConfig config;
+  config.version_ = 2;
+  config.pools_.push_back({ "a", false, false });
+  config.pools_.push_back({ "standby", false, true });
+  fixture.Deliver(ConfigSeen{ config });
+  std::vector<TargetReport> reports = { ReducerFixture::MakeReport("t"),
+                                        ReducerFixture::MakeReport("u") };
+  std::vector<Vm> vms(3);
+  for (std::size_t index = 0; index < vms.size(); ++index) {
+    vms[index].name_ = index < 2 ? reports[index].vm_ : "vm-s";
+    vms[index].pool_ = index < 2 ? "a" : "standby";
+    vms[index].state_ = VmState::Up;
+    vms[index].capacity_ = kFull;
+  }
+  int moves = 0;
+  for (int round = 0; round < 10; ++round) {
+    for (auto& report : reports) {
+      report.capacity_.cpu_ = 900;
+      report.clockMs_ += 250;
+      ++report.sequence_;
+    }
+    fixture.Deliver(TargetsSeen{ reports });
+    fixture.Deliver(VmsSeen{ vms, fixture.now_ });
+    if (round == 1) {
+      fixture.Deliver(JobArrived{ MakeJob(MakeJobId(1), "a", { 1 }) });
+    }
+    fixture.AdvanceTime(Millis(250));
+    for (const auto& report : reports) {
+      fixture.AnswerRenewal(report.id_, {});
+    }
+    for (const auto& effect : fixture.fleet_.TakeEffects()) {
+      if (const auto* store = std::get_if<StoreProgress>(&effect)) {
+        fixture.Deliver(ProgressStored{ store->batch_ });
+      }
+      moves += std::holds_alternative<MoveVm>(effect) ? 1 : 0;
+    }
+  }
+  CHECK(moves == 1);
+}
+
 TEST_CASE("work waits while a capacity is too small, and goes on once it grows")
 {
   SimulatedFleet fleet(1);
