--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -167,6 +167,7 @@
   }
   const auto lastDeadline = aTarget.leaseUntil_;
   aTarget.startUnixMs_ = aStartUnixMs;
+  aTarget.mayHaveRestarted_ = false;
   aTarget.endsApplied_ = 0;
   aTarget.endsStored_ = 0;
   aTarget.endsInBatch_ = 0;
@@ -217,6 +218,25 @@
                   aState.began_ + allowance + lease + kExpirySlack);
 }
 
+bool
+IsCapacityKnown(const FleetState& aState, const Target& aTarget)
+{
+  const auto* pool = FindPool(aState.config_, aTarget.report_.pool_);
+  if (pool && pool->rejectsOverload_) {
+    return true;
+  }
+  // What such a run needs is not known, even while it is being stopped.
+  if (std::any_of(aTarget.runs_.begin(),
+                  aTarget.runs_.end(),
+                  [](const Run& aRun) { return aRun.isJobUnknown_; })) {
+    return false;
+  }
+  const auto& options = aState.options_;
+  const Millis age(ClockOf(aState, aTarget) - aTarget.report_.clockMs_);
+  return aTarget.clockMs_ != 0 &&
+         age + options.startTimeout_ <= options.maxReportAge_;
+}
+
 void
 HandleTargetList(FleetState& aState, const TargetsSeen& aSeen)
 {
@@ -249,7 +269,7 @@
     }
     target.report_ = report;
     target.isListed_ = true;
-    if (isNewReport) {
+    if (isNewReport && target.HasReported()) {
       UpdateClock(aState, target, report.clockMs_);
     }
   }
