Simulated fleet: work items that crash their targets

What callers would see is checked in virtual time: a deadly item ends its target's process 10 ms after each start, and a new incarnation follows 2.5 s later.

--- /dev/null
+++ b/packages/fleet/tests/crashes_test.cpp
@@ -0,0 +1,274 @@
+// Work items that end the processes of their targets, and items that only ran
+// where a process ended.
+
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+
+#include "simulated_fleet.h"
+
+using namespace cuminbridge;
+
+namespace {
+
+constexpr Millis kSettleTime(30000);
+const ItemName kDeadly{ MakeJobId(0), 0, 0, 0 };
+
+void
+CheckNoViolations(const SimulatedFleet& aFleet)
+{
+  for (const auto& what : aFleet.Violations()) {
+    FAIL_CHECK(what);
+  }
+}
+
+// Runs the fleet until this many targets have crashed under the item. False if
+// that does not happen.
+bool
+RunUntilCrashes(SimulatedFleet& aFleet, const ItemName& aItem, int aCrashes)
+{
+  for (int step = 0; step < 20000; ++step) {
+    if (aFleet.CrashesUnder(aItem) >= aCrashes) {
+      return true;
+    }
+    aFleet.RunFor(Millis(1));
+  }
+  return false;
+}
+
+} // namespace
+
+TEST_CASE("an item that crashes its targets is given up after the second one")
+{
+  // It crashed target after target, until the end of the day.
+  SimulatedFleet fleet(1);
+  fleet.AddTargets("a", 8);
+  fleet.MakeDeadly(kDeadly);
+  fleet.StartOwner();
+  fleet.Submit(MakeJob(MakeJobId(0), "a", { 3 }));
+  fleet.RunFor(kSettleTime);
+  CheckNoViolations(fleet);
+  CHECK(fleet.StoredState(MakeJobId(0)) == JobState::Failed);
+  CHECK(fleet.CrashesUnder(kDeadly) == 2);
+}
+
+TEST_CASE("other jobs complete although an item crashes their targets")
+{
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    INFO("seed " << seed);
+    SimulatedFleet fleet(seed);
+    fleet.AddTargets("a", 6);
+    const auto deadly = MakeJobId(static_cast<int>(seed % 12));
+    fleet.MakeDeadly({ deadly, 0, 0, static_cast<int>(seed % 3) });
+    fleet.StartOwner();
+    for (int job = 0; job < 12; ++job) {
+      fleet.Submit(MakeJob(MakeJobId(job), "a", { 3, 1 + job % 4 }));
+      fleet.RunFor(Millis(60));
+    }
+    fleet.RunFor(kSettleTime);
+    CheckNoViolations(fleet);
+    for (int job = 0; job < 12; ++job) {
+      INFO("job " << job);
+      CHECK(
+        fleet.StoredState(MakeJobId(job)) ==
+        (MakeJobId(job) == deadly ? JobState::Failed : JobState::Completed));
+    }
+  }
+}
+
+TEST_CASE("crashes under an item count on when the owner changes")
+{
+  // Killed 0 to 120 ms after a crash: before and after it could be stored.
+  for (int wait = 0; wait <= 120; wait += 10) {
+    for (const int crashes : { 1, 2 }) {
+      INFO("killed " << wait << " ms after crash " << crashes);
+      SimulatedFleet fleet(1);
+      fleet.AddTargets("a", 8);
+      fleet.MakeDeadly(kDeadly);
+      fleet.StartOwner();
+      fleet.Submit(MakeJob(MakeJobId(0), "a", { 2 }));
+      REQUIRE(RunUntilCrashes(fleet, kDeadly, crashes));
+      fleet.RunFor(Millis(wait));
+      fleet.KillOwner();
+      fleet.RunFor(Millis(300));
+      fleet.StartOwner(PreviousOwner::Ended);
+      fleet.RunFor(kSettleTime);
+      CheckNoViolations(fleet);
+      CHECK(fleet.StoredState(MakeJobId(0)) == JobState::Failed);
+      CHECK(fleet.CrashesUnder(kDeadly) <= 3);
+    }
+  }
+}
+
+TEST_CASE("a stored crash under an item counts for the next owner")
+{
+  SimulatedFleet fleet(1);
+  fleet.AddTargets("a", 1);
+  fleet.MakeDeadly(kDeadly);
+  fleet.StartOwner();
+  fleet.Submit(MakeJob(MakeJobId(0), "a", { 1 }));
+  REQUIRE(RunUntilCrashes(fleet, kDeadly, 1));
+  fleet.RunFor(Millis(1000)); // it waits for its only target to be back
+  fleet.StartOwner(PreviousOwner::HandedOver);
+  fleet.RunFor(kSettleTime);
+  CheckNoViolations(fleet);
+  CHECK(fleet.StoredState(MakeJobId(0)) == JobState::Failed);
+  CHECK(fleet.CrashesUnder(kDeadly) == 2);
+}
+
+TEST_CASE("an item that lost two targets late in its runs is not given up")
+{
+  SimulatedFleet fleet(1);
+  fleet.AddTargets("a", 8);
+  fleet.StartOwner();
+  auto job = MakeJob(MakeJobId(0), "a", { 1 });
+  job.steps_[0].estimate_ = Millis(3000);
+  fleet.Submit(job);
+  for (int loss = 0; loss < 2; ++loss) {
+    fleet.RunFor(Millis(2000));
+    for (const auto& id : fleet.TargetIds()) {
+      if (fleet.RunningOn(id) > 0) {
+        fleet.CrashTarget(id);
+      }
+    }
+  }
+  fleet.RunFor(kSettleTime);
+  CheckNoViolations(fleet);
+  CHECK(fleet.CrashesUnder(kDeadly) == 2);
+  CHECK(fleet.StoredState(MakeJobId(0)) == JobState::Completed);
+}
+
+TEST_CASE("items on targets that are cut off are not given up")
+{
+  SimulatedFleet fleet(1);
+  fleet.AddTargets("a", 8);
+  fleet.StartOwner();
+  auto job = MakeJob(MakeJobId(0), "a", { 2 });
+  job.steps_[0].estimate_ = Millis(6000);
+  fleet.Submit(job);
+  for (int cut = 0; cut < 3; ++cut) {
+    fleet.RunFor(Millis(300));
+    for (const auto& id : fleet.TargetIds()) {
+      if (fleet.RunningOn(id) > 0) {
+        fleet.PartitionTarget(id, Millis(9000));
+      }
+    }
+    fleet.RunFor(Millis(5500));
+  }
+  fleet.RunFor(kSettleTime);
+  CheckNoViolations(fleet);
+  CHECK(fleet.CrashesUnder(kDeadly) == 0);
+  CHECK(fleet.StoredState(MakeJobId(0)) == JobState::Completed);
+}
+
+TEST_CASE("items whose draining targets end are not given up")
+{
+  SimulatedFleet fleet(1);
+  fleet.AddTargets("a", 8);
+  fleet.StartOwner();
+  fleet.Submit(MakeJob(MakeJobId(0), "a", { 2 }));
+  for (int drained = 0; drained < 3; ++drained) {
+    fleet.RunFor(Millis(100));
+    const auto ids = fleet.TargetIds();
+    const auto used =
+      std::find_if(ids.begin(), ids.end(), [&](const auto& aId) {
+        return fleet.RunningOn(aId) > 0;
+      });
+    REQUIRE(used != ids.end());
+    fleet.DrainTarget(*used);
+    fleet.RunFor(Millis(420)); // until the list of targets shows it
+    fleet.CrashTarget(*used);
+  }
+  fleet.RunFor(kSettleTime);
+  CheckNoViolations(fleet);
+  CHECK(fleet.CrashesUnder(kDeadly) == 3);
+  CHECK(fleet.StoredState(MakeJobId(0)) == JobState::Completed);
+}
+
+TEST_CASE("items of a step that ran where a target crashed start one at a time")
+{
+  SimulatedFleet fleet(1);
+  fleet.AddTargets("a", 8);
+  fleet.StartOwner();
+  auto job = MakeJob(MakeJobId(0), "a", { 4 });
+  job.steps_[0].estimate_ = Millis(3000);
+  fleet.Submit(job);
+  fleet.RunFor(Millis(60));
+  for (const auto& id : fleet.TargetIds()) {
+    if (fleet.RunningOn(id) > 0) {
+      fleet.CrashTarget(id);
+    }
+  }
+  const auto running = [&] {
+    int count = 0;
+    for (int index = 0; index < 4; ++index) {
+      count += fleet.IsRunning({ MakeJobId(0), 0, 0, index }) ? 1 : 0;
+    }
+    return count;
+  };
+  CHECK(running() == 0);
+  fleet.RunFor(Millis(450));
+  CHECK(running() == 1);
+  fleet.RunFor(Millis(600));
+  CHECK(running() == 4); // the first one has passed
+  for (const auto& id : fleet.TargetIds()) {
+    CHECK(fleet.RunningOn(id) <= 1);
+  }
+  fleet.RunFor(kSettleTime);
+  CheckNoViolations(fleet);
+  CHECK(fleet.StoredState(MakeJobId(0)) == JobState::Completed);
+}
+
+TEST_CASE("random histories with items that crash their targets")
+{
+  for (unsigned seed = 1; seed <= 100; ++seed) {
+    INFO("seed " << seed);
+    std::mt19937 random(seed);
+    const auto draw = [&](int aLeast, int aMost) {
+      return std::uniform_int_distribution<int>(aLeast, aMost)(random);
+    };
+    SimulatedFleet fleet(seed, { 0.01, 0.01, 0.01, 0.01 });
+    fleet.AddTargets("a", draw(3, 8));
+    fleet.StartOwner();
+    const int jobs = draw(4, 16);
+    std::vector<ItemName> deadly;
+    for (int job = 0; job < jobs; ++job) {
+      const int items = draw(1, 5);
+      if (draw(0, 5) == 0) {
+        deadly.push_back({ MakeJobId(job), 0, 0, draw(0, items - 1) });
+        fleet.MakeDeadly(deadly.back());
+      }
+      fleet.Submit(MakeJob(MakeJobId(job), "a", { items, draw(1, 3) }));
+      fleet.RunFor(Millis(draw(5, 400)));
+      const auto ids = fleet.TargetIds();
+      const auto& target = ids[static_cast<std::size_t>(
+        draw(0, static_cast<int>(ids.size()) - 1))];
+      switch (draw(0, 9)) {
+        case 0:
+          fleet.PartitionTarget(target, Millis(draw(100, 9000)));
+          break;
+        case 1:
+          fleet.CrashTarget(target);
+          break;
+        case 2:
+          fleet.StartOwner(PreviousOwner::Unknown);
+          break;
+        case 3:
+          fleet.StartOwner(PreviousOwner::Ended);
+          break;
+        default:
+          break;
+      }
+    }
+    fleet.RunFor(Millis(90000));
+    CheckNoViolations(fleet);
+    for (int job = 0; job < jobs; ++job) {
+      const auto state = fleet.StoredState(MakeJobId(job));
+      INFO("job " << job);
+      CHECK((state == JobState::Completed || state == JobState::Failed));
+    }
+    for (const auto& item : deadly) {
+      CHECK(fleet.StoredState(item.job_) == JobState::Failed);
+    }
+  }
+}
--- a/packages/fleet/tests/simulated_fleet.cpp
+++ b/packages/fleet/tests/simulated_fleet.cpp
@@ -174,20 +174,38 @@
 }
 
 void
-SimulatedFleet::RestartTarget(const std::string& aTarget)
+SimulatedFleet::EndProcess(SimulatedTarget& aTarget)
 {
-  auto& target = *targets_.at(aTarget);
-  Advance(target);
-  for (const auto& run : target.runs_) {
+  Advance(aTarget);
+  for (const auto& run : aTarget.runs_) {
     --runningNow_[run.item_];
+    ++crashes_[run.item_];
   }
-  target.runs_.clear();
-  target.ended_.clear();
-  target.closedRuns_.clear();
-  target.endCount_ = 0;
-  target.discardedEnds_ = 0;
-  target.token_ = 0;
-  target.lease_ = 0;
+  aTarget.runs_.clear();
+  aTarget.ended_.clear();
+  aTarget.closedRuns_.clear();
+  aTarget.endCount_ = 0;
+  aTarget.discardedEnds_ = 0;
+  aTarget.token_ = 0;
+  aTarget.lease_ = 0;
+}
+
+void
+SimulatedFleet::CrashTarget(const std::string& aTarget)
+{
+  constexpr Millis kDownTime(2500);
+  auto& target = *targets_.at(aTarget);
+  EndProcess(target);
+  target.downUntil_ = now_ + kDownTime;
+  At(kDownTime, [this, aTarget] { RestartTarget(aTarget); });
+}
+
+void
+SimulatedFleet::RestartTarget(const std::string& aTarget)
+{
+  auto& target = *targets_.at(aTarget);
+  EndProcess(target);
+  target.downUntil_ = now_;
   target.startedAt_ = now_;
   target.incarnation_ =
     std::max(target.incarnation_ + 1, now_.time_since_epoch().count());
@@ -427,6 +445,27 @@
   return found == starts_.end() ? 0 : found->second;
 }
 
+int
+SimulatedFleet::StartsOf(const ItemName& aItem) const
+{
+  const auto found = itemStarts_.find(aItem);
+  return found == itemStarts_.end() ? 0 : found->second;
+}
+
+int
+SimulatedFleet::CrashesUnder(const ItemName& aItem) const
+{
+  const auto found = crashes_.find(aItem);
+  return found == crashes_.end() ? 0 : found->second;
+}
+
+bool
+SimulatedFleet::IsRunning(const ItemName& aItem) const
+{
+  const auto found = runningNow_.find(aItem);
+  return found != runningNow_.end() && found->second > 0;
+}
+
 int
 SimulatedFleet::RunningOn(const std::string& aTarget) const
 {
--- a/packages/fleet/tests/simulated_fleet.h
+++ b/packages/fleet/tests/simulated_fleet.h
@@ -54,6 +54,10 @@
   // of targets for the time, but reachable. Draining: reports that it drains.
   void PartitionTarget(const std::string& aTarget, Millis aTime);
   void RestartTarget(const std::string& aTarget);
+  // The target's process ends now; a new incarnation follows seconds later.
+  void CrashTarget(const std::string& aTarget);
+  // Every run of the item ends its target's process soon after it started.
+  void MakeDeadly(const ItemName& aItem) { deadly_.insert(aItem); }
   void DelistTarget(const std::string& aTarget, Millis aTime);
   void DrainTarget(const std::string& aTarget);
   // Runs started from now on work at this part of the usual speed; 0 makes no
@@ -67,7 +71,10 @@
   std::optional<JobState> StoredState(const std::string& aJob) const;
   std::vector<std::string> TargetIds() const;
   int Starts(const std::string& aJob) const; // starts that a target accepted
+  int StartsOf(const ItemName& aItem) const; // likewise
+  int CrashesUnder(const ItemName& aItem) const; // processes that ended
   int RunningOn(const std::string& aTarget) const;
+  bool IsRunning(const ItemName& aItem) const;
   // Queues for which the current owner has learned run times.
   std::size_t LearnedQueues() const;
   // Gang members that ended because the others did not arrive in time.
@@ -99,6 +106,7 @@
                                 Instant aSent);
   void EndRun(SimulatedTarget& aTarget, std::size_t aIndex, EndKind aKind);
   void Advance(SimulatedTarget& aTarget);
+  void EndProcess(SimulatedTarget& aTarget);
   void AcknowledgeEnds(SimulatedTarget& aTarget, std::int64_t aLastStored);
   void CheckStart(const SimulatedTarget& aTarget, const StartRun& aStart);
   void CheckFailed(const std::string& aJob);
@@ -139,6 +147,10 @@
   std::map<ItemName, int> failures_;    // failed runs, acknowledged or not
   std::map<ItemName, int> acknowledgedFailures_;
   std::map<std::string, int> starts_;
+  std::set<ItemName> deadly_;
+  std::map<ItemName, int> itemStarts_;
+  std::map<ItemName, int> crashes_; // processes that ended under the item
+  std::map<ItemName, int> startsAfterCrashes_; // once it has had kCrashesToStop
   int gangTimeouts_ = 0;
   std::map<std::string, Instant> cancelledAt_;
   std::vector<std::string> violations_;
--- a/packages/fleet/tests/simulated_fleet_parts.h
+++ b/packages/fleet/tests/simulated_fleet_parts.h
@@ -38,6 +38,7 @@
   std::int64_t discardedEnds_ = 0;
   std::map<ItemName, std::int64_t> closedRuns_; // highest run stopped or ended
   Instant unreachableUntil_;
+  Instant downUntil_;     // its process has ended, the next one begins then
   Instant delistedUntil_; // missing from the list of targets
   bool isDraining_ = false;
   double speed_ = 1; // of runs started there; 0 makes no progress
--- a/packages/fleet/tests/simulated_targets.cpp
+++ b/packages/fleet/tests/simulated_targets.cpp
@@ -13,6 +13,12 @@
 // No item may start this long after its job was cancelled.
 constexpr Millis kCancelBound(3000);
 constexpr Millis kGangTimeout(3000); // a gang member waits this long for others
+// An item that has crashed this many targets ...
+constexpr int kCrashesToStop = 3;
+// ... may not be started this often any more.
+constexpr int kStartsTooMany = 3;
+constexpr int kCrashesToFail = 2;  // under one item; its job may end as failed
+constexpr Millis kDeadlyDelay(10); // from the start of a deadly item
 // A timed start may come this much before its scheduled time.
 constexpr Millis kTimedStartTolerance(250);
 
@@ -180,6 +186,15 @@
   if (acknowledgedFailures_[aStart.item_] >= job->second.attempts_) {
     ReportViolation("item started after its attempts were used up: " + name);
   }
+  ++itemStarts_[aStart.item_];
+  if (deadly_.count(aStart.item_) != 0 &&
+      crashes_[aStart.item_] >= kCrashesToStop &&
+      ++startsAfterCrashes_[aStart.item_] >= kStartsTooMany) {
+    ReportViolation("item started " +
+                    std::to_string(startsAfterCrashes_[aStart.item_]) +
+                    " times more after it had crashed " +
+                    std::to_string(kCrashesToStop) + " targets: " + name);
+  }
   const auto& steps = job->second.steps_;
   const auto& spec = steps[static_cast<std::size_t>(aStart.item_.step_)];
   for (const int before : spec.after_) {
@@ -261,9 +276,15 @@
   for (const auto& [item, failures] : failures_) {
     most = std::max(most, item.job_ == aJob ? failures : 0);
   }
-  if (most < jobs_.at(aJob).attempts_) {
+  int mostCrashes = 0;
+  for (const auto& [item, crashes] : crashes_) {
+    mostCrashes = std::max(mostCrashes, item.job_ == aJob ? crashes : 0);
+  }
+  if (most < jobs_.at(aJob).attempts_ && mostCrashes < kCrashesToFail) {
     ReportViolation("job stored as failed after only " + std::to_string(most) +
-                    " failed runs of an item: " + aJob);
+                    " failed runs of an item and " +
+                    std::to_string(mostCrashes) +
+                    " targets that crashed under one: " + aJob);
   }
 }
 
@@ -271,6 +292,11 @@
 SimulatedFleet::HandleStart(std::int64_t aToken, const StartRun& aStart)
 {
   auto& target = *targets_.at(aStart.target_);
+  if (target.downUntil_ > now_) {
+    return {
+      aStart.target_, aStart.item_, aStart.run_, StartOutcome::NotSent, 0
+    };
+  }
   Advance(target);
   StartAnswered answer{ aStart.target_,
                         aStart.item_,
@@ -327,6 +353,18 @@
   target.runs_.push_back(run);
   ++runningNow_[aStart.item_];
   ++starts_[aStart.item_.job_];
+  if (deadly_.count(aStart.item_) != 0) {
+    At(kDeadlyDelay,
+       [this, id = target.id_, item = run.item_, number = run.run_] {
+         const auto& runs = targets_.at(id)->runs_;
+         if (std::any_of(
+               runs.begin(), runs.end(), [&](const SimulatedRun& aRun) {
+                 return aRun.item_ == item && aRun.run_ == number;
+               })) {
+           CrashTarget(id);
+         }
+       });
+  }
   if (run.isWaitingForGang_) {
     BeginGang(run.item_, run.run_);
     At(kGangTimeout + Millis(1),
@@ -344,6 +382,10 @@
   auto& target = *targets_.at(aStop.target_);
   Advance(target);
   StopAnswered answer{ aStop.target_, aStop.item_, aStop.run_, true };
+  if (target.downUntil_ > now_) {
+    answer.isDone_ = false;
+    return answer;
+  }
   if (aToken < target.token_) {
     answer.isDone_ = false;
     return answer;
@@ -395,6 +437,10 @@
   answer.sentAt_ = aSent;
   answer.startUnixMs_ = target.incarnation_;
   answer.clockMs_ = ClockOf(target);
+  if (target.downUntil_ > now_) {
+    answer.outcome_ = RenewalOutcome::Refused;
+    return answer;
+  }
   if (aToken < target.token_) {
     answer.outcome_ = RenewalOutcome::Fenced;
     return answer;
