Fleet: an item that crashes its targets is given up

Cause: the loss of a target was not attributed to the work that ran there. Every loss was taken for the target's fault, so the item waited again as if nothing had happened, and started at once, beside others.

Change: a process that ended by itself (no order for its VM, not draining) leaves each item that ran there a record with target, run number and how the run stood; owners store it with the item. A job ends as failed at two crashes less than 500 ms after a confirmed start, at three while an item surely ran, or at five with those where it may not have run. An item with an early crash starts again only once that is stored, alone of its step until one has lived through its start, on a target without another such start and with fewest runs. Lasting items count early crashes only, until at work. Silent targets, lapsed leases, orders and drains count nothing. Log: run_crashed, crash_limit_reached with the targets; metric runs_crashed_total.

--- a/packages/daemon/src/daemon_metrics.cpp
+++ b/packages/daemon/src/daemon_metrics.cpp
@@ -48,7 +48,7 @@
     const char* help_;
     std::uint64_t FleetCounts::*value_;
   };
-  constexpr std::array<Column, 8> kColumns = { {
+  constexpr std::array<Column, 9> kColumns = { {
     { "runs_started_total", "starts sent", &FleetCounts::starts_ },
     { "starts_not_taken_total",
       "starts refused or without an answer",
@@ -58,6 +58,9 @@
     { "runs_lost_total",
       "runs that lapsed or went with their target",
       &FleetCounts::lost_ },
+    { "runs_crashed_total",
+      "runs whose target's process ended by itself",
+      &FleetCounts::crashed_ },
     { "vm_moves_total", "VMs moved", &FleetCounts::moves_ },
     { "vm_upkeeps_total", "upkeeps begun", &FleetCounts::maintenanceStarts_ },
     { "jobs_ended_total", "jobs ended", &FleetCounts::jobsEnded_ },
--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -545,7 +545,8 @@
   std::uint64_t startsRefused_ = 0; // starts with any outcome except Started
   std::uint64_t done_ = 0;          // work items; a gang counts as one
   std::uint64_t failed_ = 0;        // runs
-  std::uint64_t lost_ = 0; // runs whose lease expired or whose target ended
+  std::uint64_t lost_ = 0;    // runs whose lease expired or whose target ended
+  std::uint64_t crashed_ = 0; // runs counted as Crash
   std::uint64_t moves_ = 0;
   std::uint64_t maintenanceStarts_ = 0;
   std::uint64_t jobsEnded_ = 0;
--- /dev/null
+++ b/packages/fleet/src/crashes.cpp
@@ -0,0 +1,212 @@
+// Work items that ran where a target's process ended by itself.
+
+#include "crashes.h"
+
+#include <algorithm>
+
+#include "jobs.h"
+#include "runs.h"
+#include "vm_orders.h"
+
+namespace cuminbridge {
+
+namespace {
+
+// Crashes after which an item is given up: soon after its start ...
+constexpr int kEarlyLimit = 2;
+// ... at any time while it surely ran ...
+constexpr int kConfirmedLimit = 3;
+// ... and with those where it may not have run.
+constexpr std::size_t kLimit = 5;
+
+CrashKind
+KindOf(const Run& aRun, Instant aEndedBy)
+{
+  if (!aRun.confirmedAt_ && aRun.isStartedByThisOwner_) {
+    return CrashKind::Unanswered;
+  }
+  if (!aRun.confirmedAt_ || aRun.mayHaveEnded_) {
+    return CrashKind::Uncertain;
+  }
+  return aRun.isStartedByThisOwner_ && aEndedBy - aRun.sentAt_ < kStartupTime
+           ? CrashKind::Early
+           : CrashKind::Late;
+}
+
+std::string
+FormatTargets(const std::vector<Crash>& aCrashes)
+{
+  std::string targets;
+  for (const auto& crash : aCrashes) {
+    targets += targets.empty() ? "" : ", ";
+    targets += crash.target_;
+  }
+  return targets;
+}
+
+bool
+IsOnTrial(const FleetState& aState, const Run& aRun)
+{
+  return aRun.isTrial_ &&
+         (!aRun.confirmedAt_ || aState.now_ - aRun.sentAt_ < kStartupTime);
+}
+
+} // namespace
+
+bool
+IsOverCrashLimit(const std::vector<Crash>& aCrashes)
+{
+  int early = 0;
+  int confirmed = 0;
+  for (const auto& crash : aCrashes) {
+    early += crash.kind_ == CrashKind::Early ? 1 : 0;
+    confirmed +=
+      crash.kind_ == CrashKind::Early || crash.kind_ == CrashKind::Late ? 1 : 0;
+  }
+  return early >= kEarlyLimit || confirmed >= kConfirmedLimit ||
+         aCrashes.size() >= kLimit;
+}
+
+bool
+IsSuspect(const ItemState& aItem)
+{
+  return std::any_of(
+    aItem.crashes_.begin(), aItem.crashes_.end(), [](const Crash& aCrash) {
+      return aCrash.kind_ == CrashKind::Early ||
+             aCrash.kind_ == CrashKind::Unanswered;
+    });
+}
+
+bool
+IsCrash(const FleetState& aState, const Target& aTarget)
+{
+  // Without a start time the target was neither listed nor has it answered: it
+  // may have drained.
+  return aTarget.startUnixMs_ != 0 && !aTarget.report_.isDraining_ &&
+         aTarget.leavingUntil_ <= aState.now_ &&
+         !HasOpenOrder(aState, aTarget.report_.vm_) &&
+         MayOrder(aState, aTarget.report_.vm_);
+}
+
+std::optional<std::string>
+CountCrash(FleetState& aState,
+           const Target& aTarget,
+           const Run& aRun,
+           Instant aEndedBy)
+{
+  const auto ref = FindItem(aState, aRun.item_);
+  if (!ref.item_ || ref.job_->HasEnded() || aRun.stoppedAt_ ||
+      ref.item_->phase_ == ItemPhase::Done) {
+    return std::nullopt;
+  }
+  auto& crashes = ref.item_->crashes_;
+  const auto kind = KindOf(aRun, aEndedBy);
+  const bool isCounted =
+    std::any_of(crashes.begin(), crashes.end(), [&](const Crash& aCrash) {
+      return aCrash.run_ == aRun.run_;
+    });
+  if (isCounted || (aRun.isLongRunning_ && kind != CrashKind::Early)) {
+    return std::nullopt;
+  }
+  crashes.push_back({ aTarget.report_.id_, aRun.run_, kind });
+  ++aState.counts_.crashed_;
+  ref.job_->hasCrashes_ = true;
+  if (IsSuspect(*ref.item_)) {
+    ref.step_->hasPassedTrial_ = false;
+  }
+  MarkDirty(aState, *ref.job_);
+  aState.isUrgent_ = true;
+  aState.Log("run_crashed",
+             aRun.item_.job_,
+             FormatItem(aRun.item_),
+             aTarget.report_.id_,
+             "its target's process ended at most " +
+               std::to_string((aEndedBy - aRun.sentAt_).count()) +
+               " ms after its start" +
+               (aRun.confirmedAt_ ? "" : ", which was not answered") +
+               "; crash " + std::to_string(crashes.size()) + " of the item");
+  if (!IsOverCrashLimit(crashes)) {
+    return std::nullopt;
+  }
+  aState.Log("crash_limit_reached",
+             aRun.item_.job_,
+             FormatItem(aRun.item_),
+             aTarget.report_.id_,
+             "targets that crashed under it: " + FormatTargets(crashes));
+  return aRun.item_.job_;
+}
+
+void
+GiveUp(FleetState& aState, const std::string& aJob)
+{
+  const auto job = aState.jobs_.find(aJob);
+  if (job != aState.jobs_.end() && !job->second->HasEnded()) {
+    EndJob(aState, *job->second, JobState::Failed);
+  }
+}
+
+void
+ReleaseEnded(FleetState& aState, Target& aTarget, const char* aWhy)
+{
+  std::set<std::string> givenUp;
+  const bool isCrash = IsCrash(aState, aTarget);
+  for (const auto& run : aTarget.runs_) {
+    if (!isCrash && !run.processEndedBy_) {
+      continue;
+    }
+    const auto endedBy = run.processEndedBy_.value_or(aState.now_);
+    if (auto job = CountCrash(aState, aTarget, run, endedBy)) {
+      givenUp.insert(std::move(*job));
+    }
+  }
+  ReleaseAll(aState, aTarget, aWhy);
+  for (const auto& job : givenUp) {
+    GiveUp(aState, job);
+  }
+}
+
+void
+ForgetCrashes(FleetState& aState, const ItemName& aItem)
+{
+  const auto ref = FindItem(aState, aItem);
+  if (ref.item_ && !ref.item_->crashes_.empty()) {
+    ref.item_->crashes_.clear();
+    ref.item_->crashesInBatch_ = 0;
+    ref.item_->crashesStored_ = 0;
+    MarkDirty(aState, *ref.job_);
+  }
+}
+
+bool
+HasTrial(const FleetState& aState, const Target& aTarget)
+{
+  return std::any_of(aTarget.runs_.begin(),
+                     aTarget.runs_.end(),
+                     [&](const Run& aRun) { return IsOnTrial(aState, aRun); });
+}
+
+bool
+MayTrySuspect(FleetState& aState, StepState& aStep)
+{
+  bool isTrying = false;
+  for (const auto& item : aStep.items_) {
+    if (item.phase_ != ItemPhase::Assigned || !IsSuspect(item)) {
+      continue;
+    }
+    const auto target = aState.targets_.find(item.target_);
+    if (target == aState.targets_.end()) {
+      continue;
+    }
+    for (const auto& run : target->second.runs_) {
+      if (run.isTrial_ && run.run_ == item.run_ &&
+          FindItem(aState, run.item_).item_ == &item) {
+        const bool isOnTrial = IsOnTrial(aState, run);
+        isTrying = isTrying || isOnTrial;
+        aStep.hasPassedTrial_ = aStep.hasPassedTrial_ || !isOnTrial;
+      }
+    }
+  }
+  return aStep.hasPassedTrial_ || !isTrying;
+}
+
+} // namespace cuminbridge
--- /dev/null
+++ b/packages/fleet/src/crashes.h
@@ -0,0 +1,50 @@
+// Internal: which work items ran where a target's process ended by itself, how
+// often that gives an item up, and how such items start again.
+
+#ifndef cuminbridge_fleet_crashes_h
+#define cuminbridge_fleet_crashes_h
+
+#include "state.h"
+
+namespace cuminbridge {
+
+// A run that has lived this long has not crashed its target by starting.
+constexpr Millis kStartupTime(500);
+
+// Whether an item with these crashes is given up.
+bool IsOverCrashLimit(const std::vector<Crash>& aCrashes);
+
+// Whether an item may be what crashed its target. It starts again alone, and
+// only once its crashes are stored.
+bool IsSuspect(const ItemState& aItem);
+
+// Whether the end of the target's process now would be a crash: neither an
+// order for its VM nor draining explains it.
+bool IsCrash(const FleetState& aState, const Target& aTarget);
+
+// The target's process has ended. Counts a crash against the items that ran
+// there if it is one, releases all runs, and gives up items beyond the limit.
+void ReleaseEnded(FleetState& aState, Target& aTarget, const char* aWhy);
+
+// Counts a crash against the item of a run whose process ended by then. Returns
+// the item's job if the item has to be given up; its runs on this target have
+// to be released before.
+std::optional<std::string> CountCrash(FleetState& aState,
+                                      const Target& aTarget,
+                                      const Run& aRun,
+                                      Instant aEndedBy);
+// Fails a job for which CountCrash() asked that.
+void GiveUp(FleetState& aState, const std::string& aJob);
+
+// A long-running item is at work: earlier crashes do not count any more.
+void ForgetCrashes(FleetState& aState, const ItemName& aItem);
+
+// Whether a suspect that was started there may still crash the target.
+bool HasTrial(const FleetState& aState, const Target& aTarget);
+// Whether one more suspect of the step may start now. Items of a step are
+// alike: the others wait until one has lived through its start.
+bool MayTrySuspect(FleetState& aState, StepState& aStep);
+
+} // namespace cuminbridge
+
+#endif // cuminbridge_fleet_crashes_h
--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "account_limits.h"
+#include "crashes.h"
 #include "jobs.h"
 #include "placing.h"
 #include "runs.h"
@@ -145,7 +146,8 @@
       candidate.fillerRuns_ += run.isFiller_ ? 1 : 0;
     }
     candidate.isAvoided_ = target->consecutiveFailures_ >= kFailuresToAvoid ||
-                           target->slowUntil_ > aState.now_;
+                           target->slowUntil_ > aState.now_ ||
+                           HasTrial(aState, *target);
     candidate.awaitsMaintenance_ = target->awaitsMaintenance_;
     candidates.push_back(candidate);
   }
@@ -301,6 +303,13 @@
       " thousandths of a core left");
 }
 
+// Whether the next owner would know what has crashed under the item.
+bool
+AreCrashesStored(const ItemState& aItem)
+{
+  return aItem.crashesStored_ >= aItem.crashes_.size();
+}
+
 // Starts all members of a gang, or none. False if there is not enough free
 // capacity for all of them.
 bool
@@ -315,6 +324,9 @@
   if (step.assigned_ > 0) {
     return true; // the remaining members of its last run have to end first
   }
+  if (!std::all_of(step.items_.begin(), step.items_.end(), AreCrashesStored)) {
+    return true;
+  }
   Resources all;
   for (int member = 0; member < spec.count_; ++member) {
     all += spec.needs_;
@@ -357,6 +369,43 @@
   return ChooseTarget(aStep, candidates);
 }
 
+// The target for a suspect: one without a trial, where fewest runs would be
+// lost with it, and not one that crashed under it if there is another.
+int
+ChooseTargetForSuspect(const FleetState& aState,
+                       const Step& aStep,
+                       const Targets& aTargets,
+                       const std::vector<Candidate>& aCandidates,
+                       const ItemState& aItem)
+{
+  std::set<std::size_t> counts; // of runs on the targets
+  for (const auto* target : aTargets) {
+    counts.insert(target->runs_.size());
+  }
+  for (const auto count : counts) {
+    auto candidates = aCandidates;
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+      auto& candidate = candidates[index];
+      const auto& target = *aTargets[index];
+      candidate.isEligible_ = candidate.isEligible_ &&
+                              target.runs_.size() == count &&
+                              !HasTrial(aState, target);
+      candidate.isAvoided_ =
+        candidate.isAvoided_ ||
+        std::any_of(aItem.crashes_.begin(),
+                    aItem.crashes_.end(),
+                    [&](const Crash& aCrash) {
+                      return aCrash.target_ == target.report_.id_;
+                    });
+    }
+    const int best = ChooseTarget(aStep, candidates);
+    if (best != kNoCandidate) {
+      return best;
+    }
+  }
+  return kNoCandidate;
+}
+
 void
 PlaceItems(FleetState& aState,
            const WaitingStep& aWaiting,
@@ -374,8 +423,19 @@
     if (!IsWithinLimit(aState, aWaiting.job_->job_.account_, spec.needs_)) {
       return;
     }
+    const bool isSuspect = IsSuspect(item);
+    if (isSuspect &&
+        (!AreCrashesStored(item) || !MayTrySuspect(aState, step))) {
+      continue;
+    }
     const int best =
-      ChooseTargetAvoiding(spec, aTargets, aCandidates, item.avoidedTarget_);
+      isSuspect
+        ? ChooseTargetForSuspect(aState, spec, aTargets, aCandidates, item)
+        : ChooseTargetAvoiding(
+            spec, aTargets, aCandidates, item.avoidedTarget_);
+    if (best == kNoCandidate && isSuspect) {
+      continue;
+    }
     if (best == kNoCandidate) {
       return;
     }
@@ -435,7 +495,8 @@
   for (const auto& [number, occurrence] : aJob.occurrences_) {
     for (const auto& step : occurrence.steps_) {
       for (const auto& item : step.items_) {
-        if (item.run_ != 0 || item.phase_ != ItemPhase::Waiting) {
+        if (item.run_ != 0 || item.phase_ != ItemPhase::Waiting ||
+            !item.crashes_.empty()) {
           return false;
         }
       }
--- a/packages/fleet/src/jobs.cpp
+++ b/packages/fleet/src/jobs.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <cmath>
 
+#include "crashes.h"
 #include "runs.h"
 
 namespace cuminbridge {
@@ -82,6 +83,9 @@
   item.failedRuns_ = aFrom.failedRuns_;
   item.run_ = aFrom.run_;
   item.checkpoint_ = aFrom.checkpoint_;
+  item.crashes_ = aFrom.crashes_;
+  item.crashesStored_ = item.crashes_.size();
+  aJob.hasCrashes_ = aJob.hasCrashes_ || !item.crashes_.empty();
   if (aFrom.isDone_) {
     MarkItemDone(aJob, occurrence, step, spec, item);
     return;
@@ -459,6 +463,8 @@
     return;
   }
   auto& occurrence = entry.occurrences_[aName.occurrence_];
+  aRef.step_->hasPassedTrial_ =
+    aRef.step_->hasPassedTrial_ || IsSuspect(*aRef.item_);
   MarkItemDone(entry, occurrence, *aRef.step_, *aRef.spec_, *aRef.item_);
   if (aRef.spec_->isGang_) {
     // The success of one member completes the whole gang.
--- a/packages/fleet/src/run_lists.cpp
+++ b/packages/fleet/src/run_lists.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "crashes.h"
 #include "jobs.h"
 #include "runs.h"
 #include "targets.h"
@@ -13,6 +14,8 @@
 namespace {
 
 constexpr std::size_t kMaxListedEnds = 500; // in one answer of a target
+// What targets list as the progress of a long-running item that is at work.
+constexpr int kAtWorkPercent = 100;
 
 // Whether a run that this owner has no record of is the current run of its
 // item: an earlier owner started it without storing that, and its number is
@@ -157,11 +160,13 @@
   if (!aRun.confirmedAt_) {
     aRun.confirmedAt_ = aNow;
   }
+  aRun.processEndedBy_.reset();
+  aRun.mayHaveEnded_ = false;
   if (aRun.phase_ == RunPhase::Starting) {
     aRun.phase_ = RunPhase::Running;
   }
   if (aTarget.consecutiveFailures_ > 0 && aRun.isLongRunning_ &&
-      aRun.percent_ == 100) {
+      aRun.percent_ == kAtWorkPercent) {
     aTarget.consecutiveFailures_ = 0;
   }
 }
@@ -206,7 +211,15 @@
       absent.emplace_back(run.item_, run.run_);
     }
   }
+  std::set<std::string> givenUp;
   for (const auto& [item, run] : absent) {
+    const auto* lost = FindRun(aTarget, item, run);
+    if (lost && lost->processEndedBy_) {
+      auto job = CountCrash(aState, aTarget, *lost, *lost->processEndedBy_);
+      if (job) {
+        givenUp.insert(std::move(*job));
+      }
+    }
     aState.Log("run_lost",
                item.job_,
                FormatItem(item),
@@ -215,6 +228,9 @@
     ++aState.counts_.lost_;
     ReleaseRun(aState, aTarget, item, run);
   }
+  for (const auto& job : givenUp) {
+    GiveUp(aState, job);
+  }
 }
 
 // An earlier owner that did not know of a restart may have sent deadlines on
@@ -277,6 +293,9 @@
     auto* run = FindRun(aTarget, seen.item_, seen.run_);
     if (run) {
       UpdateListedRun(aTarget, seen, *run, aState.now_);
+      if (run->isLongRunning_ && run->percent_ == kAtWorkPercent) {
+        ForgetCrashes(aState, run->item_);
+      }
     } else {
       HandleUnrecordedRun(aState, aTarget, seen);
     }
--- a/packages/fleet/src/runs.cpp
+++ b/packages/fleet/src/runs.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "crashes.h"
 #include "jobs.h"
 
 namespace cuminbridge {
@@ -107,6 +108,7 @@
     aRun.isLongRunning_ = ref.spec_->isLongRunning_;
     aRun.isFiller_ = ref.spec_->isFiller_;
     aRun.targetLatency_ = ref.spec_->targetLatency_;
+    aRun.isTrial_ = IsSuspect(*ref.item_);
     auto& sum = aState.running_[aRun.account_];
     sum += ref.spec_->needs_;
   }
@@ -309,7 +311,7 @@
       break;
     case StartOutcome::OtherIncarnation:
       target.hasExited_ = true;
-      ReleaseAll(aState, target, "another process answers at its address");
+      ReleaseEnded(aState, target, "another process answers at its address");
       break;
     case StartOutcome::Rejected:
       target.avoidUntil_ = aState.now_ + kRejectedPause;
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -29,6 +29,11 @@
   // owners see counts once.
   std::vector<std::int64_t> failedRuns_;
   std::int64_t run_ = 0; // highest run number given out
+  // Targets whose process ended under it. A long-running item that gets to work
+  // forgets them.
+  std::vector<Crash> crashes_;
+  std::size_t crashesInBatch_ = 0; // of these, in the batch on its way
+  std::size_t crashesStored_ = 0;  // of these, surely stored
   std::string checkpoint_;
   std::string target_;        // while Assigned
   std::string avoidedTarget_; // where a run failed last, or was too slow
@@ -50,7 +55,9 @@
   int assigned_ = 0;                      // items
   std::map<std::string, Ticket> tickets_; // by target
   bool isAdvicePending_ = false;          // a question has not been answered
-  Instant nextAdviceAt_;                  // no question before this
+  // A suspect has lived through its start since the last crash.
+  bool hasPassedTrial_ = false;
+  Instant nextAdviceAt_; // no question before this
 };
 
 struct Occurrence
@@ -68,6 +75,7 @@
   bool wasLoaded_ = false;     // accepted before this owner began
   bool isBeyondShare_ = false; // exceeds the share of its client account
   bool isGuest_ = false;       // another cell has transferred it
+  bool hasCrashes_ = false;    // some item has or had
   std::map<int, Occurrence> occurrences_; // by number; only opened ones
   int nextOccurrence_ = 0;                // first that is not open yet
   int occurrencesDone_ = 0;
@@ -99,6 +107,11 @@
   // incarnation of the target: the target has yet to list it.
   bool isUnconfirmed_ = false;
   bool isStartedByThisOwner_ = false;
+  bool isTrial_ = false; // its item was a suspect when it was added
+  // Its target has been unresponsive since it last listed the run.
+  bool mayHaveEnded_ = false;
+  // Its process has crashed by then, unless the new process lists the run.
+  std::optional<Instant> processEndedBy_;
   Resources needs_;     // what it reserves; a filler reserves no processor time
   std::string account_; // client account
   bool isLongRunning_ = false;
--- a/packages/fleet/src/storing.cpp
+++ b/packages/fleet/src/storing.cpp
@@ -2,6 +2,7 @@
 
 #include "storing.h"
 
+#include "jobs.h"
 #include "vm_orders.h"
 
 namespace cuminbridge {
@@ -33,6 +34,7 @@
         row.failedRuns_ = item.failedRuns_;
         row.run_ = item.run_;
         row.checkpoint_ = item.checkpoint_;
+        row.crashes_ = item.crashes_;
         if (item.phase_ == ItemPhase::Assigned) {
           row.target_ = item.target_;
         }
@@ -43,6 +45,23 @@
   return progress;
 }
 
+// Calls aVisit(item) for each item of the job, if any of them has crashes.
+template<typename Visit>
+void
+ForEachCrashedItem(JobEntry& aJob, Visit aVisit)
+{
+  if (!aJob.hasCrashes_) {
+    return;
+  }
+  for (auto& [number, occurrence] : aJob.occurrences_) {
+    for (auto& step : occurrence.steps_) {
+      for (auto& item : step.items_) {
+        aVisit(item);
+      }
+    }
+  }
+}
+
 } // namespace
 
 void
@@ -64,6 +83,9 @@
     job.isDirty_ = false;
     aState.batchStates_.emplace_back(id, job.state_);
     effect.jobs_.emplace_back(id, ProgressOf(aState, job));
+    ForEachCrashedItem(job, [](ItemState& aItem) {
+      aItem.crashesInBatch_ = aItem.crashes_.size();
+    });
   }
   for (auto& [id, target] : aState.targets_) {
     target.endsInBatch_ = target.endsApplied_;
@@ -98,6 +120,12 @@
     const auto job = aState.jobs_.find(id);
     if (job != aState.jobs_.end()) {
       job->second->storedState_ = state;
+      ForEachCrashedItem(*job->second, [](ItemState& aItem) {
+        aItem.crashesStored_ = aItem.crashesInBatch_;
+      });
+      if (job->second->hasCrashes_) {
+        aState.dirtyPools_.insert(PoolOf(aState, *job->second));
+      }
     }
   }
   for (auto& [id, target] : aState.targets_) {
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "crashes.h"
 #include "jobs.h"
 #include "relocate.h"
 #include "run_lists.h"
@@ -125,6 +126,16 @@
   aState.Emit(std::move(effect));
 }
 
+void
+SetUnresponsive(const FleetState& aState, Target& aTarget)
+{
+  aTarget.contact_ = Contact::Unresponsive;
+  for (auto& run : aTarget.runs_) {
+    run.mayHaveEnded_ = true;
+  }
+  aTarget.nextRenewal_ = aState.now_ + kUnresponsiveRetry;
+}
+
 void
 RetryStops(FleetState& aState, Target& aTarget)
 {
@@ -165,6 +176,7 @@
                  std::to_string(aStartUnixMs) + ", the one before at " +
                  std::to_string(aTarget.startUnixMs_) + " (Unix ms)");
   }
+  const bool isCrash = IsCrash(aState, aTarget);
   const auto lastDeadline = aTarget.leaseUntil_;
   aTarget.startUnixMs_ = aStartUnixMs;
   aTarget.endsApplied_ = 0;
@@ -190,6 +202,9 @@
   for (auto& run : aTarget.runs_) {
     // A confirmed run is lost unless the new process lists it. A start without
     // an answer may still reach the new process.
+    if (isCrash && (run.isUnconfirmed_ || run.confirmedAt_)) {
+      run.processEndedBy_ = run.processEndedBy_.value_or(aState.now_);
+    }
     run.isUnconfirmed_ = run.isUnconfirmed_ || run.confirmedAt_.has_value();
   }
 }
@@ -305,9 +320,8 @@
                      : "another process answers at its address");
       }
       target.hasExited_ = true;
-      target.contact_ = Contact::Unresponsive;
-      target.nextRenewal_ = aState.now_ + kUnresponsiveRetry;
-      ReleaseAll(aState, target, "the process of its target has ended");
+      ReleaseEnded(aState, target, "the process of its target has ended");
+      SetUnresponsive(aState, target);
       break;
     case RenewalOutcome::Unresponsive:
       if (target.contact_ != Contact::Unresponsive) {
@@ -317,8 +331,7 @@
                    aAnswer.target_,
                    "no valid answer within the time limit");
       }
-      target.contact_ = Contact::Unresponsive;
-      target.nextRenewal_ = aState.now_ + kUnresponsiveRetry;
+      SetUnresponsive(aState, target);
       if (!target.isStoredSilent_) {
         target.isStoredSilent_ = true;
         RecordTarget(aState, target, aAnswer.target_);
--- a/packages/fleet/tests/crashes_test.cpp
+++ b/packages/fleet/tests/crashes_test.cpp
@@ -5,7 +5,8 @@
 
 #include <catch2/catch.hpp>
 
-#include "simulated_fleet.h"
+#include "crashes.h"
+#include "reducer_fixture.h"
 
 using namespace cuminbridge;
 
@@ -185,6 +186,176 @@
   CHECK(fleet.StoredState(MakeJobId(0)) == JobState::Completed);
 }
 
+namespace {
+
+// One target "t" in pool "a", and a job whose one item was started there.
+struct OneTarget : ReducerFixture
+{
+  explicit OneTarget(Job aJob)
+  {
+    FleetConfig config;
+    config.version_ = 1;
+    config.pools_.push_back({ "a", true, false });
+    Queue queue;
+    queue.name_ = "queue-a";
+    queue.pool_ = "a";
+    config.queues_.push_back(queue);
+    Deliver(ConfigSeen{ config });
+    Deliver(Tick{ WallTime(now_.time_since_epoch()), true });
+    Deliver(JobsLoaded{});
+    Deliver(TargetsSeen{ { MakeReport("t"), MakeReport("u") } });
+    AdvanceTime(Millis(10));
+    AnswerRenewal("t", {});
+    AnswerRenewal("u", {});
+    StoreAll();
+    Deliver(JobArrived{ std::move(aJob) });
+    AdvanceTime(Millis(10));
+  }
+
+  // Confirms the starts sent so far. Returns the target of the last one.
+  std::string ConfirmStarts()
+  {
+    std::string target;
+    for (const auto& effect : Take()) {
+      if (const auto* start = std::get_if<StartRun>(&effect)) {
+        target = start->target_;
+        Deliver(StartAnswered{
+          target, start->item_, start->run_, StartOutcome::Started, 130 });
+      }
+    }
+    return target;
+  }
+
+  void Refuse(const std::string& aTarget)
+  {
+    RenewalAnswered renewal;
+    renewal.target_ = aTarget;
+    renewal.outcome_ = RenewalOutcome::Refused;
+    renewal.sentAt_ = now_;
+    Deliver(renewal);
+  }
+
+  void StoreAll()
+  {
+    for (std::uint64_t batch = 1; batch < 50; ++batch) {
+      Deliver(ProgressStored{ batch });
+    }
+  }
+
+  std::vector<Effect> Take() { return fleet_.TakeEffects(); }
+};
+
+} // namespace
+
+TEST_CASE("a suspect starts again only once its crash is stored")
+{
+  OneTarget fixture(MakeJob(MakeJobId(1), "a", { 1 }));
+  const auto target = fixture.ConfirmStarts();
+  REQUIRE(!target.empty());
+  fixture.AdvanceTime(Millis(60));
+  std::uint64_t batch = 0; // of before the crash, on its way
+  for (const auto& effect : fixture.Take()) {
+    if (const auto* store = std::get_if<StoreProgress>(&effect)) {
+      batch = store->batch_;
+    }
+  }
+  REQUIRE(batch != 0);
+  fixture.Refuse(target);
+  bool isInBatch = false;
+  for (int step = 0; step < 10; ++step) {
+    fixture.AdvanceTime(Millis(20));
+    for (const auto& effect : fixture.Take()) {
+      CHECK(!std::holds_alternative<StartRun>(effect));
+      if (const auto* store = std::get_if<StoreProgress>(&effect)) {
+        for (const auto& [job, progress] : store->jobs_) {
+          isInBatch = isInBatch || (!progress.items_.empty() &&
+                                    progress.items_[0].crashes_.size() == 1);
+        }
+      }
+    }
+    if (step == 0) {
+      fixture.Deliver(ProgressStored{ batch });
+    }
+  }
+  CHECK(isInBatch);
+  fixture.StoreAll();
+  fixture.AdvanceTime(Millis(10));
+  const auto next = fixture.ConfirmStarts();
+  CHECK(!next.empty());
+  CHECK(next != target);
+}
+
+TEST_CASE("a job with a crash is never given to another cell")
+{
+  OneTarget fixture(MakeJob(MakeJobId(1), "a", { 1 }));
+  const auto target = fixture.ConfirmStarts();
+  REQUIRE(!target.empty());
+  fixture.AdvanceTime(Millis(10));
+  fixture.Refuse("t");
+  fixture.Refuse("u");
+  fixture.StoreAll();
+  for (int step = 0; step < 20; ++step) {
+    fixture.Deliver(PeerCapacitySeen{ 1, { { "a", 90000 } }, {} });
+    fixture.AdvanceTime(Millis(20));
+    fixture.StoreAll();
+    CHECK(fixture.CountEffects<TransferJob>() == 0);
+  }
+}
+
+TEST_CASE("a lasting item that gets to work forgets earlier crashes")
+{
+  auto job = MakeJob(MakeJobId(1), "a", { 1 });
+  job.steps_[0].isLongRunning_ = true;
+  const ItemName name{ MakeJobId(1), 0, 0, 0 };
+  OneTarget fixture(job);
+  const auto crashes = [&] {
+    return fixture.fleet_.State()
+      .jobs_.at(MakeJobId(1))
+      ->occurrences_.at(0)
+      .steps_[0]
+      .items_[0]
+      .crashes_.size();
+  };
+  const auto first = fixture.ConfirmStarts();
+  fixture.AdvanceTime(Millis(10));
+  fixture.Refuse(first);
+  CHECK(crashes() == 1);
+  fixture.StoreAll();
+  fixture.AdvanceTime(Millis(10));
+  fixture.StoreAll();
+  fixture.AdvanceTime(Millis(10));
+  const auto second = fixture.ConfirmStarts();
+  REQUIRE(!second.empty());
+  RunningRun row;
+  row.item_ = name;
+  row.run_ = 2;
+  row.percent_ = 100;
+  fixture.AdvanceTime(Millis(10));
+  fixture.AnswerRenewal(second, { row });
+  CHECK(crashes() == 0);
+}
+
+TEST_CASE("crash limits: two early, three while it ran, five in all")
+{
+  const auto make = [](const std::vector<CrashKind>& aKinds) {
+    std::vector<Crash> crashes;
+    crashes.reserve(aKinds.size());
+    for (const auto kind : aKinds) {
+      crashes.push_back(
+        { "t", static_cast<std::int64_t>(crashes.size()), kind });
+    }
+    return crashes;
+  };
+  using enum CrashKind;
+  CHECK(!IsOverCrashLimit(make({ Early })));
+  CHECK(IsOverCrashLimit(make({ Early, Early })));
+  CHECK(!IsOverCrashLimit(make({ Early, Late })));
+  CHECK(IsOverCrashLimit(make({ Early, Late, Late })));
+  CHECK(!IsOverCrashLimit(make({ Early, Late, Uncertain, Unanswered })));
+  CHECK(IsOverCrashLimit(
+    make({ Uncertain, Uncertain, Unanswered, Unanswered, Uncertain })));
+}
+
 TEST_CASE("items of a step that ran where a target crashed start one at a time")
 {
   SimulatedFleet fleet(1);
--- a/packages/fleet/tests/one_target_test.cpp
+++ b/packages/fleet/tests/one_target_test.cpp
@@ -226,7 +226,7 @@
   loaded.jobs_ = { job };
   Progress progress;
   progress.state_ = JobState::Serving;
-  progress.items_.push_back({ 0, 0, 0, false, {}, 1, "", "unlisted" });
+  progress.items_.push_back({ 0, 0, 0, false, {}, 1, "", "unlisted", {} });
   loaded.progress_[job.id_] = progress;
   loaded.previousOwner_ = PreviousOwner::Ended;
   loaded.inheritedUntil_ = wall() + Millis(9000);
--- a/packages/jobs/include/cuminbridge/jobs.h
+++ b/packages/jobs/include/cuminbridge/jobs.h
@@ -313,6 +313,25 @@
 //-----------------------------------------------------------------------------
 // Records that the owner keeps in the store, in the project's own format.
 
+// How a run stood when its target's process ended. Stored by these numbers.
+enum class CrashKind
+{
+  Early = 0,      // soon after its start, which the target had confirmed
+  Late = 1,       // later, or it was started by an earlier owner
+  Unanswered = 2, // its start was not answered: it may not have run there
+  Uncertain = 3,  // it may have ended there before
+};
+
+// A run of an item was on a target whose process ended by itself.
+struct Crash
+{
+  std::string target_;
+  std::int64_t run_ = 0;
+  CrashKind kind_ = CrashKind::Early;
+
+  bool operator==(const Crash&) const = default;
+};
+
 // Progress of one work item. Items without such a record were never started.
 struct ItemProgress
 {
@@ -324,6 +343,7 @@
   std::int64_t run_ = 0;                 // highest run number issued
   std::string checkpoint_;               // the last one; empty for none
   std::string target_; // where run_ was started; empty once that run is over
+  std::vector<Crash> crashes_;
 
   bool operator==(const ItemProgress&) const = default;
 };
--- a/packages/jobs/src/records.cpp
+++ b/packages/jobs/src/records.cpp
@@ -84,6 +84,33 @@
   return WallTime(Millis(Get<std::int64_t>(aObject, aKey)));
 }
 
+json
+WriteCrashes(const std::vector<Crash>& aCrashes)
+{
+  json rows = json::array();
+  for (const auto& crash : aCrashes) {
+    rows.push_back(
+      { crash.target_, crash.run_, static_cast<int>(crash.kind_) });
+  }
+  return rows;
+}
+
+std::vector<Crash>
+ReadCrashes(const json& aRows)
+{
+  std::vector<Crash> crashes;
+  for (const auto& row : aRows) {
+    const int kind = row.at(2).get<int>();
+    crashes.push_back(
+      { row.at(0).get<std::string>(),
+        row.at(1).get<std::int64_t>(),
+        kind < 0 || kind > static_cast<int>(CrashKind::Uncertain)
+          ? CrashKind::Uncertain
+          : static_cast<CrashKind>(kind) });
+  }
+  return crashes;
+}
+
 } // namespace
 
 std::string
@@ -143,14 +170,13 @@
 {
   json items = json::array();
   for (const auto& item : aProgress.items_) {
-    items.push_back({ item.occurrence_,
-                      item.step_,
-                      item.index_,
-                      item.isDone_ ? 1 : 0,
-                      item.failedRuns_,
-                      item.run_,
-                      item.checkpoint_,
-                      item.target_ });
+    json row = { item.occurrence_,     item.step_,       item.index_,
+                 item.isDone_ ? 1 : 0, item.failedRuns_, item.run_,
+                 item.checkpoint_,     item.target_ };
+    if (!item.crashes_.empty()) {
+      row.push_back(WriteCrashes(item.crashes_));
+    }
+    items.push_back(std::move(row));
   }
   return json{
     { "state", static_cast<int>(aProgress.state_) },
@@ -162,6 +188,7 @@
 std::optional<Progress>
 DecodeProgress(std::string_view aText)
 {
+  constexpr std::size_t kCrashesColumn = 8;
   try {
     const auto record = json::parse(aText);
     Progress progress;
@@ -181,6 +208,9 @@
       item.run_ = row.at(5).get<std::int64_t>();
       item.checkpoint_ = row.at(6).get<std::string>();
       item.target_ = row.at(7).get<std::string>();
+      if (row.size() > kCrashesColumn) { // absent in older records
+        item.crashes_ = ReadCrashes(row.at(kCrashesColumn));
+      }
       progress.items_.push_back(std::move(item));
     }
     return progress;
--- a/packages/jobs/tests/records_test.cpp
+++ b/packages/jobs/tests/records_test.cpp
@@ -69,9 +69,25 @@
   Progress progress;
   progress.state_ = JobState::Serving;
   progress.changed_ = WallTime(Millis(1700000000123));
-  progress.items_.push_back({ 0, 1, 2, true, { 1 }, 257, "", "" });
-  progress.items_.push_back({ 0, 1, 3, false, {}, 258, "cp", "i-7f3a91c2" });
+  progress.items_.push_back({ 0, 1, 2, true, { 1 }, 257, "", "", {} });
+  progress.items_.push_back(
+    { 0, 1, 3, false, {}, 258, "cp", "i-7f3a91c2", {} });
+  progress.items_.push_back(
+    { 0,
+      1,
+      4,
+      false,
+      {},
+      3,
+      "",
+      "",
+      { { "i-1", 2, CrashKind::Early }, { "i-2", 3, CrashKind::Uncertain } } });
   CHECK(DecodeProgress(EncodeProgress(progress)) == progress);
+  // Records of earlier versions have no crashes.
+  const auto earlier = DecodeProgress(
+    R"({"state":1,"changed":0,"items":[[0,1,3,0,[],258,"cp","i-7f3a91c2"]]})");
+  REQUIRE(earlier);
+  CHECK(earlier->items_.front() == progress.items_[1]);
   CHECK(!DecodeProgress(R"({"state":9,"changed":0,"items":[]})"));
   CHECK(!DecodeProgress("null"));
 }
