Fleet: tell the run that crashed a target from those beside it

A crash just after a moved VM had joined its new pool was blamed on nobody, as its order was still open. A lasting item with two early crashes ended its whole job.

Change: nothing starts beside an item on trial, which goes where fewest runs are just starting. A run that had lived until a later one went on trial, or that is beyond its start while others are not, is hardly the cause: its record counts only for the limit of five. An order that was carried out explains no end of the process that joined after it. Lasting items are given up at three early crashes.

--- a/packages/fleet/src/crashes.cpp
+++ b/packages/fleet/src/crashes.cpp
@@ -14,9 +14,11 @@
 
 // Crashes after which an item is given up: soon after its start ...
 constexpr int kEarlyLimit = 2;
+// ... likewise for long-running items, as the others of a job end with one ...
+constexpr int kLongRunningLimit = 3;
 // ... at any time while it surely ran ...
 constexpr int kConfirmedLimit = 3;
-// ... and with those where it may not have run.
+// ... and with those where it may not have run, or another is the likely cause.
 constexpr std::size_t kLimit = 5;
 
 CrashKind
@@ -25,7 +27,7 @@
   if (!aRun.confirmedAt_ && aRun.isStartedByThisOwner_) {
     return CrashKind::Unanswered;
   }
-  if (!aRun.confirmedAt_ || aRun.mayHaveEnded_) {
+  if (!aRun.confirmedAt_ || aRun.mayHaveEnded_ || aRun.isExplained_) {
     return CrashKind::Uncertain;
   }
   return aRun.isStartedByThisOwner_ && aEndedBy - aRun.sentAt_ < kStartupTime
@@ -44,6 +46,33 @@
   return targets;
 }
 
+// Whether an order of this owner or an earlier one may end the process. The one
+// that joins once an order was carried out is not meant by it.
+bool
+IsOrdered(const FleetState& aState, const Target& aTarget)
+{
+  const auto& vm = aTarget.report_.vm_;
+  const auto order = aState.vmOrders_.find(vm);
+  if (order != aState.vmOrders_.end() && !order->second.isAnswered_) {
+    return true;
+  }
+  const auto before = aState.orderAllowedFrom_.find(vm);
+  if (before == aState.orderAllowedFrom_.end() || MayOrder(aState, vm)) {
+    return false;
+  }
+  const auto apart = aState.options_.vmOrderLease_ + aState.options_.clockSkew_;
+  const auto sentAt =
+    aState.TimeOfDay() + (before->second - apart - aState.now_);
+  return aTarget.startUnixMs_ <= sentAt.time_since_epoch().count();
+}
+
+bool
+IsStarting(const FleetState& aState, const Run& aRun)
+{
+  return aRun.isStartedByThisOwner_ &&
+         aState.now_ - aRun.sentAt_ < kStartupTime;
+}
+
 bool
 IsOnTrial(const FleetState& aState, const Run& aRun)
 {
@@ -54,7 +83,7 @@
 } // namespace
 
 bool
-IsOverCrashLimit(const std::vector<Crash>& aCrashes)
+IsOverCrashLimit(const std::vector<Crash>& aCrashes, bool aIsLongRunning)
 {
   int early = 0;
   int confirmed = 0;
@@ -63,8 +92,8 @@
     confirmed +=
       crash.kind_ == CrashKind::Early || crash.kind_ == CrashKind::Late ? 1 : 0;
   }
-  return early >= kEarlyLimit || confirmed >= kConfirmedLimit ||
-         aCrashes.size() >= kLimit;
+  return early >= (aIsLongRunning ? kLongRunningLimit : kEarlyLimit) ||
+         confirmed >= kConfirmedLimit || aCrashes.size() >= kLimit;
 }
 
 bool
@@ -83,24 +112,41 @@
   // Without a start time the target was neither listed nor has it answered: it
   // may have drained.
   return aTarget.startUnixMs_ != 0 && !aTarget.report_.isDraining_ &&
-         aTarget.leavingUntil_ <= aState.now_ &&
-         !HasOpenOrder(aState, aTarget.report_.vm_) &&
-         MayOrder(aState, aTarget.report_.vm_);
+         aTarget.leavingUntil_ <= aState.now_ && !IsOrdered(aState, aTarget);
+}
+
+void
+NoteCrash(FleetState& aState, Target& aTarget)
+{
+  // A run that had lived until a later one started is hardly the cause if that
+  // was on trial. Nor is one beyond its start if others were not.
+  std::optional<Instant> lastTrial;
+  for (const auto& run : aTarget.runs_) {
+    if (IsOnTrial(aState, run)) {
+      lastTrial = std::max(lastTrial.value_or(run.sentAt_), run.sentAt_);
+    }
+  }
+  const bool hadStarting = CountStarting(aState, aTarget) > 0;
+  for (auto& run : aTarget.runs_) {
+    if (!run.processEndedBy_) {
+      run.processEndedBy_ = aState.now_;
+      run.isExplained_ = (lastTrial && run.sentAt_ < *lastTrial) ||
+                         (hadStarting && !IsStarting(aState, run));
+    }
+  }
 }
 
 std::optional<std::string>
-CountCrash(FleetState& aState,
-           const Target& aTarget,
-           const Run& aRun,
-           Instant aEndedBy)
+CountCrash(FleetState& aState, const Target& aTarget, const Run& aRun)
 {
   const auto ref = FindItem(aState, aRun.item_);
-  if (!ref.item_ || ref.job_->HasEnded() || aRun.stoppedAt_ ||
-      ref.item_->phase_ == ItemPhase::Done) {
+  if (!aRun.processEndedBy_ || !ref.item_ || ref.job_->HasEnded() ||
+      aRun.stoppedAt_ || ref.item_->phase_ == ItemPhase::Done) {
     return std::nullopt;
   }
   auto& crashes = ref.item_->crashes_;
-  const auto kind = KindOf(aRun, aEndedBy);
+  const auto endedBy = *aRun.processEndedBy_;
+  const auto kind = KindOf(aRun, endedBy);
   const bool isCounted =
     std::any_of(crashes.begin(), crashes.end(), [&](const Crash& aCrash) {
       return aCrash.run_ == aRun.run_;
@@ -121,11 +167,12 @@
              FormatItem(aRun.item_),
              aTarget.report_.id_,
              "its target's process ended at most " +
-               std::to_string((aEndedBy - aRun.sentAt_).count()) +
+               std::to_string((endedBy - aRun.sentAt_).count()) +
                " ms after its start" +
                (aRun.confirmedAt_ ? "" : ", which was not answered") +
+               (aRun.isExplained_ ? ", with a later start there" : "") +
                "; crash " + std::to_string(crashes.size()) + " of the item");
-  if (!IsOverCrashLimit(crashes)) {
+  if (!IsOverCrashLimit(crashes, aRun.isLongRunning_)) {
     return std::nullopt;
   }
   aState.Log("crash_limit_reached",
@@ -149,13 +196,11 @@
 ReleaseEnded(FleetState& aState, Target& aTarget, const char* aWhy)
 {
   std::set<std::string> givenUp;
-  const bool isCrash = IsCrash(aState, aTarget);
+  if (IsCrash(aState, aTarget)) {
+    NoteCrash(aState, aTarget);
+  }
   for (const auto& run : aTarget.runs_) {
-    if (!isCrash && !run.processEndedBy_) {
-      continue;
-    }
-    const auto endedBy = run.processEndedBy_.value_or(aState.now_);
-    if (auto job = CountCrash(aState, aTarget, run, endedBy)) {
+    if (auto job = CountCrash(aState, aTarget, run)) {
       givenUp.insert(std::move(*job));
     }
   }
@@ -177,6 +222,15 @@
   }
 }
 
+std::size_t
+CountStarting(const FleetState& aState, const Target& aTarget)
+{
+  return static_cast<std::size_t>(std::count_if(
+    aTarget.runs_.begin(), aTarget.runs_.end(), [&](const Run& aRun) {
+      return IsStarting(aState, aRun);
+    }));
+}
+
 bool
 HasTrial(const FleetState& aState, const Target& aTarget)
 {
--- a/packages/fleet/src/crashes.h
+++ b/packages/fleet/src/crashes.h
@@ -12,7 +12,7 @@
 constexpr Millis kStartupTime(500);
 
 // Whether an item with these crashes is given up.
-bool IsOverCrashLimit(const std::vector<Crash>& aCrashes);
+bool IsOverCrashLimit(const std::vector<Crash>& aCrashes, bool aIsLongRunning);
 
 // Whether an item may be what crashed its target. It starts again alone, and
 // only once its crashes are stored.
@@ -26,19 +26,24 @@
 // there if it is one, releases all runs, and gives up items beyond the limit.
 void ReleaseEnded(FleetState& aState, Target& aTarget, const char* aWhy);
 
-// Counts a crash against the item of a run whose process ended by then. Returns
-// the item's job if the item has to be given up; its runs on this target have
-// to be released before.
+// The target's process has crashed: notes that for the runs there, of which a
+// new process may still list some, and which of them are hardly the cause.
+void NoteCrash(FleetState& aState, Target& aTarget);
+
+// Counts a noted crash against the item of a run. Returns the item's job if the
+// item has to be given up; all runs of the target that are lost with this one
+// have to be released before.
 std::optional<std::string> CountCrash(FleetState& aState,
                                       const Target& aTarget,
-                                      const Run& aRun,
-                                      Instant aEndedBy);
+                                      const Run& aRun);
 // Fails a job for which CountCrash() asked that.
 void GiveUp(FleetState& aState, const std::string& aJob);
 
 // A long-running item is at work: earlier crashes do not count any more.
 void ForgetCrashes(FleetState& aState, const ItemName& aItem);
 
+// Runs there that this owner started less than kStartupTime ago.
+std::size_t CountStarting(const FleetState& aState, const Target& aTarget);
 // Whether a suspect that was started there may still crash the target.
 bool HasTrial(const FleetState& aState, const Target& aTarget);
 // Whether one more suspect of the step may start now. Items of a step are
--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -146,9 +146,9 @@
       candidate.fillerRuns_ += run.isFiller_ ? 1 : 0;
     }
     candidate.isAvoided_ = target->consecutiveFailures_ >= kFailuresToAvoid ||
-                           target->slowUntil_ > aState.now_ ||
-                           HasTrial(aState, *target);
+                           target->slowUntil_ > aState.now_;
     candidate.awaitsMaintenance_ = target->awaitsMaintenance_;
+    candidate.hasTrial_ = HasTrial(aState, *target);
     candidates.push_back(candidate);
   }
   return candidates;
@@ -369,8 +369,8 @@
   return ChooseTarget(aStep, candidates);
 }
 
-// The target for a suspect: one without a trial, where fewest runs would be
-// lost with it, and not one that crashed under it if there is another.
+// The target for a suspect: where fewest runs could be the cause of a crash, or
+// would be lost with it, and not one that crashed under it if there is another.
 int
 ChooseTargetForSuspect(const FleetState& aState,
                        const Step& aStep,
@@ -378,18 +378,17 @@
                        const std::vector<Candidate>& aCandidates,
                        const ItemState& aItem)
 {
-  std::set<std::size_t> counts; // of runs on the targets
+  using Load = std::pair<std::size_t, std::size_t>;
+  std::vector<Load> loads; // by target: starting runs, all runs
   for (const auto* target : aTargets) {
-    counts.insert(target->runs_.size());
+    loads.emplace_back(CountStarting(aState, *target), target->runs_.size());
   }
-  for (const auto count : counts) {
+  for (const auto& load : std::set<Load>(loads.begin(), loads.end())) {
     auto candidates = aCandidates;
     for (std::size_t index = 0; index < candidates.size(); ++index) {
       auto& candidate = candidates[index];
       const auto& target = *aTargets[index];
-      candidate.isEligible_ = candidate.isEligible_ &&
-                              target.runs_.size() == count &&
-                              !HasTrial(aState, target);
+      candidate.isEligible_ = candidate.isEligible_ && loads[index] == load;
       candidate.isAvoided_ =
         candidate.isAvoided_ ||
         std::any_of(aItem.crashes_.begin(),
@@ -442,6 +441,7 @@
     const auto chosen = static_cast<std::size_t>(best);
     StartItem(aState, aWaiting, index, *aTargets[chosen], item.run_ + 1);
     ReserveCapacity(aCandidates, aTargets, chosen, spec);
+    aCandidates[chosen].hasTrial_ = isSuspect;
   }
 }
 
--- a/packages/fleet/src/placing.cpp
+++ b/packages/fleet/src/placing.cpp
@@ -16,7 +16,8 @@
   if (aStep.isFiller_) {
     needs.cpu_ = 0;
   }
-  return aCandidate.isEligible_ && needs.Fits(aCandidate.free_) &&
+  return aCandidate.isEligible_ && !aCandidate.hasTrial_ &&
+         needs.Fits(aCandidate.free_) &&
          (aStep.maxPerTarget_ == 0 ||
           aCandidate.sameStepRuns_ < aStep.maxPerTarget_);
 }
--- a/packages/fleet/src/placing.h
+++ b/packages/fleet/src/placing.h
@@ -26,7 +26,10 @@
   // Its runs are slow or fail, or this item was slow or failed there.
   bool isAvoided_ = false;
   bool awaitsMaintenance_ = false; // its VM awaits maintenance in an open wave
-  bool isEligible_ = true;         // has the step's label; advice allows it
+  // A suspect was started there. Beside it, either could be taken for the cause
+  // of a crash.
+  bool hasTrial_ = false;
+  bool isEligible_ = true; // has the step's label; advice allows it
 };
 
 constexpr int kNoCandidate = -1;
--- a/packages/fleet/src/run_lists.cpp
+++ b/packages/fleet/src/run_lists.cpp
@@ -162,6 +162,7 @@
   }
   aRun.processEndedBy_.reset();
   aRun.mayHaveEnded_ = false;
+  aRun.isExplained_ = false;
   if (aRun.phase_ == RunPhase::Starting) {
     aRun.phase_ = RunPhase::Running;
   }
@@ -214,11 +215,9 @@
   std::set<std::string> givenUp;
   for (const auto& [item, run] : absent) {
     const auto* lost = FindRun(aTarget, item, run);
-    if (lost && lost->processEndedBy_) {
-      auto job = CountCrash(aState, aTarget, *lost, *lost->processEndedBy_);
-      if (job) {
-        givenUp.insert(std::move(*job));
-      }
+    auto job = lost ? CountCrash(aState, aTarget, *lost) : std::nullopt;
+    if (job) {
+      givenUp.insert(std::move(*job));
     }
     aState.Log("run_lost",
                item.job_,
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -110,6 +110,7 @@
   bool isTrial_ = false; // its item was a suspect when it was added
   // Its target has been unresponsive since it last listed the run.
   bool mayHaveEnded_ = false;
+  bool isExplained_ = false; // the crash is likely the doing of another run
   // Its process has crashed by then, unless the new process lists the run.
   std::optional<Instant> processEndedBy_;
   Resources needs_;     // what it reserves; a filler reserves no processor time
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -176,7 +176,9 @@
                  std::to_string(aStartUnixMs) + ", the one before at " +
                  std::to_string(aTarget.startUnixMs_) + " (Unix ms)");
   }
-  const bool isCrash = IsCrash(aState, aTarget);
+  if (IsCrash(aState, aTarget)) {
+    NoteCrash(aState, aTarget);
+  }
   const auto lastDeadline = aTarget.leaseUntil_;
   aTarget.startUnixMs_ = aStartUnixMs;
   aTarget.endsApplied_ = 0;
@@ -202,8 +204,8 @@
   for (auto& run : aTarget.runs_) {
     // A confirmed run is lost unless the new process lists it. A start without
     // an answer may still reach the new process.
-    if (isCrash && (run.isUnconfirmed_ || run.confirmedAt_)) {
-      run.processEndedBy_ = run.processEndedBy_.value_or(aState.now_);
+    if (!run.isUnconfirmed_ && !run.confirmedAt_) {
+      run.processEndedBy_.reset();
     }
     run.isUnconfirmed_ = run.isUnconfirmed_ || run.confirmedAt_.has_value();
   }
