--- a/packages/fleet/tests/crashes_test.cpp
+++ b/packages/fleet/tests/crashes_test.cpp
@@ -7,6 +7,7 @@
 
 #include "crashes.h"
 #include "reducer_fixture.h"
+#include "state.h"
 
 using namespace cuminbridge;
 
@@ -366,6 +367,37 @@
   CHECK(!IsSuspect(other));
 }
 
+TEST_CASE(
+  "orders and drains explain the end of a process, but not of a later one")
+{
+  // A crash just after a moved VM had joined its pool was blamed on nobody.
+  FleetState state;
+  state.now_ = state.timeOfDayAt_ = Instant(Millis(1000000));
+  state.timeOfDay_ = WallTime(Millis(1000000));
+  Target target;
+  target.report_ = ReducerFixture::MakeReport("t");
+  CHECK(!IsCrash(state, target)); // neither listed nor heard of
+  target.startUnixMs_ = 999000;
+  CHECK(IsCrash(state, target));
+  target.report_.isDraining_ = true;
+  CHECK(!IsCrash(state, target));
+  target.report_.isDraining_ = false;
+  target.leavingUntil_ = state.now_ + Millis(1);
+  CHECK(!IsCrash(state, target));
+  target.leavingUntil_ = state.now_;
+  auto& order = state.vmOrders_["vm-t"];
+  CHECK(!IsCrash(state, target));
+  order.isAnswered_ = true;
+  CHECK(IsCrash(state, target));
+  state.vmOrders_.clear();
+  // An earlier owner's order, sent 500 ms ago.
+  const auto apart = state.options_.vmOrderLease_ + state.options_.clockSkew_;
+  state.orderAllowedFrom_["vm-t"] = state.now_ + apart - Millis(500);
+  CHECK(!IsCrash(state, target));
+  target.startUnixMs_ = 999600;
+  CHECK(IsCrash(state, target));
+}
+
 TEST_CASE("crash limits: two early, three while it ran, five in all")
 {
   const auto make = [](const std::vector<CrashKind>& aKinds) {
