--- /dev/null
+++ b/packages/fleet/tests/crashes_test.cpp
@@ -0,0 +1,513 @@
+// Work items that end the processes of their targets, and items that only ran
+// where a process ended.
+
+#include <algorithm>
+
+#include <catch2/catch.hpp>
+
+#include "crashes.h"
+#include "reducer_fixture.h"
+#include "state.h"
+
+using namespace cuminbridge;
+
+namespace {
+
+constexpr Millis kSettleTime(30000);
+const ItemName kDeadly{ MakeJobId(0), 0, 0, 0 };
+
+void
+CheckNoViolations(const SimulatedFleet& aFleet)
+{
+  for (const auto& what : aFleet.Violations()) {
+    FAIL_CHECK(what);
+  }
+}
+
+// Runs the fleet until this many targets have crashed under the item. False if
+// that does not happen.
+bool
+RunUntilCrashes(SimulatedFleet& aFleet, const ItemName& aItem, int aCrashes)
+{
+  for (int step = 0; step < 20000; ++step) {
+    if (aFleet.CrashesUnder(aItem) >= aCrashes) {
+      return true;
+    }
+    aFleet.RunFor(Millis(1));
+  }
+  return false;
+}
+
+} // namespace
+
+TEST_CASE("an item that crashes its targets is given up after the second one")
+{
+  // It crashed target after target, until the end of the day.
+  SimulatedFleet fleet(1);
+  fleet.AddTargets("a", 8);
+  fleet.MakeDeadly(kDeadly);
+  fleet.StartOwner();
+  fleet.Submit(MakeJob(MakeJobId(0), "a", { 3 }));
+  fleet.RunFor(kSettleTime);
+  CheckNoViolations(fleet);
+  CHECK(fleet.StoredState(MakeJobId(0)) == JobState::Failed);
+  CHECK(fleet.CrashesUnder(kDeadly) == 2);
+}
+
+TEST_CASE("other jobs complete although an item crashes their targets")
+{
+  for (unsigned seed = 1; seed <= 20; ++seed) {
+    INFO("seed " << seed);
+    SimulatedFleet fleet(seed);
+    fleet.AddTargets("a", 6);
+    const auto deadly = MakeJobId(static_cast<int>(seed % 12));
+    fleet.MakeDeadly({ deadly, 0, 0, static_cast<int>(seed % 3) });
+    fleet.StartOwner();
+    for (int job = 0; job < 12; ++job) {
+      fleet.Submit(MakeJob(MakeJobId(job), "a", { 3, 1 + job % 4 }));
+      fleet.RunFor(Millis(60));
+    }
+    fleet.RunFor(kSettleTime);
+    CheckNoViolations(fleet);
+    for (int job = 0; job < 12; ++job) {
+      INFO("job " << job);
+      CHECK(
+        fleet.StoredState(MakeJobId(job)) ==
+        (MakeJobId(job) == deadly ? JobState::Failed : JobState::Completed));
+    }
+  }
+}
+
+TEST_CASE("crashes under an item count on when the owner changes")
+{
+  // Killed 0 to 120 ms after a crash: before and after it could be stored.
+  for (int wait = 0; wait <= 120; wait += 10) {
+    for (const int crashes : { 1, 2 }) {
+      INFO("killed " << wait << " ms after crash " << crashes);
+      SimulatedFleet fleet(1);
+      fleet.AddTargets("a", 8);
+      fleet.MakeDeadly(kDeadly);
+      fleet.StartOwner();
+      fleet.Submit(MakeJob(MakeJobId(0), "a", { 2 }));
+      REQUIRE(RunUntilCrashes(fleet, kDeadly, crashes));
+      fleet.RunFor(Millis(wait));
+      fleet.KillOwner();
+      fleet.RunFor(Millis(300));
+      fleet.StartOwner(PreviousOwner::Ended);
+      fleet.RunFor(kSettleTime);
+      CheckNoViolations(fleet);
+      CHECK(fleet.StoredState(MakeJobId(0)) == JobState::Failed);
+      CHECK(fleet.CrashesUnder(kDeadly) <= 3);
+    }
+  }
+}
+
+TEST_CASE("a stored crash under an item counts for the next owner")
+{
+  SimulatedFleet fleet(1);
+  fleet.AddTargets("a", 1);
+  fleet.MakeDeadly(kDeadly);
+  fleet.StartOwner();
+  fleet.Submit(MakeJob(MakeJobId(0), "a", { 1 }));
+  REQUIRE(RunUntilCrashes(fleet, kDeadly, 1));
+  fleet.RunFor(Millis(1000)); // it waits for its only target to be back
+  fleet.StartOwner(PreviousOwner::HandedOver);
+  fleet.RunFor(kSettleTime);
+  CheckNoViolations(fleet);
+  CHECK(fleet.StoredState(MakeJobId(0)) == JobState::Failed);
+  CHECK(fleet.CrashesUnder(kDeadly) == 2);
+}
+
+TEST_CASE("an item that lost two targets late in its runs is not given up")
+{
+  SimulatedFleet fleet(1);
+  fleet.AddTargets("a", 8);
+  fleet.StartOwner();
+  auto job = MakeJob(MakeJobId(0), "a", { 1 });
+  job.steps_[0].estimate_ = Millis(3000);
+  fleet.Submit(job);
+  for (int loss = 0; loss < 2; ++loss) {
+    fleet.RunFor(Millis(2000));
+    for (const auto& id : fleet.TargetIds()) {
+      if (fleet.RunningOn(id) > 0) {
+        fleet.CrashTarget(id);
+      }
+    }
+  }
+  fleet.RunFor(kSettleTime);
+  CheckNoViolations(fleet);
+  CHECK(fleet.CrashesUnder(kDeadly) == 2);
+  CHECK(fleet.StoredState(MakeJobId(0)) == JobState::Completed);
+}
+
+TEST_CASE("items on targets that are cut off are not given up")
+{
+  SimulatedFleet fleet(1);
+  fleet.AddTargets("a", 8);
+  fleet.StartOwner();
+  auto job = MakeJob(MakeJobId(0), "a", { 2 });
+  job.steps_[0].estimate_ = Millis(6000);
+  fleet.Submit(job);
+  for (int cut = 0; cut < 3; ++cut) {
+    fleet.RunFor(Millis(300));
+    for (const auto& id : fleet.TargetIds()) {
+      if (fleet.RunningOn(id) > 0) {
+        fleet.PartitionTarget(id, Millis(9000));
+      }
+    }
+    fleet.RunFor(Millis(5500));
+  }
+  fleet.RunFor(kSettleTime);
+  CheckNoViolations(fleet);
+  CHECK(fleet.CrashesUnder(kDeadly) == 0);
+  CHECK(fleet.StoredState(MakeJobId(0)) == JobState::Completed);
+}
+
+TEST_CASE("items whose draining targets end are not given up")
+{
+  SimulatedFleet fleet(1);
+  fleet.AddTargets("a", 8);
+  fleet.StartOwner();
+  fleet.Submit(MakeJob(MakeJobId(0), "a", { 2 }));
+  for (int drained = 0; drained < 3; ++drained) {
+    fleet.RunFor(Millis(100));
+    const auto ids = fleet.TargetIds();
+    const auto used =
+      std::find_if(ids.begin(), ids.end(), [&](const auto& aId) {
+        return fleet.RunningOn(aId) > 0;
+      });
+    REQUIRE(used != ids.end());
+    fleet.DrainTarget(*used);
+    fleet.RunFor(Millis(420)); // until the list of targets shows it
+    fleet.CrashTarget(*used);
+  }
+  fleet.RunFor(kSettleTime);
+  CheckNoViolations(fleet);
+  CHECK(fleet.CrashesUnder(kDeadly) == 3);
+  CHECK(fleet.StoredState(MakeJobId(0)) == JobState::Completed);
+}
+
+namespace {
+
+// One target "t" in pool "a", and a job whose one item was started there.
+struct OneTarget : ReducerFixture
+{
+  explicit OneTarget(Job aJob)
+  {
+    FleetConfig config;
+    config.version_ = 1;
+    config.pools_.push_back({ "a", true, false });
+    Queue queue;
+    queue.name_ = "queue-a";
+    queue.pool_ = "a";
+    config.queues_.push_back(queue);
+    Deliver(ConfigSeen{ config });
+    Deliver(Tick{ WallTime(now_.time_since_epoch()), true });
+    Deliver(JobsLoaded{});
+    Deliver(TargetsSeen{ { MakeReport("t"), MakeReport("u") } });
+    AdvanceTime(Millis(10));
+    AnswerRenewal("t", {});
+    AnswerRenewal("u", {});
+    StoreAll();
+    Deliver(JobArrived{ std::move(aJob) });
+    AdvanceTime(Millis(10));
+  }
+
+  // Confirms the starts sent so far. Returns the target of the last one.
+  std::string ConfirmStarts()
+  {
+    std::string target;
+    for (const auto& effect : Take()) {
+      if (const auto* start = std::get_if<StartRun>(&effect)) {
+        target = start->target_;
+        Deliver(StartAnswered{
+          target, start->item_, start->run_, StartOutcome::Started, 130 });
+      }
+    }
+    return target;
+  }
+
+  void Refuse(const std::string& aTarget)
+  {
+    RenewalAnswered renewal;
+    renewal.target_ = aTarget;
+    renewal.outcome_ = RenewalOutcome::Refused;
+    renewal.sentAt_ = now_;
+    Deliver(renewal);
+  }
+
+  void StoreAll()
+  {
+    for (std::uint64_t batch = 1; batch < 50; ++batch) {
+      Deliver(ProgressStored{ batch });
+    }
+  }
+
+  std::vector<Effect> Take() { return fleet_.TakeEffects(); }
+};
+
+} // namespace
+
+TEST_CASE("a suspect starts again only once its crash is stored")
+{
+  OneTarget fixture(MakeJob(MakeJobId(1), "a", { 1 }));
+  const auto target = fixture.ConfirmStarts();
+  REQUIRE(!target.empty());
+  fixture.AdvanceTime(Millis(60));
+  std::uint64_t batch = 0; // of before the crash, on its way
+  for (const auto& effect : fixture.Take()) {
+    if (const auto* store = std::get_if<StoreProgress>(&effect)) {
+      batch = store->batch_;
+    }
+  }
+  REQUIRE(batch != 0);
+  fixture.Refuse(target);
+  bool isInBatch = false;
+  for (int step = 0; step < 10; ++step) {
+    fixture.AdvanceTime(Millis(20));
+    for (const auto& effect : fixture.Take()) {
+      CHECK(!std::holds_alternative<StartRun>(effect));
+      if (const auto* store = std::get_if<StoreProgress>(&effect)) {
+        for (const auto& [job, progress] : store->jobs_) {
+          isInBatch = isInBatch || (!progress.items_.empty() &&
+                                    progress.items_[0].crashes_.size() == 1);
+        }
+      }
+    }
+    if (step == 0) {
+      fixture.Deliver(ProgressStored{ batch });
+    }
+  }
+  CHECK(isInBatch);
+  fixture.StoreAll();
+  fixture.AdvanceTime(Millis(10));
+  const auto next = fixture.ConfirmStarts();
+  CHECK(!next.empty());
+  CHECK(next != target);
+}
+
+TEST_CASE("a job with a crash is never given to another cell")
+{
+  OneTarget fixture(MakeJob(MakeJobId(1), "a", { 1 }));
+  const auto target = fixture.ConfirmStarts();
+  REQUIRE(!target.empty());
+  fixture.AdvanceTime(Millis(10));
+  fixture.Refuse("t");
+  fixture.Refuse("u");
+  fixture.StoreAll();
+  for (int step = 0; step < 20; ++step) {
+    fixture.Deliver(PeerCapacitySeen{ 1, { { "a", 90000 } }, {} });
+    fixture.AdvanceTime(Millis(20));
+    fixture.StoreAll();
+    CHECK(fixture.CountEffects<TransferJob>() == 0);
+  }
+}
+
+TEST_CASE("a lasting item that gets to work forgets earlier crashes")
+{
+  auto job = MakeJob(MakeJobId(1), "a", { 1 });
+  job.steps_[0].isLongRunning_ = true;
+  const ItemName name{ MakeJobId(1), 0, 0, 0 };
+  OneTarget fixture(job);
+  const auto crashes = [&] {
+    return fixture.fleet_.State()
+      .jobs_.at(MakeJobId(1))
+      ->occurrences_.at(0)
+      .steps_[0]
+      .items_[0]
+      .crashes_.size();
+  };
+  const auto first = fixture.ConfirmStarts();
+  fixture.AdvanceTime(Millis(10));
+  fixture.Refuse(first);
+  CHECK(crashes() == 1);
+  fixture.StoreAll();
+  fixture.AdvanceTime(Millis(10));
+  fixture.StoreAll();
+  fixture.AdvanceTime(Millis(10));
+  const auto second = fixture.ConfirmStarts();
+  REQUIRE(!second.empty());
+  RunningRun row;
+  row.item_ = name;
+  row.run_ = 2;
+  row.percent_ = 100;
+  fixture.AdvanceTime(Millis(10));
+  fixture.AnswerRenewal(second, { row });
+  CHECK(crashes() == 0);
+}
+
+TEST_CASE("nothing starts beside an item on trial, nor is blamed for its crash")
+{
+  // Fresh items that crashed such a target were taken for bystanders.
+  OneTarget fixture(MakeJob(MakeJobId(1), "a", { 1 }));
+  const auto first = fixture.ConfirmStarts();
+  const std::string second = first == "t" ? "u" : "t";
+  fixture.AdvanceTime(Millis(10));
+  fixture.Refuse(first);
+  fixture.Deliver(JobArrived{ MakeJob(MakeJobId(2), "a", { 1 }), false });
+  fixture.AdvanceTime(Millis(10));
+  CHECK(fixture.ConfirmStarts() == second);
+  fixture.StoreAll();
+  fixture.AdvanceTime(Millis(10));
+  CHECK(fixture.ConfirmStarts() == second); // job 1 again, on trial
+  fixture.Deliver(JobArrived{ MakeJob(MakeJobId(3), "a", { 1 }), false });
+  fixture.AdvanceTime(Millis(10));
+  CHECK(fixture.ConfirmStarts().empty());
+  fixture.Refuse(second);
+  fixture.AdvanceTime(Millis(10));
+  fixture.StoreAll();
+  CHECK(fixture.fleet_.StoredState(MakeJobId(1)) == JobState::Failed);
+  const auto& other = fixture.fleet_.State()
+                        .jobs_.at(MakeJobId(2))
+                        ->occurrences_.at(0)
+                        .steps_[0]
+                        .items_[0];
+  REQUIRE(other.crashes_.size() == 1);
+  CHECK(other.crashes_[0].kind_ == CrashKind::Uncertain);
+  CHECK(!IsSuspect(other));
+}
+
+TEST_CASE(
+  "orders and drains explain the end of a process, but not of a later one")
+{
+  // A crash just after a moved VM had joined its pool was blamed on nobody.
+  FleetState state;
+  state.now_ = state.timeOfDayAt_ = Instant(Millis(1000000));
+  state.timeOfDay_ = WallTime(Millis(1000000));
+  Target target;
+  target.report_ = ReducerFixture::MakeReport("t");
+  CHECK(!IsCrash(state, target)); // neither listed nor heard of
+  target.startUnixMs_ = 999000;
+  CHECK(IsCrash(state, target));
+  target.report_.isDraining_ = true;
+  CHECK(!IsCrash(state, target));
+  target.report_.isDraining_ = false;
+  target.leavingUntil_ = state.now_ + Millis(1);
+  CHECK(!IsCrash(state, target));
+  target.leavingUntil_ = state.now_;
+  auto& order = state.vmOrders_["vm-t"];
+  CHECK(!IsCrash(state, target));
+  order.isAnswered_ = true;
+  CHECK(IsCrash(state, target));
+  state.vmOrders_.clear();
+  // An earlier owner's order, sent 500 ms ago.
+  const auto apart = state.options_.vmOrderLease_ + state.options_.clockSkew_;
+  state.orderAllowedFrom_["vm-t"] = state.now_ + apart - Millis(500);
+  CHECK(!IsCrash(state, target));
+  target.startUnixMs_ = 999600;
+  CHECK(IsCrash(state, target));
+}
+
+TEST_CASE("crash limits: two early, three while it ran, five in all")
+{
+  const auto make = [](const std::vector<CrashKind>& aKinds) {
+    std::vector<Crash> crashes;
+    crashes.reserve(aKinds.size());
+    for (const auto kind : aKinds) {
+      crashes.push_back(
+        { "t", static_cast<std::int64_t>(crashes.size()), kind });
+    }
+    return crashes;
+  };
+  using enum CrashKind;
+  const auto isOver = [](const std::vector<Crash>& aCrashes) {
+    return IsOverCrashLimit(aCrashes, false);
+  };
+  CHECK(!IsOverCrashLimit(make({ Early, Early }), true));
+  CHECK(IsOverCrashLimit(make({ Early, Early, Early }), true));
+  CHECK(!isOver(make({ Early })));
+  CHECK(isOver(make({ Early, Early })));
+  CHECK(!isOver(make({ Early, Late })));
+  CHECK(isOver(make({ Early, Late, Late })));
+  CHECK(!isOver(make({ Early, Late, Uncertain, Unanswered })));
+  CHECK(
+    isOver(make({ Uncertain, Uncertain, Unanswered, Unanswered, Uncertain })));
+}
+
+TEST_CASE("items of a step that ran where a target crashed start one at a time")
+{
+  SimulatedFleet fleet(1);
+  fleet.AddTargets("a", 8);
+  fleet.StartOwner();
+  auto job = MakeJob(MakeJobId(0), "a", { 4 });
+  job.steps_[0].estimate_ = Millis(3000);
+  fleet.Submit(job);
+  fleet.RunFor(Millis(60));
+  for (const auto& id : fleet.TargetIds()) {
+    if (fleet.RunningOn(id) > 0) {
+      fleet.CrashTarget(id);
+    }
+  }
+  const auto running = [&] {
+    int count = 0;
+    for (int index = 0; index < 4; ++index) {
+      count += fleet.IsRunning({ MakeJobId(0), 0, 0, index }) ? 1 : 0;
+    }
+    return count;
+  };
+  CHECK(running() == 0);
+  fleet.RunFor(Millis(450));
+  CHECK(running() == 1);
+  fleet.RunFor(Millis(600));
+  CHECK(running() == 4); // the first one has passed
+  for (const auto& id : fleet.TargetIds()) {
+    CHECK(fleet.RunningOn(id) <= 1);
+  }
+  fleet.RunFor(kSettleTime);
+  CheckNoViolations(fleet);
+  CHECK(fleet.StoredState(MakeJobId(0)) == JobState::Completed);
+}
+
+TEST_CASE("random histories with items that crash their targets")
+{
+  for (unsigned seed = 1; seed <= 100; ++seed) {
+    INFO("seed " << seed);
+    std::mt19937 random(seed);
+    const auto draw = [&](int aLeast, int aMost) {
+      return std::uniform_int_distribution<int>(aLeast, aMost)(random);
+    };
+    SimulatedFleet fleet(seed, { 0.01, 0.01, 0.01, 0.01 });
+    fleet.AddTargets("a", draw(3, 8));
+    fleet.StartOwner();
+    const int jobs = draw(4, 16);
+    std::vector<ItemName> deadly;
+    for (int job = 0; job < jobs; ++job) {
+      const int items = draw(1, 5);
+      if (draw(0, 5) == 0) {
+        deadly.push_back({ MakeJobId(job), 0, 0, draw(0, items - 1) });
+        fleet.MakeDeadly(deadly.back());
+      }
+      fleet.Submit(MakeJob(MakeJobId(job), "a", { items, draw(1, 3) }));
+      fleet.RunFor(Millis(draw(5, 400)));
+      const auto ids = fleet.TargetIds();
+      const auto& target = ids[static_cast<std::size_t>(
+        draw(0, static_cast<int>(ids.size()) - 1))];
+      switch (draw(0, 9)) {
+        case 0:
+          fleet.PartitionTarget(target, Millis(draw(100, 9000)));
+          break;
+        case 1:
+          fleet.CrashTarget(target);
+          break;
+        case 2:
+          fleet.StartOwner(PreviousOwner::Unknown);
+          break;
+        case 3:
+          fleet.StartOwner(PreviousOwner::Ended);
+          break;
+        default:
+          break;
+      }
+    }
+    fleet.RunFor(Millis(90000));
+    CheckNoViolations(fleet);
+    for (int job = 0; job < jobs; ++job) {
+      const auto state = fleet.StoredState(MakeJobId(job));
+      INFO("job " << job);
+      CHECK((state == JobState::Completed || state == JobState::Failed));
+    }
+    for (const auto& item : deadly) {
+      CHECK(fleet.StoredState(item.job_) == JobState::Failed);
+    }
+  }
+}
