Forwarder: a request refused for its head is read to its end

What callers saw: a caller that still sent its body got no answer, but a broken connection (failures_processes, 'unknown encoding': wanted '400', got ''). Cause: after a refusal the server reads on before it closes only if the parser expects more. A request whose encoding it does not know counts as one without a body, so the connection was closed at once; the caller's next write was answered by a reset, and the one after that failed. Change: a refusal for the head lingers too.

--- a/packages/forwarder/entry/src/caller_server.cpp
+++ b/packages/forwarder/entry/src/caller_server.cpp
@@ -246,8 +246,9 @@
 CallerSession::WriteRefusal(RefuseRequest aRefusal)
 {
   auto response = MakeProblem(aRefusal);
-  const bool isBodyLeft = !parser_->is_done();
-  isOpen_ = isOpen_ && IsKeptAlive() && !isBodyLeft;
+  // The parser takes a request with a faulty head for one without a body.
+  const bool mayStillSend = !isOpen_ || !parser_->is_done();
+  isOpen_ = isOpen_ && IsKeptAlive() && !mayStillSend;
   response.keep_alive(isOpen_);
   stream_.expires_after(loop_.GetSettings().bodyTimeout_);
   const bool isHead = parser_->get().method() == http::verb::head;
@@ -257,7 +258,7 @@
   } else {
     co_await http::async_write(stream_, response, kAsTuple);
   }
-  if (isBodyLeft) {
+  if (mayStillSend) {
     co_await Linger();
   }
 }
--- a/testing/forwarder/failures_test.sh
+++ b/testing/forwarder/failures_test.sh
@@ -47,6 +47,18 @@
 expect "two lengths" 400 "$(raw_status "POST ${Q}Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd")"
 expect "length and chunked" 400 "$(raw_status "POST ${Q}Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n")"
 expect "unknown encoding" 400 "$(raw_status "POST ${Q}Transfer-Encoding: xchunked\r\n\r\n0\r\n\r\n")"
+# A caller that still sends when its request is refused gets the answer.
+refused_early() {
+  exec 9<>"/dev/tcp/127.0.10.2/8080"
+  printf "POST ${Q}Transfer-Encoding: xchunked\r\n\r\n" >&9
+  sleep 0.3
+  printf '0\r\n' >&9
+  sleep 0.1
+  printf '\r\n' >&9
+  timeout 5 head -n 1 <&9 | tr -d '\r' | cut -d' ' -f2
+  exec 9>&-
+}
+expect "refused while sending" 400 "$(refused_early)"
 expect "no host" 400 "$(raw_status 'GET /q/a/x HTTP/1.1\r\nX-Job: smuggled\r\n\r\n')"
 expect "not HTTP" 400 "$(raw_status 'hello there\r\n\r\n')"
 expect "large header" 431 "$(raw_status "GET ${Q}X-Large: $(head -c 20000 /dev/zero | tr '\0' x)\r\n\r\n")"
