Web: a request body above the limit is read on after the 413

What callers saw: a caller that sends a body above the limit got a broken connection in place of the 413. Cause: the server closed with unread bytes, which resets the connection. Evidence: 'a caller that sends a body above the limit to its end gets the 413' failed before with an error of the write. Change: after a 413 it reads on for at most 2 s and 1 MB. An unreadable request still gets no answer.

--- a/packages/web/src/server.cpp
+++ b/packages/web/src/server.cpp
@@ -82,6 +82,34 @@
   return {};
 }
 
+namespace {
+
+// Reads and discards input before closing, within a limit of time and bytes.
+// Closing with unread bytes would reset the connection, and a peer that still
+// sends could lose the answer before it has read it.
+Awaitable<void>
+Linger(std::shared_ptr<Connection> aConnection)
+{
+  constexpr std::chrono::seconds kLimit(2);
+  constexpr std::size_t kMaxBytes = 1024 * 1024;
+  constexpr std::size_t kReadSize = 16 * 1024;
+  auto& stream = aConnection->stream_;
+  boost::system::error_code ignored; // the peer may have closed already
+  stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
+  stream.expires_after(kLimit);
+  std::vector<char> buffer(kReadSize);
+  for (std::size_t read = 0; read < kMaxBytes;) {
+    const auto [error, got] =
+      co_await stream.async_read_some(asio::buffer(buffer), kAsTuple);
+    if (error) {
+      co_return;
+    }
+    read += got;
+  }
+}
+
+} // namespace
+
 struct HttpServer::State : std::enable_shared_from_this<HttpServer::State>
 {
   State(asio::io_context& aIo, HttpServerOptions aOptions, Handler aHandler)
@@ -138,6 +166,7 @@
   auto& stream = aConnection->stream_;
   boost::beast::flat_buffer buffer;
   bool isKeptOpen = true;
+  bool mayStillSend = false;
   while (isKeptOpen) {
     http::request_parser<http::string_body> parser;
     parser.body_limit(options_.maxBodyBytes_);
@@ -149,6 +178,7 @@
     unsigned version = parser.get().version();
     if (readError == http::error::body_limit) {
       response.status_ = kStatusTooLarge;
+      mayStillSend = true;
     } else if (readError) {
       break;
     } else {
@@ -171,6 +201,9 @@
     }
     isKeptOpen = isKeptOpen && !writeError;
   }
+  if (mayStillSend) {
+    co_await Linger(aConnection);
+  }
   boost::system::error_code ignored; // the peer may have closed already
   stream.socket().shutdown(asio::ip::tcp::socket::shutdown_send, ignored);
   connections_.erase(aConnection);
--- a/packages/web/tests/web_test.cpp
+++ b/packages/web/tests/web_test.cpp
@@ -2,6 +2,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/read.hpp>
+#include <boost/asio/write.hpp>
 #include <catch2/catch.hpp>
 
 #include "cuminbridge/web.h"
@@ -97,3 +99,31 @@
   HttpClient client(io, {});
   CHECK(CallOnce(io, client, kAddress).status_ == 413);
 }
+
+TEST_CASE("a caller that sends a body above the limit to its end gets the 413")
+{
+  boost::asio::io_context io;
+  HttpServerOptions options;
+  options.maxBodyBytes_ = 1;
+  HttpServer server(
+    io, options, [](const HttpRequest&) -> Awaitable<HttpResponse> {
+      co_return HttpResponse{};
+    });
+  REQUIRE(server.Open(kAddress).empty());
+  boost::asio::ip::tcp::socket socket(io);
+  boost::system::error_code error;
+  socket.connect(ReadEndpoint(kAddress), error);
+  REQUIRE(!error);
+  const std::string part(10000, 'x');
+  const std::string head =
+    "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 200000\r\n\r\n";
+  boost::asio::write(socket, boost::asio::buffer(head), error);
+  for (int count = 0; count < 20 && !error; ++count) {
+    io.run_for(std::chrono::milliseconds(5));
+    boost::asio::write(socket, boost::asio::buffer(part), error);
+  }
+  CHECK(!error);
+  std::string answer(12, ' ');
+  boost::asio::read(socket, boost::asio::buffer(answer), error);
+  CHECK(answer == "HTTP/1.1 413");
+}
