Fleet: the candidates of a dispatch in a file of their own

Change: collecting a pool's targets, making candidates of them and choosing among them are candidates.{h,cpp}. Behaviour stays; fleet_test passes as before.

--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "account_limits.h"
+#include "candidates.h"
 #include "crashes.h"
 #include "jobs.h"
 #include "placing.h"
@@ -22,8 +23,6 @@
 constexpr int kHopelessFactor = 3;
 // Targets in one request for advice.
 constexpr std::size_t kMaxTargetsAsked = 30;
-// Consecutive failed runs after which a target is avoided.
-constexpr int kFailuresToAvoid = 2;
 // Least time between two dispatches of one pool, so that changes that come
 // close together are handled together.
 constexpr Millis kDispatchInterval(4);
@@ -37,16 +36,6 @@
   SchedulingKey key_;
 };
 
-using Targets = std::vector<Target*>;
-
-bool
-HasLabel(const Target& aTarget, const std::string& aLabel)
-{
-  const auto& labels = aTarget.report_.labels_;
-  return aLabel.empty() ||
-         std::find(labels.begin(), labels.end(), aLabel) != labels.end();
-}
-
 std::string
 StepName(const WaitingStep& aWaiting)
 {
@@ -104,100 +93,6 @@
   return waiting;
 }
 
-Targets
-CollectTargets(FleetState& aState, const std::string& aPool)
-{
-  Targets targets;
-  for (auto* target : aState.byPool_[aPool]) {
-    if (target->IsUsable(aState.now_) && IsCapacityKnown(aState, *target)) {
-      targets.push_back(target);
-    }
-  }
-  return targets;
-}
-
-int
-CountSameStep(const Target& aTarget, const WaitingStep& aWaiting)
-{
-  int count = 0;
-  for (const auto& run : aTarget.runs_) {
-    count += run.item_.step_ == static_cast<int>(aWaiting.step_) &&
-                 run.item_.occurrence_ == aWaiting.occurrence_ &&
-                 run.item_.job_ == aWaiting.job_->job_.id_
-               ? 1
-               : 0;
-  }
-  return count;
-}
-
-// The targets, with the values that are the same for every step.
-std::vector<Candidate>
-MakeCandidates(const FleetState& aState, const Targets& aTargets)
-{
-  std::vector<Candidate> candidates;
-  candidates.reserve(aTargets.size());
-  for (const auto* target : aTargets) {
-    Candidate candidate;
-    candidate.free_ = target->report_.capacity_;
-    candidate.free_ -= target->used_;
-    candidate.capacityCpu_ = target->report_.capacity_.cpu_;
-    for (const auto& run : target->runs_) {
-      candidate.servingRuns_ += run.targetLatency_.count() > 0 ? 1 : 0;
-      candidate.fillerRuns_ += run.isFiller_ ? 1 : 0;
-    }
-    candidate.isAvoided_ = target->consecutiveFailures_ >= kFailuresToAvoid ||
-                           target->slowUntil_ > aState.now_;
-    candidate.awaitsMaintenance_ = target->awaitsMaintenance_;
-    candidate.hasTrial_ = HasTrial(aState, *target);
-    candidates.push_back(candidate);
-  }
-  return candidates;
-}
-
-// Copies aBase and fills in the values that depend on the step.
-std::vector<Candidate>
-CandidatesForStep(const std::vector<Candidate>& aBase,
-                  const Targets& aTargets,
-                  const WaitingStep& aWaiting)
-{
-  const auto& step = aWaiting.job_->job_.steps_[aWaiting.step_];
-  auto candidates = aBase;
-  const bool countsSameStep =
-    step.maxPerTarget_ > 0 || step.prefersSameRack_ || step.isLongRunning_;
-  std::map<std::string, int> byRack;
-  for (std::size_t index = 0; index < candidates.size(); ++index) {
-    const auto& report = aTargets[index]->report_;
-    if (countsSameStep) {
-      candidates[index].sameStepRuns_ =
-        CountSameStep(*aTargets[index], aWaiting);
-      byRack[report.rack_] += candidates[index].sameStepRuns_;
-    }
-    candidates[index].isDataRack_ =
-      step.dataRack_.empty() || report.rack_ == step.dataRack_;
-    candidates[index].isEligible_ = HasLabel(*aTargets[index], step.label_);
-  }
-  for (std::size_t index = 0; countsSameStep && index < candidates.size();
-       ++index) {
-    candidates[index].sameStepRunsOnRack_ =
-      byRack[aTargets[index]->report_.rack_];
-  }
-  return candidates;
-}
-
-// Whether any target has free capacity for one item of the step.
-bool
-HasFreeCapacity(const std::vector<Candidate>& aCandidates, const Step& aStep)
-{
-  Resources needs = aStep.needs_;
-  if (aStep.isFiller_) {
-    needs.cpu_ = 0;
-  }
-  return std::any_of(
-    aCandidates.begin(), aCandidates.end(), [&](const Candidate& aCandidate) {
-      return needs.Fits(aCandidate.free_);
-    });
-}
-
 bool
 NeedsAdvice(const FleetState& aState, const JobEntry& aJob)
 {
@@ -247,28 +142,6 @@
   return ticket == step.tickets_.end() ? "" : ticket->second.text_;
 }
 
-void
-ReserveCapacity(std::vector<Candidate>& aCandidates,
-                const Targets& aTargets,
-                std::size_t aChosen,
-                const Step& aStep)
-{
-  Resources needs = aStep.needs_;
-  if (aStep.isFiller_) {
-    needs.cpu_ = 0;
-  }
-  auto& candidate = aCandidates[aChosen];
-  candidate.free_ -= needs;
-  ++candidate.sameStepRuns_;
-  candidate.servingRuns_ += aStep.targetLatency_.count() > 0 ? 1 : 0;
-  candidate.fillerRuns_ += aStep.isFiller_ ? 1 : 0;
-  for (std::size_t index = 0; index < aCandidates.size(); ++index) {
-    if (aTargets[index]->report_.rack_ == aTargets[aChosen]->report_.rack_) {
-      ++aCandidates[index].sameStepRunsOnRack_;
-    }
-  }
-}
-
 ItemName
 NameOf(const WaitingStep& aWaiting, std::size_t aIndex)
 {
@@ -353,60 +226,6 @@
   return true;
 }
 
-// The best candidate; the target aAvoid only if there is no other.
-int
-ChooseTargetAvoiding(const Step& aStep,
-                     const Targets& aTargets,
-                     const std::vector<Candidate>& aCandidates,
-                     const std::string& aAvoid)
-{
-  if (aAvoid.empty()) {
-    return ChooseTarget(aStep, aCandidates);
-  }
-  auto candidates = aCandidates;
-  for (std::size_t index = 0; index < candidates.size(); ++index) {
-    candidates[index].isAvoided_ =
-      candidates[index].isAvoided_ || aTargets[index]->report_.id_ == aAvoid;
-  }
-  return ChooseTarget(aStep, candidates);
-}
-
-// The target for a suspect: where fewest runs could be the cause of a crash, or
-// would be lost with it, and not one that crashed under it if there is another.
-int
-ChooseTargetForSuspect(const FleetState& aState,
-                       const Step& aStep,
-                       const Targets& aTargets,
-                       const std::vector<Candidate>& aCandidates,
-                       const ItemState& aItem)
-{
-  using Load = std::pair<std::size_t, std::size_t>;
-  std::vector<Load> loads; // by target: starting runs, all runs
-  for (const auto* target : aTargets) {
-    loads.emplace_back(CountStarting(aState, *target), target->runs_.size());
-  }
-  for (const auto& load : std::set<Load>(loads.begin(), loads.end())) {
-    auto candidates = aCandidates;
-    for (std::size_t index = 0; index < candidates.size(); ++index) {
-      auto& candidate = candidates[index];
-      const auto& target = *aTargets[index];
-      candidate.isEligible_ = candidate.isEligible_ && loads[index] == load;
-      candidate.isAvoided_ =
-        candidate.isAvoided_ ||
-        std::any_of(aItem.crashes_.begin(),
-                    aItem.crashes_.end(),
-                    [&](const Crash& aCrash) {
-                      return aCrash.target_ == target.report_.id_;
-                    });
-    }
-    const int best = ChooseTarget(aStep, candidates);
-    if (best != kNoCandidate) {
-      return best;
-    }
-  }
-  return kNoCandidate;
-}
-
 void
 PlaceItems(FleetState& aState,
            const WaitingStep& aWaiting,
@@ -567,7 +386,8 @@
     if (!HasFreeCapacity(base, step)) {
       continue;
     }
-    auto candidates = CandidatesForStep(base, targets, waiting);
+    auto candidates =
+      CandidatesForStep(base, targets, step, NameOf(waiting, 0));
     if (NeedsAdvice(aState, *waiting.job_)) {
       ApplyAdvice(aState, targets, waiting, candidates);
     }
