A run that the former owner may have stopped is not at work

The former owner stopped item 5 at 9.643 s for a wave and was killed; the next one began at 10.153, saw item 5 listed as running, and stopped item 3 at 10.400; item 5 ended at 10.529. Cause: a target lists a run until its stop is over, up to 0.9 s there, and stops are not recorded. The new owner took the list for the whole truth. Evidence: 'a run that the former owner may have stopped is not at work' failed before (2 stops, none allowed). Change: on each target, runs count as at work only in lists sent later than stop_timeout_ms and 0.2 s after the first one that this owner received.

--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -29,6 +29,10 @@
 // clocks.
 constexpr Millis kStartSlack(200);
 
+// The former owner's last stop may arrive this much after the first call of the
+// next one was sent.
+constexpr Millis kStopSlack(200);
+
 // Share of the rate limit of VM orders that moves take; maintenance waves need
 // the rest.
 constexpr double kMoveShare = 0.7;
@@ -51,6 +55,7 @@
   options.startTimeout_ =
     std::min(options.startTimeout_,
              aSettings.cancelLimit_ - options.maxSubmissionAge_ - kStartSlack);
+  options.stopTime_ = aSettings.stopTime_ + kStopSlack;
   options.maxReportAge_ = aSettings.contactLimit_ + aSettings.heartbeat_;
   const std::chrono::duration<double> interval = options.planInterval_;
   options.maxMovesPerPlan_ = static_cast<std::size_t>(std::max<long>(
--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -65,6 +65,8 @@
   // Longest time that an owner may go on acting after its lease in the store
   // has expired.
   Millis ownerAllowance_{ 5000 };
+  // Longest time from a stop until the run has ended. Comes from the settings.
+  Millis stopTime_{ 1000 };
   // A stop without an answer is sent again after this.
   Millis stopRetry_{ 400 };
   // A start that arrives later than this after it was sent has no effect.
--- a/packages/fleet/src/relocate.cpp
+++ b/packages/fleet/src/relocate.cpp
@@ -24,6 +24,14 @@
 // What targets list as the progress of a long-running item that is at work.
 constexpr int kAtWorkPercent = 100;
 
+// Whether the target may still list runs that the former owner has stopped.
+bool
+MayListStoppedRuns(const FleetState& aState, const Target& aTarget)
+{
+  return aState.term_ > 1 &&
+         aTarget.listedAt_ < aTarget.firstListedAt_ + aState.options_.stopTime_;
+}
+
 bool
 IsAtWork(FleetState& aState, const ItemName& aName, const ItemState& aItem)
 {
@@ -33,6 +41,7 @@
   if (aItem.phase_ != ItemPhase::Assigned || target == aState.targets_.end() ||
       target->second.contact_ != Contact::Good ||
       target->second.report_.isDraining_ || // stopped soon in any case
+      MayListStoppedRuns(aState, target->second) ||
       aState.now_ - target->second.listedAt_ > kMaxListAge) {
     return false;
   }
--- a/packages/fleet/src/run_lists.cpp
+++ b/packages/fleet/src/run_lists.cpp
@@ -262,6 +262,9 @@
   }
   UpdateClock(aState, aTarget, aAnswer.clockMs_);
   AllowForPreviousClock(aState, aTarget, aAnswer.clockMs_);
+  if (!aTarget.hasListedRuns_) {
+    aTarget.firstListedAt_ = aAnswer.sentAt_;
+  }
   aTarget.hasListedRuns_ = true;
   aTarget.mayHaveRestarted_ = false;
   aTarget.listedAt_ = aAnswer.sentAt_;
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -170,7 +170,8 @@
   std::vector<Run> runs_;
   Resources used_; // sum of what its runs reserve
 
-  Instant listedAt_; // when the renewal was sent that last listed its runs
+  Instant listedAt_;      // when the renewal was sent that last listed its runs
+  Instant firstListedAt_; // likewise, that did so first for this owner
   bool isRenewalPending_ = false; // a renewal has not been answered
   Instant nextRenewal_;
   // Ended runs, by their number in the target's list. Each of these is a
--- a/packages/fleet/tests/takeover_test.cpp
+++ b/packages/fleet/tests/takeover_test.cpp
@@ -412,6 +412,66 @@
   CHECK(fixture.CountEffects<StopRun>() == 1); // on t2 only
 }
 
+TEST_CASE("a run that the former owner may have stopped is not at work")
+{
+  // Targets list such a run until it has ended. Another item of its step was
+  // stopped meanwhile, and both were away at once.
+  TakenOverFleet fixture;
+  const auto id = MakeJobId(1);
+  auto job = MakeJob(id, "a", { 2 });
+  job.steps_.front().isLongRunning_ = true;
+  job.steps_.front().maxUnavailable_ = 1;
+  job.steps_.front().maxPerTarget_ = 1;
+  fixture.loaded_.jobs_ = { job };
+  auto& progress = fixture.loaded_.progress_[id];
+  progress.state_ = JobState::Serving;
+  std::map<std::string, RunningRun> runs;
+  std::vector<Vm> vms;
+  for (int index = 0; index < 3; ++index) {
+    const auto target = "t" + std::to_string(index);
+    fixture.AddTarget(target);
+    Vm vm;
+    vm.name_ = "vm-" + target;
+    vm.pool_ = "a";
+    vm.target_ = target;
+    vm.state_ = VmState::Up;
+    vms.push_back(vm);
+    if (index < 2) { // the third has free capacity
+      runs[target] = { { id, 0, 0, index }, 1, "", 100, 0 };
+      ItemProgress item;
+      item.index_ = index;
+      item.run_ = 1;
+      item.target_ = target;
+      progress.items_.push_back(item);
+    }
+  }
+  fixture.TakeOver();
+  fixture.AdvanceTime(Millis(10));
+  Wave wave;
+  wave.number_ = 1;
+  wave.vms_ = { "vm-t0" };
+  wave.duration_ = Millis(10);
+  const auto runFor = [&](int aRounds) {
+    for (int round = 0; round < aRounds; ++round) {
+      for (const auto& report : fixture.reports_) {
+        const auto run = runs.find(report.id_);
+        fixture.AnswerRenewal(report.id_,
+                              run == runs.end()
+                                ? std::vector<RunningRun>{}
+                                : std::vector<RunningRun>{ run->second });
+      }
+      fixture.Deliver(VmsSeen{ vms, fixture.now_ });
+      fixture.Deliver(WavesSeen{ { wave } });
+      fixture.AdvanceTime(Millis(85));
+    }
+  };
+  runFor(8);
+  REQUIRE(fixture.fleet_.State().targets_.at("t0").isCordoned_);
+  CHECK(fixture.CountEffects<StopRun>() == 0);
+  runFor(5);
+  CHECK(fixture.CountEffects<StopRun>() == 1);
+}
+
 TEST_CASE("an owner uses only its part of an account's limit")
 {
   TakenOverFleet fixture;
