A job that comes back from a transfer is cancelled before it can start

What callers saw: nothing yet; a cancelled job would have been started and stopped. Cause: the owner put the job back and then cancelled it; the fleet dispatches after each of the two. Found by a review. Change: the cancellation goes first and is kept for its job ('a cancellation that comes before its job is kept').

--- a/packages/daemon/src/owner_cells.cpp
+++ b/packages/daemon/src/owner_cells.cpp
@@ -166,8 +166,9 @@
               context_.clocks_.Now());
     pendingTransfers_.erase(job.id_);
     movedJobs_.erase(job.id_);
-    Handle(JobArrived{ job, false });
+    // In this order, nothing of the job starts in between.
     Handle(JobCancelled{ job.id_ });
+    Handle(JobArrived{ job, false });
   };
   writer_.Queue(std::move(write));
 }
