The first event after a pause does not go by the old state of the store

What callers saw: nothing yet; cancelled work could be started on knowledge 8 s old. Cause: only ticks showed that the process was held up, so an event in front of the first one still took the store for unreachable. Found by a review. Evidence: the last check of 'an owner that lags does not take the store for unreachable' failed before. Change: an outage counts only while ticks come in time.

--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -410,7 +410,7 @@
 {
   const auto age = aState.now_ - aState.submissionsReadUpTo_;
   const bool isPaused =
-    aState.isStoreReachable_ && age > aState.options_.maxSubmissionAge_;
+    aState.MayReachStore() && age > aState.options_.maxSubmissionAge_;
   if (isPaused != aState.areStartsPaused_) {
     aState.areStartsPaused_ = isPaused;
     aState.Log(
@@ -419,7 +419,7 @@
       "",
       "",
       "submissions were last read " + std::to_string(age.count()) + " ms ago" +
-        (aState.isStoreReachable_ ? "" : ", and the store is unreachable"));
+        (aState.MayReachStore() ? "" : ", and the store is unreachable"));
   }
   return isPaused;
 }
--- a/packages/fleet/src/reducer.cpp
+++ b/packages/fleet/src/reducer.cpp
@@ -61,7 +61,6 @@
 bool
 HasLagged(FleetState& aState)
 {
-  constexpr Millis kLateTick(300); // ticks come every few tens of milliseconds
   // Calls that waited while the process was held up have ended by then.
   constexpr Millis kLagMemory(1000);
   if (aState.now_ - aState.lastTickAt_ > kLateTick) {
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -263,6 +263,10 @@
 // [SECTION] The fleet
 //-----------------------------------------------------------------------------
 
+// Ticks come every few tens of milliseconds. After a longer pause, this process
+// has been held up.
+inline constexpr Millis kLateTick(300);
+
 struct FleetState
 {
   FleetOptions options_;
@@ -343,6 +347,11 @@
                                 std::move(aTarget),
                                 std::move(aDetail) });
   }
+  // False only if the store certainly does not answer this process.
+  bool MayReachStore() const
+  {
+    return isStoreReachable_ || now_ - lastTickAt_ > kLateTick;
+  }
   WallTime TimeOfDay() const { return timeOfDay_ + (now_ - timeOfDayAt_); }
 };
 
--- a/packages/fleet/tests/takeover_test.cpp
+++ b/packages/fleet/tests/takeover_test.cpp
@@ -228,6 +228,11 @@
     tickWithoutStore(Millis(10));
   }
   CHECK(fixture.TakeStarts().size() == 1);
+
+  // The first event after a pause comes before the tick that shows it.
+  fixture.now_ += Millis(2000);
+  fixture.Deliver(JobArrived{ MakeJob(MakeJobId(3), "a", { 1 }), false });
+  CHECK(fixture.TakeStarts().empty());
 }
 
 TEST_CASE("records that took long to read are old knowledge")
