Nothing starts on targets that may drain unheard

Cause: starts went by the last list of targets however old it was. The same class as cancellations that had not been read. Found by a review. Evidence: 'nothing starts while targets may drain unheard' failed with the check and the deadline taken out. Change: the list of targets is dated by when it was asked for; while the store is reachable, a start is sent only if 0.3 s are left of drain_ms, and expires with it. An answer of a watch counts as whole up to 400 changes and 600 kB (100 changes before).

--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -55,6 +55,7 @@
   options.startTimeout_ =
     std::min(options.startTimeout_,
              aSettings.cancelLimit_ - options.maxSubmissionAge_ - kStartSlack);
+  options.maxTargetsAge_ = aSettings.drainLimit_;
   options.stopTime_ = aSettings.stopTime_ + kStopSlack;
   options.maxReportAge_ = aSettings.contactLimit_ + aSettings.heartbeat_;
   const std::chrono::duration<double> interval = options.planInterval_;
--- a/packages/daemon/src/owner_reads.cpp
+++ b/packages/daemon/src/owner_reads.cpp
@@ -304,8 +304,10 @@
   std::int64_t after = 0;
   std::size_t listed = 0; // targets of the whole fleet
   bool mustList = true;
+  Instant readUpTo;
   while (!hasEnded_) {
     StoreReply reply;
+    const auto sentAt = context_.clocks_.Now();
     if (mustList) {
       reply = co_await context_.store_.List(kTargetPrefix);
     } else {
@@ -320,7 +322,11 @@
         UpdateTarget(item);
       }
       after = NextWatchRevision(after, reply, mustList);
+      if (mustList || ReportsAllChanges(reply)) {
+        readUpTo = sentAt;
+      }
       TargetsSeen seen;
+      seen.askedAt_ = readUpTo;
       for (const auto& [id, report] : reports_) {
         seen.targets_.push_back(report);
       }
--- a/packages/daemon/src/records.cpp
+++ b/packages/daemon/src/records.cpp
@@ -392,10 +392,15 @@
 bool
 ReportsAllChanges(const StoreReply& aReply)
 {
-  // Far below the limit of a list, which is 500 items or 1 MB. A job's record
-  // takes up to 6 kB.
-  constexpr std::size_t kMaxWholeAnswer = 100;
-  return aReply.IsDone() && aReply.items_.size() <= kMaxWholeAnswer;
+  // Below the limits of a list, which are 500 items and 1 MB.
+  constexpr std::size_t kMaxItems = 400;
+  constexpr std::size_t kMaxBytes = 600000; // of values
+  std::size_t bytes = 0;
+  for (const auto& item : aReply.items_) {
+    bytes += item.value_.size();
+  }
+  return aReply.IsDone() && aReply.items_.size() <= kMaxItems &&
+         bytes <= kMaxBytes;
 }
 
 } // namespace cuminbridge
--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -76,6 +76,10 @@
   // with startTimeout_ must be below the time that the users allow for a
   // cancellation.
   Millis maxSubmissionAge_{ 1500 };
+  // While the store is reachable, a start must reach its target while the list
+  // of targets that it goes by is younger than this: a target that drains gets
+  // no new work. Comes from the settings.
+  Millis maxTargetsAge_{ 2000 };
   // In a pool that does not reject overload, a start must reach its target
   // while the report that it goes by is younger than this: capacities shrink.
   // Comes from the settings.
@@ -235,6 +239,8 @@
 struct TargetsSeen
 {
   std::vector<TargetReport> targets_;
+  // When the list was requested: it is no older than this. Empty: not known.
+  std::optional<Instant> askedAt_ = std::nullopt;
 };
 
 struct VmsSeen
--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -403,23 +403,40 @@
   }
 }
 
-// Whether cancelled work might be started, because cancellations may not have
-// been read yet. Logs each change.
+// Why nothing may start now; empty if it may. Cancelled work must not start,
+// nor any on a target that has drained for long.
+std::string
+WhyPaused(const FleetState& aState)
+{
+  constexpr Millis kLeastStartTime(300); // for a start to reach its target
+  const auto& options = aState.options_;
+  const auto ago = [&](Instant aReadAt) {
+    return " were last read " +
+           std::to_string((aState.now_ - aReadAt).count()) + " ms ago";
+  };
+  if (!aState.MayReachStore()) {
+    return "";
+  }
+  if (aState.now_ - aState.submissionsReadUpTo_ > options.maxSubmissionAge_) {
+    return "submissions" + ago(aState.submissionsReadUpTo_);
+  }
+  const auto& asked = aState.targetsAskedAt_;
+  if (asked &&
+      aState.now_ - *asked + kLeastStartTime > options.maxTargetsAge_) {
+    return "targets" + ago(*asked);
+  }
+  return "";
+}
+
+// Logs each change.
 bool
 AreStartsPaused(FleetState& aState)
 {
-  const auto age = aState.now_ - aState.submissionsReadUpTo_;
-  const bool isPaused =
-    aState.MayReachStore() && age > aState.options_.maxSubmissionAge_;
+  const auto why = WhyPaused(aState);
+  const bool isPaused = !why.empty();
   if (isPaused != aState.areStartsPaused_) {
     aState.areStartsPaused_ = isPaused;
-    aState.Log(
-      isPaused ? "starts_paused" : "starts_resumed",
-      "",
-      "",
-      "",
-      "submissions were last read " + std::to_string(age.count()) + " ms ago" +
-        (aState.MayReachStore() ? "" : ", and the store is unreachable"));
+    aState.Log(isPaused ? "starts_paused" : "starts_resumed", "", "", "", why);
   }
   return isPaused;
 }
--- a/packages/fleet/src/runs.cpp
+++ b/packages/fleet/src/runs.cpp
@@ -26,6 +26,19 @@
   return (aState.term_ - 1) * kRunsPerTerm;
 }
 
+// Within this, a start has to reach its target.
+Millis
+StartTime(const FleetState& aState)
+{
+  const auto& options = aState.options_;
+  const auto time = std::min(options.startTimeout_, options.targetLease_);
+  if (!aState.targetsAskedAt_ || !aState.MayReachStore()) {
+    return time;
+  }
+  return std::min(
+    time, options.maxTargetsAge_ - (aState.now_ - *aState.targetsAskedAt_));
+}
+
 // Assigns a run's item to the run, if the item is waiting.
 void
 Assign(FleetState& aState, const Run& aRun, Target& aTarget)
@@ -142,10 +155,7 @@
   effect.ticket_ = std::move(aTicket);
   // Short, so that a start that is held up on its way is rejected. The renewal
   // that follows at once extends it.
-  effect.leaseUntil_ = ExtendLease(
-    aState,
-    aTarget,
-    std::min(aState.options_.startTimeout_, aState.options_.targetLease_));
+  effect.leaseUntil_ = ExtendLease(aState, aTarget, StartTime(aState));
   AddRun(aState, aTarget, std::move(run));
   aState.watchedTargets_.insert(aTarget.report_.id_);
   ++aState.counts_.starts_;
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -279,9 +279,10 @@
   Instant lastTickAt_;
   Instant lagSuspectedUntil_;
   Instant submissionsReadUpTo_;
-  bool areStartsPaused_ = false; // what is known of submissions is too old
-  bool hasJobs_ = false;         // JobsLoaded has come
-  bool hasTargets_ = false;      // TargetsSeen has come
+  std::optional<Instant> targetsAskedAt_; // as TargetsSeen::askedAt_
+  bool areStartsPaused_ = false;          // see Dispatch()
+  bool hasJobs_ = false;                  // JobsLoaded has come
+  bool hasTargets_ = false;               // TargetsSeen has come
   bool isReconciling_ = true; // some target has not been asked what runs there
   int term_ = 1;              // number of this owner, counted from 1
   PreviousOwner previousOwner_ = PreviousOwner::Unknown;
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -258,6 +258,7 @@
 HandleTargetList(FleetState& aState, const TargetsSeen& aSeen)
 {
   aState.hasTargets_ = true;
+  aState.targetsAskedAt_ = aSeen.askedAt_;
   for (auto& [id, target] : aState.targets_) {
     target.isListed_ = false;
   }
--- a/packages/fleet/tests/takeover_test.cpp
+++ b/packages/fleet/tests/takeover_test.cpp
@@ -202,6 +202,31 @@
   CHECK(starts.front().item_.job_ == MakeJobId(3));
 }
 
+TEST_CASE("nothing starts while targets may drain unheard")
+{
+  // With a list of targets that was seconds old, work started on targets that
+  // had reported long before that they drain.
+  TakenOverFleet fixture;
+  fixture.AddTarget("t");
+  fixture.TakeOver();
+  fixture.AdvanceTime(Millis(10));
+  fixture.AnswerRenewal("t", {}, {});
+  fixture.Deliver(TargetsSeen{ fixture.reports_, fixture.now_ });
+  fixture.AdvanceTime(Millis(1800));
+  fixture.AnswerRenewal("t", {}, {});
+  fixture.Deliver(JobArrived{ MakeJob(MakeJobId(1), "a", { 1 }), false });
+  fixture.AdvanceTime(Millis(10));
+  CHECK(fixture.TakeStarts().empty());
+
+  // A start that is held up until then has expired on arrival.
+  fixture.Deliver(TargetsSeen{ fixture.reports_, fixture.now_ - Millis(1200) });
+  const auto starts = fixture.TakeStarts();
+  REQUIRE(starts.size() == 1);
+  const auto& target = fixture.fleet_.State().targets_.at("t");
+  const auto clock = target.clockMs_ + (fixture.now_ - target.clockAt_).count();
+  CHECK(starts.front().leaseUntil_ <= clock + 800);
+}
+
 TEST_CASE("an owner that lags does not take the store for unreachable")
 {
   // Answers that wait in a process that lags look like answers that never came.
