Fleet: trials of suspects end with a list and leave targets to other work

What callers saw: 40 jobs of one small item on one of four targets, 30 to 400 ms old when it crashes: the last of them ran again after 5.56 to 5.61 s, a new job started after 1.16 to 1.21 s.

Cause: each suspect was tried alone for a fixed 500 ms, every target of a pool could be taken by trials, and nothing else started there meanwhile. Runs that their target had listed for a while were suspects like those sent a moment before.

Change: a run that its target lists in an answer to a request sent 100 ms or more after the start has passed its start: its trial is over, and a crash after that counts as late. Targets with a trial are asked for their lists in time for that. At most half the targets of a pool (at least one) host trials. Beyond that, suspects of different jobs, with one early crash each, are tried together, up to eight on one target; if that crashes, each of them is tried alone, and that crash counts only for the limit of five.

Evidence, the same tests before and after (ms until all run; until a new job runs): 2 targets, 30 ms old over 15000 -> 440; 10880 -> 150 2 targets, 150, 400 over 15000 -> 10; 10760, 10910 -> 10 4 targets, 30 ms old 5580 -> 450; 1180 -> 10 4 targets, 150, 400 5560, 5610 -> 10; 1160, 1210 -> 10 An item that crashes its targets among 40 such jobs, 14 cases: at most three crashes, all others complete. fleet_test 103 cases, random histories 1 to 1000 pass. Targets of the simulated fleet answer renewals at once; a test of its own checks the wait that is asked for.

--- a/packages/fleet/src/candidates.cpp
+++ b/packages/fleet/src/candidates.cpp
@@ -153,12 +153,15 @@
   return ChooseTarget(aStep, candidates);
 }
 
+namespace {
+
+// As ChooseTargetForSuspect(), among the eligible candidates.
 int
-ChooseTargetForSuspect(const FleetState& aState,
-                       const Step& aStep,
-                       const Targets& aTargets,
-                       const std::vector<Candidate>& aCandidates,
-                       const ItemState& aItem)
+ChooseLeastLoaded(const FleetState& aState,
+                  const Step& aStep,
+                  const Targets& aTargets,
+                  const std::vector<Candidate>& aCandidates,
+                  const ItemState& aItem)
 {
   using Load = std::pair<std::size_t, std::size_t>;
   std::vector<Load> loads; // by target: starting runs, all runs
@@ -187,4 +190,38 @@
   return kNoCandidate;
 }
 
+} // namespace
+
+int
+ChooseTargetForSuspect(FleetState& aState,
+                       const Step& aStep,
+                       const Targets& aTargets,
+                       const std::vector<Candidate>& aCandidates,
+                       const ItemName& aName,
+                       const ItemState& aItem)
+{
+  // The other half of the targets stays open to all other work.
+  const auto most = std::max<std::size_t>(1, aCandidates.size() / 2);
+  const auto trials = static_cast<std::size_t>(std::count_if(
+    aCandidates.begin(), aCandidates.end(), [](const Candidate& aThis) {
+      return aThis.hasTrial_;
+    }));
+  if (trials < most) {
+    const int best =
+      ChooseLeastLoaded(aState, aStep, aTargets, aCandidates, aItem);
+    if (best != kNoCandidate) {
+      return best;
+    }
+  }
+  auto joined = aCandidates;
+  for (std::size_t index = 0; index < joined.size(); ++index) {
+    auto& candidate = joined[index];
+    candidate.isEligible_ =
+      candidate.isEligible_ &&
+      MayJoinTrial(aState, *aTargets[index], aName, aItem);
+    candidate.hasTrial_ = false;
+  }
+  return ChooseLeastLoaded(aState, aStep, aTargets, joined, aItem);
+}
+
 } // namespace cuminbridge
--- a/packages/fleet/src/candidates.h
+++ b/packages/fleet/src/candidates.h
@@ -43,10 +43,11 @@
 // The best candidate for a suspect, or kNoCandidate: where fewest runs could be
 // the cause of a crash, or would be lost with it, and not one that crashed
 // under it if there is another.
-int ChooseTargetForSuspect(const FleetState& aState,
+int ChooseTargetForSuspect(FleetState& aState,
                            const Step& aStep,
                            const Targets& aTargets,
                            const std::vector<Candidate>& aCandidates,
+                           const ItemName& aName,
                            const ItemState& aItem);
 
 } // namespace cuminbridge
--- a/packages/fleet/src/crashes.cpp
+++ b/packages/fleet/src/crashes.cpp
@@ -20,6 +20,8 @@
 constexpr int kConfirmedLimit = 3;
 // ... and with those where it may not have run, or another is the likely cause.
 constexpr std::size_t kLimit = 5;
+// Suspects that are tried together on one target.
+constexpr int kMaxGroup = 8;
 
 CrashKind
 KindOf(const Run& aRun, Instant aEndedBy)
@@ -30,7 +32,8 @@
   if (!aRun.confirmedAt_ || aRun.mayHaveEnded_ || aRun.isExplained_) {
     return CrashKind::Uncertain;
   }
-  return aRun.isStartedByThisOwner_ && aEndedBy - aRun.sentAt_ < kStartupTime
+  return aRun.isStartedByThisOwner_ && !aRun.hasPassedStart_ &&
+             aEndedBy - aRun.sentAt_ < kStartupTime
            ? CrashKind::Early
            : CrashKind::Late;
 }
@@ -73,10 +76,19 @@
          aState.now_ - aRun.sentAt_ < kStartupTime;
 }
 
+// Whether the item may be tried beside others: its only crash says nothing
+// about which run was the cause.
+bool
+MayShareTrial(const ItemState& aItem)
+{
+  return aItem.crashes_.size() == 1 &&
+         aItem.crashes_.front().kind_ == CrashKind::Early;
+}
+
 bool
 IsOnTrial(const FleetState& aState, const Run& aRun)
 {
-  return aRun.isTrial_ &&
+  return aRun.isTrial_ && !aRun.hasPassedStart_ &&
          (!aRun.confirmedAt_ || aState.now_ - aRun.sentAt_ < kStartupTime);
 }
 
@@ -119,18 +131,25 @@
 NoteCrash(FleetState& aState, Target& aTarget)
 {
   // A run that had lived until a later one started is hardly the cause if that
-  // was on trial. Nor is one beyond its start if others were not.
+  // was on trial. Nor is one beyond its start if others were not. Of several
+  // that were tried together, each is to be tried alone.
   std::optional<Instant> lastTrial;
   for (const auto& run : aTarget.runs_) {
     if (IsOnTrial(aState, run)) {
       lastTrial = std::max(lastTrial.value_or(run.sentAt_), run.sentAt_);
     }
   }
+  const bool isGroup =
+    lastTrial &&
+    std::count_if(
+      aTarget.runs_.begin(), aTarget.runs_.end(), [&](const Run& aRun) {
+        return IsOnTrial(aState, aRun) && aRun.sentAt_ == *lastTrial;
+      }) > 1;
   const bool hadStarting = CountStarting(aState, aTarget) > 0;
   for (auto& run : aTarget.runs_) {
     if (!run.processEndedBy_) {
       run.processEndedBy_ = aState.now_;
-      run.isExplained_ = (lastTrial && run.sentAt_ < *lastTrial) ||
+      run.isExplained_ = isGroup || (lastTrial && run.sentAt_ < *lastTrial) ||
                          (hadStarting && !IsStarting(aState, run));
     }
   }
@@ -170,7 +189,7 @@
                std::to_string((endedBy - aRun.sentAt_).count()) +
                " ms after its start" +
                (aRun.confirmedAt_ ? "" : ", which was not answered") +
-               (aRun.isExplained_ ? ", with a later start there" : "") +
+               (aRun.isExplained_ ? ", with another start there" : "") +
                "; crash " + std::to_string(crashes.size()) + " of the item");
   if (!IsOverCrashLimit(crashes, aRun.isLongRunning_)) {
     return std::nullopt;
@@ -239,6 +258,27 @@
                      [&](const Run& aRun) { return IsOnTrial(aState, aRun); });
 }
 
+bool
+MayJoinTrial(FleetState& aState,
+             const Target& aTarget,
+             const ItemName& aName,
+             const ItemState& aItem)
+{
+  int group = 0;
+  for (const auto& run : aTarget.runs_) {
+    if (!IsOnTrial(aState, run)) {
+      continue;
+    }
+    const auto ref = FindItem(aState, run.item_);
+    if (run.sentAt_ != aState.now_ || run.item_.job_ == aName.job_ ||
+        !ref.item_ || !MayShareTrial(*ref.item_)) {
+      return false;
+    }
+    ++group;
+  }
+  return MayShareTrial(aItem) && group > 0 && group < kMaxGroup;
+}
+
 bool
 MayTrySuspect(FleetState& aState, StepState& aStep)
 {
--- a/packages/fleet/src/crashes.h
+++ b/packages/fleet/src/crashes.h
@@ -10,6 +10,9 @@
 
 // A run that has lived this long has not crashed its target by starting.
 constexpr Millis kStartupTime(500);
+// A run that its target lists when it is this old has passed its start. It is
+// no more on trial.
+constexpr Millis kTrialTime(100);
 
 // Whether an item with these crashes is given up.
 bool IsOverCrashLimit(const std::vector<Crash>& aCrashes, bool aIsLongRunning);
@@ -46,6 +49,12 @@
 std::size_t CountStarting(const FleetState& aState, const Target& aTarget);
 // Whether a suspect that was started there may still crash the target.
 bool HasTrial(const FleetState& aState, const Target& aTarget);
+// Whether the item may be started there together with suspects of other jobs
+// that were sent a moment ago. If their target crashes, each is tried alone.
+bool MayJoinTrial(FleetState& aState,
+                  const Target& aTarget,
+                  const ItemName& aName,
+                  const ItemState& aItem);
 // Whether one more suspect of the step may start now. Items of a step are
 // alike: the others wait until one has lived through its start.
 bool MayTrySuspect(FleetState& aState, StepState& aStep);
--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -250,7 +250,8 @@
     }
     const int best =
       isSuspect
-        ? ChooseTargetForSuspect(aState, spec, aTargets, aCandidates, item)
+        ? ChooseTargetForSuspect(
+            aState, spec, aTargets, aCandidates, NameOf(aWaiting, index), item)
         : ChooseTargetAvoiding(
             spec, aTargets, aCandidates, item.avoidedTarget_);
     if (best == kNoCandidate && isSuspect) {
@@ -262,7 +263,7 @@
     const auto chosen = static_cast<std::size_t>(best);
     StartItem(aState, aWaiting, index, *aTargets[chosen], item.run_ + 1);
     ReserveCapacity(aCandidates, aTargets, chosen, spec);
-    aCandidates[chosen].hasTrial_ = isSuspect;
+    aCandidates[chosen].hasTrial_ = aCandidates[chosen].hasTrial_ || isSuspect;
   }
 }
 
--- a/packages/fleet/src/run_lists.cpp
+++ b/packages/fleet/src/run_lists.cpp
@@ -147,6 +147,9 @@
                 Run& aRun,
                 Instant aNow)
 {
+  aRun.hasPassedStart_ =
+    aRun.hasPassedStart_ || (aRun.isStartedByThisOwner_ &&
+                             aTarget.listedAt_ - aRun.sentAt_ >= kTrialTime);
   aRun.percent_ = aSeen.percent_;
   aRun.usage_ = aSeen.usage_;
   aRun.isUnconfirmed_ = false;
@@ -293,6 +296,9 @@
     auto* run = FindRun(aTarget, seen.item_, seen.run_);
     if (run) {
       UpdateListedRun(aTarget, seen, *run, aState.now_);
+      if (run->isTrial_ && run->hasPassedStart_) {
+        aState.dirtyPools_.insert(aTarget.report_.pool_);
+      }
       if (run->isLongRunning_ && run->percent_ == kAtWorkPercent) {
         ForgetCrashes(aState, run->item_);
       }
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -107,7 +107,8 @@
   // incarnation of the target: the target has yet to list it.
   bool isUnconfirmed_ = false;
   bool isStartedByThisOwner_ = false;
-  bool isTrial_ = false; // its item was a suspect when it was added
+  bool isTrial_ = false;        // its item was a suspect when it was added
+  bool hasPassedStart_ = false; // listed when kTrialTime old or older
   // Its target has been unresponsive since it last listed the run.
   bool mayHaveEnded_ = false;
   bool isExplained_ = false; // the crash is likely the doing of another run
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -88,6 +88,24 @@
     });
 }
 
+// Long poll while suspects are on trial there or were a moment ago, as the next
+// ones may follow: they are listed again once they have passed their start.
+std::optional<Millis>
+TrialWait(const FleetState& aState, const Target& aTarget)
+{
+  constexpr Millis kLeastWait(20);
+  std::optional<Millis> wait;
+  for (const auto& run : aTarget.runs_) {
+    const auto age =
+      std::chrono::duration_cast<Millis>(aState.now_ - run.sentAt_);
+    if (run.isTrial_ && age < 2 * kStartupTime) {
+      const auto left = run.hasPassedStart_ ? kTrialTime : kTrialTime - age;
+      wait = std::min(wait.value_or(kTrialTime), std::max(kLeastWait, left));
+    }
+  }
+  return wait;
+}
+
 // Whether a run there ends by itself.
 bool
 HasBatchRuns(const Target& aTarget)
@@ -112,6 +130,8 @@
                    : NeedsPacing(aTarget)  ? aState.options_.pacedRenewalWait_
                    : HasBatchRuns(aTarget) ? aState.options_.batchRenewalWait_
                                            : aState.options_.renewalWait_;
+    effect.wait_ =
+      std::min(effect.wait_, TrialWait(aState, aTarget).value_or(effect.wait_));
   }
   // An unresponsive target is asked without renewing its leases. A renewal that
   // gets no answer would delay the time when its runs have surely expired.
