Fleet: a trial on a silent target does not hold up its step

What callers saw: of two items that ran where a target crashed, the second waited for more than 9 s while the target with the trial of the first was silent, with another target free (rule LOST: 3 s).

Cause: a start without an answer was on trial for as long as its run was kept, and the other suspects of a step wait for the one on trial. The wait on an answer had no bound.

Change: such a trial ends with the time limit of the start, after which the start has no effect. A trial on a target that is not in contact holds up no others, and does not count as passed.

--- a/packages/fleet/src/crashes.cpp
+++ b/packages/fleet/src/crashes.cpp
@@ -88,8 +88,10 @@
 bool
 IsOnTrial(const FleetState& aState, const Run& aRun)
 {
+  const auto longest =
+    aRun.confirmedAt_ ? kStartupTime : aState.options_.startTimeout_;
   return aRun.isTrial_ && !aRun.hasPassedStart_ &&
-         (!aRun.confirmedAt_ || aState.now_ - aRun.sentAt_ < kStartupTime);
+         aState.now_ - aRun.sentAt_ < longest;
 }
 
 } // namespace
@@ -294,9 +296,12 @@
     for (const auto& run : target->second.runs_) {
       if (run.isTrial_ && run.run_ == item.run_ &&
           FindItem(aState, run.item_).item_ == &item) {
+        // From a target that does not answer, nothing is learned.
+        const bool isHeardOf = target->second.contact_ == Contact::Good;
         const bool isOnTrial = IsOnTrial(aState, run);
-        isTrying = isTrying || isOnTrial;
-        aStep.hasPassedTrial_ = aStep.hasPassedTrial_ || !isOnTrial;
+        isTrying = isTrying || (isHeardOf && isOnTrial);
+        aStep.hasPassedTrial_ = aStep.hasPassedTrial_ || run.hasPassedStart_ ||
+                                (isHeardOf && run.confirmedAt_ && !isOnTrial);
       }
     }
   }
--- a/packages/fleet/tests/crashes_test.cpp
+++ b/packages/fleet/tests/crashes_test.cpp
@@ -499,6 +499,58 @@
   }
 }
 
+TEST_CASE("a trial on a target that falls silent does not hold up its step")
+{
+  // An unconfirmed trial counted as on trial for as long as its run was kept.
+  for (const bool isReported : { true, false }) {
+    INFO("the silence is " << (isReported ? "" : "not ") << "noticed");
+    OneTarget fixture(MakeJob(MakeJobId(1), "a", { 2 }));
+    const auto first = fixture.ConfirmStarts();
+    const std::string second = first == "t" ? "u" : "t";
+    fixture.AdvanceTime(Millis(10));
+    fixture.Refuse(first);
+    fixture.StoreAll();
+    std::set<std::string> started;
+    int waited = 0;
+    std::string silent;
+    for (; waited < 9000 && started.size() < 2; waited += 50) {
+      fixture.AdvanceTime(Millis(50));
+      fixture.StoreAll();
+      for (const auto& effect : fixture.Take()) {
+        if (const auto* start = std::get_if<StartRun>(&effect)) {
+          started.insert(FormatItem(start->item_));
+          silent = start->target_;
+          waited = started.size() == 1 ? 0 : waited;
+        }
+      }
+      if (isReported && !silent.empty()) {
+        RenewalAnswered renewal;
+        renewal.target_ = silent;
+        renewal.outcome_ = RenewalOutcome::Unresponsive;
+        renewal.sentAt_ = fixture.now_;
+        fixture.Deliver(renewal);
+      }
+      // The other one has restarted.
+      auto report = ReducerFixture::MakeReport(first);
+      report.startUnixMs_ = 6;
+      fixture.Deliver(
+        TargetsSeen{ { report, ReducerFixture::MakeReport(second) } });
+      RenewalAnswered back;
+      back.target_ = first;
+      back.outcome_ = RenewalOutcome::Answered;
+      back.sentAt_ = fixture.now_;
+      back.startUnixMs_ = 6;
+      back.clockMs_ = 100;
+      if (silent != first) {
+        fixture.Deliver(back);
+      }
+    }
+    CHECK(started.size() == 2);
+    INFO("the next start came after " << waited << " ms");
+    CHECK(waited < 3000);
+  }
+}
+
 namespace {
 
 // A job of one small item.
