Fleet: a crash before the answer to a start counts when a list shows it

Cause: the note of the crash was removed from a start without an answer, as it might still reach the new process, and that process then accepted the stop.

Change: the note stays until the new process confirms or lists the run. A stop that was accepted after the process had ended does not explain its end. The crash counts as not answered, for the limit of five.

--- a/packages/fleet/src/crashes.cpp
+++ b/packages/fleet/src/crashes.cpp
@@ -162,7 +162,8 @@
 {
   const auto ref = FindItem(aState, aRun.item_);
   if (!aRun.processEndedBy_ || !ref.item_ || ref.job_->HasEnded() ||
-      aRun.stoppedAt_ || ref.item_->phase_ == ItemPhase::Done) {
+      (aRun.stoppedAt_ && *aRun.stoppedAt_ < *aRun.processEndedBy_) ||
+      ref.item_->phase_ == ItemPhase::Done) {
     return std::nullopt;
   }
   auto& crashes = ref.item_->crashes_;
--- a/packages/fleet/src/runs.cpp
+++ b/packages/fleet/src/runs.cpp
@@ -270,6 +270,8 @@
     return;
   }
   if (aAnswer.outcome_ == StartOutcome::Started) {
+    run->processEndedBy_.reset(); // the new process has started it
+    run->isExplained_ = false;
     run->confirmedAt_ = aState.now_;
     if (run->phase_ == RunPhase::Starting) {
       run->phase_ = RunPhase::Running;
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -225,9 +225,6 @@
   for (auto& run : aTarget.runs_) {
     // A confirmed run is lost unless the new process lists it. A start without
     // an answer may still reach the new process.
-    if (!run.isUnconfirmed_ && !run.confirmedAt_) {
-      run.processEndedBy_.reset();
-    }
     run.isUnconfirmed_ = run.isUnconfirmed_ || run.confirmedAt_.has_value();
   }
 }
--- a/packages/fleet/tests/crashes_test.cpp
+++ b/packages/fleet/tests/crashes_test.cpp
@@ -551,6 +551,49 @@
   }
 }
 
+TEST_CASE("a crash before the answer to a start counts when a list shows it")
+{
+  // The item was started 400 times: the new process answers the stop.
+  OneTarget fixture(MakeJob(MakeJobId(1), "a", { 1 }));
+  int starts = 0;
+  std::int64_t boot = 5;
+  for (int step = 0; step < 400; ++step) {
+    fixture.AdvanceTime(Millis(20));
+    fixture.StoreAll();
+    for (const auto& effect : fixture.Take()) {
+      const auto* start = std::get_if<StartRun>(&effect);
+      if (!start) {
+        continue;
+      }
+      ++starts;
+      ++boot;
+      fixture.AdvanceTime(Millis(300));
+      auto t = ReducerFixture::MakeReport("t");
+      auto u = ReducerFixture::MakeReport("u");
+      t.startUnixMs_ = u.startUnixMs_ = boot;
+      fixture.Deliver(TargetsSeen{ { t, u } });
+      fixture.Deliver(StartAnswered{
+        start->target_, start->item_, start->run_, StartOutcome::Unknown, 0 });
+      fixture.AdvanceTime(Millis(20));
+      fixture.Deliver(
+        StopAnswered{ start->target_, start->item_, start->run_, true });
+      fixture.AdvanceTime(Millis(20));
+      for (const auto* id : { "t", "u" }) {
+        RenewalAnswered renewal;
+        renewal.target_ = id;
+        renewal.outcome_ = RenewalOutcome::Answered;
+        renewal.sentAt_ = fixture.now_;
+        renewal.startUnixMs_ = boot;
+        renewal.clockMs_ = 100;
+        fixture.Deliver(renewal);
+      }
+    }
+  }
+  INFO("starts " << starts);
+  CHECK(starts <= 5);
+  CHECK(fixture.fleet_.StoredState(MakeJobId(1)) == JobState::Failed);
+}
+
 namespace {
 
 // A job of one small item.
