Review, case 2: no owner can read its records after a kill

Shown: with 300 waiting jobs of 4,000 bytes and links of 10 Mbit/s, the next owner never finishes reading the records, and all accepted jobs wait for ever.

--- a/review/run_case.sh
+++ b/review/run_case.sh
@@ -2,14 +2,18 @@
 # Runs one case: three entries as separate processes with the command of the
 # deploy file, and the stand-ins with the driver of the case.
 #
-#   run_case.sh CASE FOLDER
+#   run_case.sh CASE FOLDER [SHARE SHARE SHARE]
 #
+# SHARE is what each entry has of a core, as its settings say. With LINK set,
+# entries have a link of that many Mbit/s, and reach the store through a proxy of
+# the driver that has this rate.
 # TROUBLE=0 leaves out the disruption. The exit status is that of the case: 0 if
 # the rule held, 1 if it was broken, 2 if the case could not run.
 set -uo pipefail
 cd "$(dirname "$0")/.."
 name=$1
 folder=$2
+shares=("${3:-0.25}" "${4:-0.25}" "${5:-0.25}")
 daemon=target/packages/daemon/cuminbridge
 driver=target/review/review_case
 if [ ! -x "$daemon" ] || [ ! -x "$driver" ]; then
@@ -29,6 +33,8 @@
 trap 'exit 2' TERM INT
 
 settings() { # NUMBER
+  local store=$net.1
+  [ -n "${LINK:-}" ] && store=$net.20$1
   cat <<CONF
 node_name=edge-$1
 role=entry
@@ -42,11 +48,11 @@
 listen.ready=$net.10$1:8343
 internal_ports=7000,7015
 bootstrap=true
-limits.cpu_share=0.25
+limits.cpu_share=${shares[$(($1 - 1))]}
 limits.cores=1
 limits.memory_mb=260
 limits.max_fds=4100
-limits.link_mbps=1000.0
+limits.link_mbps=${LINK:-1000.0}
 discovery=platform
 entry=vip
 heartbeat_ms=1500
@@ -77,7 +83,7 @@
 bounds.pacing_ms=100
 bounds.impact_ms=4000
 orders=request
-platform.address=$net.1:7400
+platform.address=$store:7400
 platform.form=kv
 platform.writes_per_s=400
 platform.reads_per_s=2000
@@ -90,18 +96,36 @@
 CONF
 }
 
-"$driver" "$name" "$net" "$folder/record.txt" "${TROUBLE:-1}" &
+declare -A entry_pid
+start_entry() { # NUMBER
+  settings "$1" >"$work/settings-$1.conf"
+  CUMINBRIDGE_CONFIG="$work/settings-$1.conf" "$daemon" \
+    >>"$work/edge-$1.log" 2>&1 &
+  entry_pid[$1]=$!
+  pids+=("$!")
+}
+
+# The driver asks for signals and starts through this pipe.
+mkfifo "$work/control"
+exec 3<>"$work/control"
+CONTROL="$work/control" "$driver" "$name" "$net" "$folder/record.txt" \
+  "${TROUBLE:-1}" 3<&- &
 driver_pid=$!
 pids+=("$driver_pid")
-for number in 1 2 3; do
-  settings "$number" >"$work/settings-$number.conf"
-  CUMINBRIDGE_CONFIG="$work/settings-$number.conf" "$daemon" \
-    >"$work/edge-$number.log" 2>&1 &
-  pids+=("$!")
+for number in 1 2 3; do start_entry "$number"; done
+SECONDS=0 # no case takes longer than two minutes
+while kill -0 "$driver_pid" 2>/dev/null; do
+  if [ "$SECONDS" -gt 110 ]; then kill -KILL "$driver_pid"; fi
+  if read -r -t 0.2 what number <&3; then
+    case $what in
+      START)
+        wait "${entry_pid[$number]}" 2>/dev/null
+        start_entry "$number"
+        ;;
+      *) kill "-$what" "${entry_pid[$number]}" 2>/dev/null ;;
+    esac
+  fi
 done
-# No case takes longer than two minutes.
-(sleep 115; kill -KILL "$driver_pid" 2>/dev/null) >/dev/null 2>&1 &
-pids+=("$!")
 wait "$driver_pid"
 status=$?
 [ -n "${KEEP_LOGS:-}" ] && cp "$work"/edge-*.log "$KEEP_LOGS"/
--- a/review/standin/cases.h
+++ b/review/standin/cases.hh
@@ -1,9 +1,9 @@
 // The cases of the review that are scripts.
 
-#ifndef cuminbridge_review_cases_h
-#define cuminbridge_review_cases_h
+#ifndef cuminbridge_review_cases_hh
+#define cuminbridge_review_cases_hh
 
-#include "world.h"
+#include "world.hh"
 
 namespace review {
 
@@ -22,4 +22,4 @@
 
 } // namespace review
 
-#endif // cuminbridge_review_cases_h
+#endif // cuminbridge_review_cases_hh
--- a/review/standin/gate.cpp
+++ b/review/standin/gate.cc
@@ -11,7 +11,7 @@
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/asio/write.hpp>
 
-#include "world.h"
+#include "world.hh"
 
 namespace review {
 
@@ -41,8 +41,32 @@
   aSocket.close(ignored);
 }
 
+// A link that all connections of a gate share.
+struct Link
+{
+  std::int64_t bytesPerSecond_ = 0; // 0: no limit
+  std::chrono::steady_clock::time_point freeAt_;
+
+  Awaitable<void> Send(std::size_t aBytes)
+  {
+    if (bytesPerSecond_ == 0) {
+      co_return;
+    }
+    constexpr std::int64_t kNanos = 1000000000;
+    const auto now = std::chrono::steady_clock::now();
+    freeAt_ = std::max(now, freeAt_) +
+              std::chrono::nanoseconds(static_cast<std::int64_t>(aBytes) *
+                                       kNanos / bytesPerSecond_);
+    asio::steady_timer timer(co_await asio::this_coro::executor, freeAt_);
+    co_await timer.async_wait(kAsTuple);
+  }
+};
+
 Awaitable<void>
-Pump(std::shared_ptr<Pair> aPair, tcp::socket& aFrom, tcp::socket& aTo)
+Pump(std::shared_ptr<Pair> aPair,
+     tcp::socket& aFrom,
+     tcp::socket& aTo,
+     Link& aLink)
 {
   std::array<char, 16384> buffer;
   while (true) {
@@ -51,6 +75,7 @@
     if (readError) {
       break;
     }
+    co_await aLink.Send(got);
     const auto [writeError, sent] =
       co_await asio::async_write(aTo, asio::buffer(buffer, got), kAsTuple);
     if (writeError) {
@@ -66,12 +91,16 @@
 
 struct Gate::State : std::enable_shared_from_this<Gate::State>
 {
-  State(asio::io_context& aIo, std::string aListen, std::string aTo)
+  State(asio::io_context& aIo,
+        std::string aListen,
+        std::string aTo,
+        std::int64_t aBytesPerSecond)
     : io_(aIo)
     , acceptor_(aIo)
     , listen_(std::move(aListen))
     , to_(std::move(aTo))
   {
+    back_.bytesPerSecond_ = aBytesPerSecond;
   }
 
   Awaitable<void> Accept()
@@ -97,9 +126,10 @@
       boost::system::error_code ignored; // the option only reduces latency
       aPair->caller_.set_option(tcp::no_delay(true), ignored);
       aPair->worker_.set_option(tcp::no_delay(true), ignored);
-      asio::co_spawn(
-        io_, Pump(aPair, aPair->worker_, aPair->caller_), asio::detached);
-      co_await Pump(aPair, aPair->caller_, aPair->worker_);
+      asio::co_spawn(io_,
+                     Pump(aPair, aPair->worker_, aPair->caller_, back_),
+                     asio::detached);
+      co_await Pump(aPair, aPair->caller_, aPair->worker_, forth_);
     }
     std::erase(pairs_, aPair);
   }
@@ -108,11 +138,19 @@
   tcp::acceptor acceptor_;
   std::string listen_;
   std::string to_;
+  Link back_;
+  Link forth_;
   std::vector<std::shared_ptr<Pair>> pairs_;
 };
 
-Gate::Gate(asio::io_context& aIo, std::string aListen, std::string aTo)
-  : state_(std::make_shared<State>(aIo, std::move(aListen), std::move(aTo)))
+Gate::Gate(asio::io_context& aIo,
+           std::string aListen,
+           std::string aTo,
+           std::int64_t aBytesPerSecond)
+  : state_(std::make_shared<State>(aIo,
+                                   std::move(aListen),
+                                   std::move(aTo),
+                                   aBytesPerSecond))
 {
 }
 
--- a/review/standin/main.cpp
+++ b/review/standin/main.cc
@@ -10,7 +10,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
-#include "cases.h"
+#include "cases.hh"
 
 int
 main(int argc, char** argv)
--- a/review/standin/world.cpp
+++ b/review/standin/world.cc
@@ -1,12 +1,14 @@
 // The store, the VM service, the workers and the caller of a case.
 
-#include "world.h"
+#include "world.hh"
 
 #include <algorithm>
+#include <cstdlib>
 #include <iostream>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <openssl/evp.h>
 
 namespace review {
 
@@ -19,7 +21,6 @@
 
 // The limits and times are those of the site file and of DEPLOY.md.
 constexpr std::int64_t kHeartbeatMs = 1500;
-constexpr std::int64_t kSilentHeartbeats = 3; // then the entry is removed
 constexpr std::int64_t kMaxHoldMs = 10000;
 constexpr std::int64_t kUpkeepMs = 2000;
 constexpr std::int64_t kMoveMs = 1500;
@@ -59,6 +60,25 @@
   return aValue.size() / 4 * 3;
 }
 
+// "items (at most about 500 items or 1 MB) and has_more"
+void
+CutPage(HttpResponse& aAnswer)
+{
+  auto body = json::parse(aAnswer.body_);
+  auto& items = body.at("items");
+  std::size_t size = 0;
+  for (std::size_t index = 0; index < items.size(); ++index) {
+    size += items.at(index).at("value").get_ref<const std::string&>().size();
+    if (size > kValueBytes && index > 0) {
+      items.erase(items.begin() + static_cast<std::ptrdiff_t>(index),
+                  items.end());
+      body["has_more"] = true;
+      aAnswer.body_ = body.dump();
+      return;
+    }
+  }
+}
+
 } // namespace
 
 //-----------------------------------------------------------------------------
@@ -122,6 +142,11 @@
     }
   };
   store_.Put("op/config", aConfig);
+  for (const auto& pool : aConfig.at("services")) {
+    if (pool.value("standby", false)) {
+      standbyPools_.insert(pool.at("name").get<std::string>());
+    }
+  }
   serve(network_ + ".1:7400",
         [this](const HttpRequest& aRequest) { return ServeStore(aRequest); });
   serve(network_ + ".2:7400", [this](const HttpRequest& aRequest) {
@@ -150,6 +175,20 @@
   asio::co_spawn(io_, Simulate(), asio::detached);
 }
 
+void
+World::LimitLinks(int aMbps)
+{
+  constexpr std::int64_t kBytesPerMegabit = 125000;
+  for (int entry = 1; entry <= 3; ++entry) {
+    links_.push_back(std::make_unique<Gate>(
+      io_,
+      network_ + "." + std::to_string(200 + entry) + ":7400",
+      network_ + ".1:7400",
+      aMbps * kBytesPerMegabit));
+    links_.back()->Open();
+  }
+}
+
 //-----------------------------------------------------------------------------
 // [SECTION] Store
 //-----------------------------------------------------------------------------
@@ -169,7 +208,63 @@
       }
     }
   }
-  co_return co_await store_.Serve(aRequest);
+  auto answer = co_await store_.Serve(aRequest);
+  if (PathOf(aRequest) == "/kv-range") {
+    CutPage(answer);
+  }
+  co_return answer;
+}
+
+Awaitable<std::string>
+World::ReadKey(std::string aKey)
+{
+  HttpRequest request;
+  request.method_ = "GET";
+  request.path_ = "/kv-key?key=" + aKey;
+  const auto answer = co_await store_.Serve(request);
+  if (answer.status_ != kOk) {
+    co_return "";
+  }
+  const auto text = json::parse(answer.body_).at("value").get<std::string>();
+  std::string bytes(text.size() + 1, '\0');
+  const int size =
+    EVP_DecodeBlock(reinterpret_cast<unsigned char*>(bytes.data()),
+                    reinterpret_cast<const unsigned char*>(text.data()),
+                    static_cast<int>(text.size()));
+  bytes.resize(static_cast<std::size_t>(std::max(0, size)));
+  while (!bytes.empty() && bytes.back() == '\0') {
+    bytes.pop_back();
+  }
+  co_return bytes;
+}
+
+Awaitable<int>
+World::FindOwner()
+{
+  const auto address = co_await ReadKey("owner");
+  for (int entry = 1; entry <= 3; ++entry) {
+    const auto host = network_ + "." + std::to_string(100 + entry) + ":";
+    if (address.rfind(host, 0) == 0) {
+      co_return entry;
+    }
+  }
+  co_return 0;
+}
+
+void
+World::ControlEntry(const std::string& aWhat, int aEntry)
+{
+  const char* path = std::getenv("CONTROL");
+  record_.Add("entry " + std::to_string(aEntry) + ": " + aWhat);
+  controlledMs_[aEntry] = NowMs();
+  std::ofstream(path ? path : "/dev/null") << aWhat << ' ' << aEntry << "\n";
+}
+
+std::int64_t
+World::ControlledMs(int aEntry) const
+{
+  const auto found = controlledMs_.find(aEntry);
+  return found == controlledMs_.end() ? 0 : found->second;
 }
 
 void
@@ -214,7 +309,7 @@
     rows.push_back(
       { { "machine", vm->name_ },
         { "pool", vm->pool_ },
-        { "state", vm->isCrashed_ ? "down" : vm->state_ },
+        { "state", vm->state_ },
         { "zone", "zone-a" },
         { "labels", { vm->gpu_ > 0 ? "g" : "a", vm->rack_ } },
         { "capacity",
@@ -244,7 +339,7 @@
   const bool isMove = path == "/machine-move";
   const auto wave = isMove ? 0 : body.at("wave").get<std::int64_t>();
   std::string result = "done";
-  if (vm.state_ != "up" || vm.isCrashed_) {
+  if (vm.state_ != "up") {
     result = "busy";
   } else if (isMove ? vm.pool_ == body.at("pool")
                     : vm.upkeeps_.count(wave) != 0) {
@@ -255,14 +350,23 @@
     } else {
       vm.upkeeps_.insert(wave);
     }
-    store_.Remove("servers/" + vm.id_);
+    if (!vm.id_.empty()) {
+      store_.Remove("servers/" + vm.id_);
+    }
     LoseRuns(vm, isMove ? "its VM moves" : "its VM has its upkeep");
     vm.gate_->Close();
     vm.id_.clear();
     vm.state_ = isMove ? "moving" : "upkeep";
     vm.backAtMs_ = NowMs() + (isMove ? kMoveMs : kUpkeepMs);
   }
+  if (result != "busy") {
+    orders_.push_back({ NowMs(),
+                        vm.name_,
+                        from,
+                        std::string(aRequest.Header("Fencing-Token")) });
+  }
   record_.Add("VM service: " + path + " " + aRequest.body_ + " from " + from +
+              " with token " + std::string(aRequest.Header("Fencing-Token")) +
               ": " + result);
   return result == "busy" ? Answer(kConflict, { { "reason", "busy" } })
                           : Answer(kOk, json::object());
@@ -290,7 +394,11 @@
 World::Boot(Vm& aVm, std::string aId)
 {
   aVm.state_ = "up";
-  aVm.isCrashed_ = false;
+  if (standbyPools_.count(aVm.pool_) != 0) {
+    aVm.id_.clear(); // it is off
+    record_.Add("VM " + aVm.name_ + " is on standby");
+    return;
+  }
   aVm.id_ = std::move(aId);
   aVm.bornMs_ = context_.clocks_.TimeOfDay().time_since_epoch().count();
   aVm.clockZeroMs_ = NowMs() - kFirstClockMs;
@@ -315,17 +423,6 @@
   aVm.runs_.clear();
 }
 
-void
-World::Crash(Vm& aVm, std::int64_t aDownMs)
-{
-  record_.Add("worker " + aVm.id_ + " on " + aVm.name_ + " crashes, down for " +
-              std::to_string(aDownMs) + " ms");
-  LoseRuns(aVm, "the worker crashes");
-  aVm.isCrashed_ = true;
-  aVm.backAtMs_ = NowMs() + aDownMs;
-  aVm.gate_->Close();
-}
-
 void
 World::Report(Vm& aVm)
 {
@@ -354,7 +451,7 @@
   const auto run = aVm.runs_.at(aItem).number_;
   aVm.runs_.erase(aItem);
   aVm.endedRun_[aItem] = run;
-  aVm.ends_.push_back({ ++aVm.endCount_, aItem, run, aHow });
+  aVm.ends_.push_back({ ++aVm.endCount_, aItem, run, aHow, NowMs() });
   ++endsByKind_[aHow];
   record_.AddRun("worker " + aVm.id_ + ": run " + std::to_string(run) + " of " +
                  aItem + " ends as " + aHow);
@@ -382,19 +479,11 @@
 {
   while (true) {
     for (auto& vm : vms_) {
-      const bool isSilentForLong =
-        NowMs() - vm->reportedMs_ > kSilentHeartbeats * kHeartbeatMs;
-      if (vm->isCrashed_ && isSilentForLong) {
-        store_.Remove("servers/" + vm->id_);
-      }
-      if ((vm->isCrashed_ || vm->state_ != "up") && NowMs() >= vm->backAtMs_) {
-        // After a crash the worker starts again under its id; after an order
-        // for its VM there is a new one.
-        Boot(*vm,
-             vm->isCrashed_ ? vm->id_ : "worker-" + std::to_string(++workers_));
+      if (vm->state_ != "up" && NowMs() >= vm->backAtMs_) {
+        Boot(*vm, "worker-" + std::to_string(++workers_));
         vm->gate_->Open();
       }
-      if (vm->isCrashed_ || vm->state_ != "up") {
+      if (vm->state_ != "up" || vm->id_.empty()) {
         continue;
       }
       EndDueRuns(*vm);
@@ -402,6 +491,11 @@
         Report(*vm);
       }
     }
+    const bool isIdle =
+      std::all_of(vms_.begin(), vms_.end(), [](const auto& aVm) {
+        return aVm->runs_.empty();
+      });
+    idleSinceMs_ = !isIdle ? 0 : idleSinceMs_ > 0 ? idleSinceMs_ : NowMs();
     co_await Pause(kStep.count());
   }
 }
@@ -509,8 +603,8 @@
              std::min(body.value("deadline_ms", std::int64_t(0)),
                       ClockOf(aVm) + kMaxHoldMs));
   const auto seen = body.value("last_seen", std::int64_t(0));
-  std::erase_if(aVm.ends_,
-                [&](const End& aEnd) { return aEnd.number_ <= seen; });
+  acknowledgedEnds_ += static_cast<int>(std::erase_if(
+    aVm.ends_, [&](const End& aEnd) { return aEnd.number_ <= seen; }));
   const auto until = NowMs() + body.value("wait_ms", std::int64_t(0));
   while (aVm.ends_.empty() && NowMs() < until && aVm.bornMs_ == born) {
     co_await Pause(kStep.count());
@@ -536,6 +630,19 @@
   return found == endsByKind_.end() ? 0 : found->second;
 }
 
+std::pair<int, int>
+World::Unacknowledged(std::int64_t aForMs) const
+{
+  int open = 0;
+  for (const auto& vm : vms_) {
+    open += static_cast<int>(
+      std::count_if(vm->ends_.begin(), vm->ends_.end(), [&](const End& aEnd) {
+        return NowMs() - aEnd.endedMs_ > aForMs;
+      }));
+  }
+  return { open, open + acknowledgedEnds_ };
+}
+
 int
 World::StartsOf(const std::string& aJob) const
 {
--- a/review/standin/world.h
+++ b/review/standin/world.hh
@@ -3,8 +3,8 @@
 // connections, and a caller. All run in one process on loopback; the entries
 // are separate processes.
 
-#ifndef cuminbridge_review_world_h
-#define cuminbridge_review_world_h
+#ifndef cuminbridge_review_world_hh
+#define cuminbridge_review_world_hh
 
 #include <fstream>
 #include <functional>
@@ -51,12 +51,17 @@
 // [SECTION] Gate
 //-----------------------------------------------------------------------------
 
-// A TCP proxy in front of one worker. While it is closed, open connections are
-// reset and new ones are refused.
+// A TCP proxy in front of one worker, or between an entry and the store. While
+// it is closed, open connections are reset and new ones are refused. With a
+// rate, what it passes back to callers shares a link of that many bytes a
+// second.
 class Gate
 {
 public:
-  Gate(boost::asio::io_context& aIo, std::string aListen, std::string aTo);
+  Gate(boost::asio::io_context& aIo,
+       std::string aListen,
+       std::string aTo,
+       std::int64_t aBytesPerSecond = 0);
   void Open();
   void Close();
 
@@ -83,6 +88,7 @@
   std::string item_;
   std::int64_t run_ = 0;
   std::string how_;
+  std::int64_t endedMs_ = 0;
 };
 
 // A VM and the worker that runs on it.
@@ -96,7 +102,6 @@
   std::unique_ptr<Gate> gate_;
 
   std::string state_ = "up"; // as listed: up, upkeep
-  bool isCrashed_ = false;   // its process does not run
   std::int64_t backAtMs_ = 0;
   std::string id_; // of the worker; empty while there is none
   std::int64_t bornMs_ = 0;
@@ -112,6 +117,15 @@
   std::set<std::int64_t> upkeeps_; // waves of which it has had its upkeep
 };
 
+// An order for a VM that the VM service took.
+struct VmOrder
+{
+  std::int64_t atMs_ = 0;
+  std::string vm_;
+  std::string holder_;
+  std::string token_;
+};
+
 struct VmSpec
 {
   std::string pool_;
@@ -129,8 +143,10 @@
   // Exits with 2 if an address is not free.
   void Start(const std::vector<VmSpec>& aVms, const json& aConfig);
 
-  // The worker's process is killed; it starts again under its id.
-  void Crash(Vm& aVm, std::int64_t aDownMs);
+  // Opens a proxy to the store for each entry, at .201:7400 and so on, with the
+  // rate of the entry's link.
+  void LimitLinks(int aMbps);
+
   // For this long, calls to the VM service are carried out and not answered.
   void SilenceVmService(std::int64_t aForMs);
   // Sets a key as the operator does.
@@ -141,8 +157,23 @@
   Vm* FindVmOfItem(const std::string& aItem);
   int DoubleRuns() const { return doubleRuns_; }
   int Ends(const std::string& aHow) const;
+  // Ends that workers have listed for longer than this without an
+  // acknowledgement, and all that ended up to then.
+  std::pair<int, int> Unacknowledged(std::int64_t aForMs) const;
   int StartsOf(const std::string& aJob) const;
+  // Since when no run has been at work on any worker, or 0 if one is.
+  std::int64_t IdleSinceMs() const { return idleSinceMs_; }
   bool HadUpkeep(const std::string& aVm, std::int64_t aWave) const;
+  const std::vector<VmOrder>& Orders() const { return orders_; }
+  // The value of a key as text, empty if it is missing.
+  Awaitable<std::string> ReadKey(std::string aKey);
+  // The number of the entry that owns the fleet, 0 if there is none.
+  Awaitable<int> FindOwner();
+  // Asks the script that started the entries to send SIGTERM to one of them
+  // ("TERM"), or to start it again ("START").
+  void ControlEntry(const std::string& aWhat, int aEntry);
+  // When the entry was last told to end or to start.
+  std::int64_t ControlledMs(int aEntry) const;
   // Writes that were refused as a value exceeded the store's limit.
   int OversizedWrites() const { return oversizedWrites_; }
 
@@ -186,7 +217,13 @@
   std::vector<std::unique_ptr<cuminbridge::HttpServer>> servers_;
   std::vector<std::unique_ptr<Vm>> vms_;
   std::map<std::string, int> endsByKind_;
+  int acknowledgedEnds_ = 0;
   std::map<std::string, int> startsByJob_;
+  std::vector<VmOrder> orders_;
+  std::vector<std::unique_ptr<Gate>> links_;
+  std::int64_t idleSinceMs_ = 0;
+  std::map<int, std::int64_t> controlledMs_;
+  std::set<std::string> standbyPools_;
   std::int64_t vmServiceSilentUntilMs_ = 0;
   int doubleRuns_ = 0;
   int oversizedWrites_ = 0;
@@ -200,4 +237,4 @@
 
 } // namespace review
 
-#endif // cuminbridge_review_world_h
+#endif // cuminbridge_review_world_hh
