--- a/review/standin/gate.cc
+++ b/review/standin/gate.cc
@@ -45,10 +45,22 @@
 struct Link
 {
   std::int64_t bytesPerSecond_ = 0; // 0: no limit
+  bool isSilent_ = false;
   std::chrono::steady_clock::time_point freeAt_;
 
+  Awaitable<void> WaitWhileSilent()
+  {
+    constexpr std::chrono::milliseconds kStep(5);
+    asio::steady_timer timer(co_await asio::this_coro::executor);
+    while (isSilent_) {
+      timer.expires_after(kStep);
+      co_await timer.async_wait(kAsTuple);
+    }
+  }
+
   Awaitable<void> Send(std::size_t aBytes)
   {
+    co_await WaitWhileSilent();
     if (bytesPerSecond_ == 0) {
       co_return;
     }
@@ -173,6 +185,13 @@
   asio::co_spawn(state_->io_, state_->Accept(), asio::detached);
 }
 
+void
+Gate::SetSilent(bool aIsSilent)
+{
+  state_->back_.isSilent_ = aIsSilent;
+  state_->forth_.isSilent_ = aIsSilent;
+}
+
 void
 Gate::Close()
 {
--- a/review/standin/world.cc
+++ b/review/standin/world.cc
@@ -21,6 +21,8 @@
 
 // The limits and times are those of the site file and of DEPLOY.md.
 constexpr std::int64_t kHeartbeatMs = 1500;
+constexpr std::int64_t kRegistrationMs = 250; // from the start of a worker
+constexpr std::int64_t kSilentHeartbeats = 3; // then the entry is removed
 constexpr std::int64_t kMaxHoldMs = 10000;
 constexpr std::int64_t kUpkeepMs = 2000;
 constexpr std::int64_t kMoveMs = 1500;
@@ -176,7 +178,7 @@
 }
 
 void
-World::LimitLinks(int aMbps)
+World::OpenLinks(int aMbps)
 {
   constexpr std::int64_t kBytesPerMegabit = 125000;
   for (int entry = 1; entry <= 3; ++entry) {
@@ -410,7 +412,7 @@
   aVm.endedRun_.clear();
   record_.Add("worker " + aVm.id_ + " begins on " + aVm.name_ + " in " +
               aVm.pool_);
-  Report(aVm);
+  aVm.reportedMs_ = NowMs() - kHeartbeatMs + kRegistrationMs;
 }
 
 void
@@ -423,6 +425,23 @@
   aVm.runs_.clear();
 }
 
+void
+World::Crash(Vm& aVm, std::int64_t aBackAtMs)
+{
+  record_.Add("worker " + aVm.id_ + " on " + aVm.name_ + " crashes, down for " +
+              std::to_string(aBackAtMs - NowMs()) + " ms");
+  LoseRuns(aVm, "the worker crashes");
+  aVm.state_ = "down";
+  aVm.backAtMs_ = aBackAtMs;
+  aVm.gate_->Close();
+}
+
+std::int64_t
+World::UnixMs() const
+{
+  return context_.clocks_.TimeOfDay().time_since_epoch().count();
+}
+
 void
 World::Report(Vm& aVm)
 {
@@ -479,8 +498,14 @@
 {
   while (true) {
     for (auto& vm : vms_) {
+      const bool isDown = vm->state_ == "down";
+      if (isDown &&
+          NowMs() - vm->reportedMs_ > kSilentHeartbeats * kHeartbeatMs) {
+        store_.Remove("servers/" + vm->id_);
+      }
       if (vm->state_ != "up" && NowMs() >= vm->backAtMs_) {
-        Boot(*vm, "worker-" + std::to_string(++workers_));
+        // After a crash the worker starts again under its id.
+        Boot(*vm, isDown ? vm->id_ : "worker-" + std::to_string(++workers_));
         vm->gate_->Open();
       }
       if (vm->state_ != "up" || vm->id_.empty()) {
--- a/review/standin/world.hh
+++ b/review/standin/world.hh
@@ -64,6 +64,9 @@
        std::int64_t aBytesPerSecond = 0);
   void Open();
   void Close();
+  // While it is silent, nothing passes in either direction, and connections
+  // stay open.
+  void SetSilent(bool aIsSilent);
 
 private:
   struct State;
@@ -101,7 +104,7 @@
   std::int64_t gpu_ = 0;
   std::unique_ptr<Gate> gate_;
 
-  std::string state_ = "up"; // as listed: up, upkeep
+  std::string state_ = "up"; // as listed: up, moving, upkeep, down
   std::int64_t backAtMs_ = 0;
   std::string id_; // of the worker; empty while there is none
   std::int64_t bornMs_ = 0;
@@ -144,9 +147,17 @@
   void Start(const std::vector<VmSpec>& aVms, const json& aConfig);
 
   // Opens a proxy to the store for each entry, at .201:7400 and so on, with the
-  // rate of the entry's link.
-  void LimitLinks(int aMbps);
-
+  // rate of the entry's link; 0 for no limit.
+  void OpenLinks(int aMbps);
+
+  // The worker's process is killed; it starts again under its id at aBackAtMs.
+  void Crash(Vm& aVm, std::int64_t aBackAtMs);
+  // The proxy between an entry and the store.
+  Gate& LinkOf(int aEntry)
+  {
+    return *links_.at(static_cast<std::size_t>(aEntry - 1));
+  }
+  std::int64_t UnixMs() const;
   // For this long, calls to the VM service are carried out and not answered.
   void SilenceVmService(std::int64_t aForMs);
   // Sets a key as the operator does.
