What a given-up run has done counts

Cause: an owner that gives a run up lets its item wait, or starts it elsewhere. When the target then lists the run as done, ApplyEnd() found no record of it, compared its number with the item's last one and left the item as it was. The end was acknowledged all the same, and targets forget acknowledged ends: the only proof that the work was done was thrown away. Whether giving the run up was right (its lease had lapsed) or wrong does not matter here.

Now the end done of any run finishes its item, and another run of it that is still at work is stopped. This is safe because a work item needs to be done once, and no run number is ever used for two items.

--- a/packages/fleet/src/run_lists.cpp
+++ b/packages/fleet/src/run_lists.cpp
@@ -45,13 +45,35 @@
   return false;
 }
 
-// Applies one entry of a target's list of ended runs.
+// Stops what still runs of an item, or of its gang, once a run is done: the
+// owner may have given that run up and started another one.
+void
+StopOtherRuns(FleetState& aState, const EndedRun& aDone, const ItemRef& aRef)
+{
+  auto name = aDone.item_;
+  for (std::size_t index = 0; index < aRef.step_->items_.size(); ++index) {
+    const auto& item = aRef.step_->items_[index];
+    name.index_ = static_cast<int>(index);
+    const bool isMeant = aRef.spec_->isGang_ || &item == aRef.item_;
+    if (!isMeant || item.phase_ != ItemPhase::Assigned ||
+        item.run_ == aDone.run_) {
+      continue;
+    }
+    auto& target = aState.targets_[item.target_];
+    if (auto* run = FindRun(target, name, item.run_)) {
+      Stop(aState, target, *run, "another run of its work item is done");
+    }
+  }
+}
+
+// Applies one entry of a target's list of ended runs. What a run has done
+// counts even if the run was given up: the target forgets the end as soon as it
+// is acknowledged.
 void
 ApplyEnd(FleetState& aState, Target& aTarget, const EndedRun& aEnd)
 {
   auto* run = FindRun(aTarget, aEnd.item_, aEnd.run_);
   const auto ref = FindItem(aState, aEnd.item_);
-  bool isCurrent = false;
   if (run) {
     // Runs of earlier owners teach nothing: their start time is not known.
     if (aEnd.kind_ == EndKind::Done && ref.item_ &&
@@ -59,30 +81,25 @@
       aState.runTimes_[ref.job_->job_.queue_].Learn(ref.spec_->estimate_,
                                                     aState.now_ - run->sentAt_);
     }
-    isCurrent = ref.item_ && ref.item_->phase_ == ItemPhase::Assigned &&
-                ref.item_->run_ == aEnd.run_ &&
-                ref.item_->target_ == aTarget.report_.id_;
     if (!aEnd.checkpoint_.empty()) {
       run->checkpoint_ = aEnd.checkpoint_;
     }
     ReleaseRun(aState, aTarget, aEnd.item_, aEnd.run_);
-  } else {
-    isCurrent = SupersedesUnconfirmed(aState, ref, aEnd.run_);
-    if (isCurrent && !aEnd.checkpoint_.empty()) {
-      ref.item_->checkpoint_ = aEnd.checkpoint_;
-    }
+  } else if (SupersedesUnconfirmed(aState, ref, aEnd.run_) &&
+             !aEnd.checkpoint_.empty()) {
+    ref.item_->checkpoint_ = aEnd.checkpoint_;
   }
   if (!ref.item_) {
     return;
   }
-  ref.item_->run_ = std::max(ref.item_->run_, aEnd.run_);
   if (aEnd.kind_ == EndKind::Done) {
     aTarget.consecutiveFailures_ = 0;
-    if (isCurrent) {
-      FinishItem(aState, aEnd.item_, ref);
-    }
+    StopOtherRuns(aState, aEnd, ref);
+    ref.item_->run_ = std::max(ref.item_->run_, aEnd.run_);
+    FinishItem(aState, aEnd.item_, ref);
     return;
   }
+  ref.item_->run_ = std::max(ref.item_->run_, aEnd.run_);
   if (aEnd.kind_ == EndKind::Failed) {
     ++aTarget.consecutiveFailures_;
     ref.item_->avoidedTarget_ = aTarget.report_.id_;
