A given-up run that is still at work goes on

Cause: the run that a target lists was current only if its number was above all that the owner knew of the item. The number of the run that was given up is the highest known.

A listed run is current as well if its item waits and no later run of it exists. The item is assigned to it again. Run numbers only rise, so no other run can be at work unless it has a higher number.

Evidence: 'a given-up run that is still at work goes on' saw the stop before (two checks failed).

--- a/packages/fleet/src/run_lists.cpp
+++ b/packages/fleet/src/run_lists.cpp
@@ -18,21 +18,23 @@
 constexpr int kAtWorkPercent = 100;
 
 // Whether a run that this owner has no record of is the current run of its
-// item: an earlier owner started it without storing that, and its number is
-// above all that are known of the item. An older unconfirmed run of the item
-// has ended then, and is released.
+// item. Either this owner has given it up and has not started another one, or
+// an earlier owner started it without storing that, and its number is above all
+// that are known of the item. An older unconfirmed run of the item has ended
+// then, and is released.
 bool
-SupersedesUnconfirmed(FleetState& aState,
-                      const ItemRef& aRef,
-                      std::int64_t aRun)
+IsCurrentRun(FleetState& aState, const ItemRef& aRef, std::int64_t aRun)
 {
   if (!aRef.item_ || aRef.job_->HasEnded() ||
-      aRef.item_->phase_ == ItemPhase::Done || aRun <= aRef.item_->run_) {
+      aRef.item_->phase_ == ItemPhase::Done || aRun < aRef.item_->run_) {
     return false;
   }
   if (aRef.item_->phase_ == ItemPhase::Waiting) {
     return true;
   }
+  if (aRun == aRef.item_->run_) {
+    return false;
+  }
   auto& target = aState.targets_[aRef.item_->target_];
   for (const auto& run : target.runs_) {
     if (run.run_ == aRef.item_->run_ && run.isUnconfirmed_ &&
@@ -85,7 +87,7 @@
       run->checkpoint_ = aEnd.checkpoint_;
     }
     ReleaseRun(aState, aTarget, aEnd.item_, aEnd.run_);
-  } else if (SupersedesUnconfirmed(aState, ref, aEnd.run_) &&
+  } else if (IsCurrentRun(aState, ref, aEnd.run_) &&
              !aEnd.checkpoint_.empty()) {
     ref.item_->checkpoint_ = aEnd.checkpoint_;
   }
@@ -127,7 +129,7 @@
                     const RunningRun& aSeen)
 {
   const auto ref = FindItem(aState, aSeen.item_);
-  const bool isWanted = SupersedesUnconfirmed(aState, ref, aSeen.run_);
+  const bool isWanted = IsCurrentRun(aState, ref, aSeen.run_);
   Run run;
   run.item_ = aSeen.item_;
   run.run_ = aSeen.run_;
--- a/packages/fleet/tests/given_up_runs_test.cpp
+++ b/packages/fleet/tests/given_up_runs_test.cpp
@@ -80,3 +80,17 @@
   fixture.ConfirmStores();
   CHECK(fixture.fleet_.StoredState(MakeJobId(1)) == JobState::Completed);
 }
+
+TEST_CASE("a given-up run that is still at work goes on")
+{
+  GivenUpRun fixture;
+  RunningRun run;
+  run.item_ = kItem;
+  run.run_ = 1;
+  fixture.AnswerRenewal("t", { run });
+  fixture.ConfirmStores();
+  for (const auto& effect : fixture.fleet_.TakeEffects()) {
+    CHECK_FALSE(std::holds_alternative<StopRun>(effect));
+    CHECK_FALSE(std::holds_alternative<StartRun>(effect));
+  }
+}
