An order does not end the target that its own execution brought

Seen by callers: work items run twice, all items of a target together, after the VM service was away for some seconds while VMs moved.

Cause: HandleVmOrderAnswer() takes the target on the VM for ended when an order is known to be done, by an answer or by a list of VMs (ConfirmOrders). It looked only at orders before this one for whether the target may have begun later. If the answer is lost, the next target joins 1.5 s after the order, takes work, and then the list shows it in the pool of the order. An order without an answer is closed after 3 s, but only while lists of VMs come, and the first list after a pause is handled before any order is closed. So the time is not bounded.

Change: a process that became known after the order was sent is not ended by the order. One that it ended all the same is found by renewals and the next list of VMs, like any other.

--- a/packages/fleet/src/vm_orders.cpp
+++ b/packages/fleet/src/vm_orders.cpp
@@ -45,18 +45,23 @@
 }
 
 // Whether the target's process may have begun after the operation that an
-// answered order speaks of: if an earlier order was carried out and its answer
-// lost, the platform answers a repeated one that it is done already.
+// answered order speaks of. The order itself may have been carried out long
+// before its answer is known, and the target may be the one that it brought. If
+// an earlier order was carried out and its answer lost, the platform answers a
+// repeated one that it is done already.
 bool
 MayHaveBegunAfter(const FleetState& aState,
                   const std::string& aVm,
+                  const VmOrder& aOrder,
                   const Target& aTarget)
 {
   // Longest time for which an order of the previous owner is repeated.
   constexpr Millis kRepeatTime(10000);
   const auto unanswered = aState.unansweredOrders_.find(aVm);
-  if (unanswered != aState.unansweredOrders_.end() &&
-      aTarget.incarnationSeenAt_ >= unanswered->second) {
+  const auto firstSentAt = unanswered == aState.unansweredOrders_.end()
+                             ? aOrder.sentAt_
+                             : unanswered->second;
+  if (aTarget.incarnationSeenAt_ >= firstSentAt) {
     return true;
   }
   const auto recordedAt = OrderedBeforeAt(aState, aVm);
@@ -145,7 +150,7 @@
   if (aAnswer.outcome_ == VmOrderOutcome::Done) {
     order.isAnswered_ = true;
     order.doneAt_ = aState.now_;
-    if (target && MayHaveBegunAfter(aState, aAnswer.vm_, *target)) {
+    if (target && MayHaveBegunAfter(aState, aAnswer.vm_, order, *target)) {
       target->leavingUntil_ = aState.now_;
       target->isCordoned_ = false;
     } else if (target) {
--- a/packages/fleet/tests/simulated_fleet.cpp
+++ b/packages/fleet/tests/simulated_fleet.cpp
@@ -70,19 +70,7 @@
     config_.queues_.push_back(queue);
   }
   for (int index = 0; index < aCount; ++index) {
-    auto target = std::make_unique<SimulatedTarget>();
-    target->id_ = aPool + "-" + std::to_string(targets_.size());
-    target->pool_ = aPool;
-    target->startedAt_ = now_ - Millis(5000);
-    target->incarnation_ = target->startedAt_.time_since_epoch().count();
-    target->capacity_ = { 8000, 32000, 0 };
-    target->capacities_[target->startedAt_] = target->capacity_;
-    target->rejectsOverload_ = aRejectsOverload;
-    const auto id = target->id_;
-    targets_[id] = std::move(target);
-    if (!aRejectsOverload) {
-      SendHeartbeats(id);
-    }
+    AddTarget(aPool, "", now_ - Millis(5000), aRejectsOverload);
   }
 }
 
@@ -126,6 +114,9 @@
   token_ += 100;
   owner_ = std::make_shared<SimulatedOwner>(token_, now_);
   const auto owner = owner_;
+  if (areVmsMoved_) {
+    Deliver(*owner, OptionsChanged{ FleetOptions{} });
+  }
   Deliver(*owner, ConfigSeen{ config_ });
   Deliver(*owner, Tick{ WallTime(now_.time_since_epoch()), true });
   JobsLoaded loaded;
@@ -332,24 +323,15 @@
   At(kListInterval, [this, aOwner] { ListTargets(aOwner); });
 }
 
-// Each target has a VM, which is down while the target has no process.
 void
 SimulatedFleet::ListVms(const std::shared_ptr<SimulatedOwner>& aOwner)
 {
   const auto askedAt = now_;
   At(kNetworkDelay, [this, aOwner, askedAt] {
-    VmsSeen seen;
-    seen.askedAt_ = askedAt;
-    for (const auto& [id, target] : targets_) {
-      const bool isDown = target->downUntil_ > now_;
-      Vm vm;
-      vm.name_ = "vm-" + id;
-      vm.pool_ = target->pool_;
-      vm.target_ = isDown ? "" : id;
-      vm.state_ = isDown ? VmState::Down : VmState::Up;
-      vm.capacity_ = target->capacity_;
-      seen.vms_.push_back(std::move(vm));
+    if (vmServiceAwayUntil_ > now_) {
+      return;
     }
+    const VmsSeen seen{ ListedVms(), askedAt };
     At(kNetworkDelay, [this, aOwner, seen] { Deliver(*aOwner, seen); });
   });
 }
@@ -370,7 +352,7 @@
   report.id_ = aTarget.id_;
   report.address_ = aTarget.id_;
   report.pool_ = aTarget.pool_;
-  report.vm_ = "vm-" + aTarget.id_;
+  report.vm_ = aTarget.vm_;
   report.capacity_ = aTarget.capacity_;
   report.isDraining_ = aTarget.isDraining_;
   report.startUnixMs_ = aTarget.incarnation_;
@@ -515,6 +497,8 @@
       deliver);
   } else if (std::get_if<RequestVmList>(&aEffect)) {
     ListVms(aOwner.shared_from_this());
+  } else if (auto* move = std::get_if<MoveVm>(&aEffect)) {
+    CarryOutMove(aOwner.shared_from_this(), *move);
   } else if (auto* store = std::get_if<StoreProgress>(&aEffect)) {
     Store(aOwner, std::move(*store));
   } else if (std::get_if<StepDown>(&aEffect)) {
--- a/packages/fleet/tests/simulated_fleet.h
+++ b/packages/fleet/tests/simulated_fleet.h
@@ -43,6 +43,9 @@
   void AddTargets(const std::string& aPool,
                   int aCount,
                   bool aRejectsOverload = true);
+  // Adds a pool of VMs without targets. Orders to move VMs are carried out from
+  // the next owner on.
+  void AddStandbyVms(int aCount);
   void SetAccount(Account aAccount);
   void Submit(Job aJob);
   void Cancel(const std::string& aJob);
@@ -75,6 +78,9 @@
   void CutOwnerFromStore(Millis aTime);
   void CutTargetFromStore(const std::string& aTarget, Millis aTime);
 
+  // The VM service answers no call for the time, but carries out orders.
+  void CutVmService(Millis aTime) { vmServiceAwayUntil_ = now_ + aTime; }
+
   void RunFor(Millis aTime);
 
   // Each violation with its virtual time in ms; empty if every rule held.
@@ -96,6 +102,7 @@
   struct SimulatedRun;
   struct SimulatedTarget;
   struct SimulatedOwner;
+  struct SimulatedVm;
   using Action = std::function<void()>;
 
   void At(Millis aDelay, Action aAction);
@@ -105,6 +112,14 @@
   void ListTargets(const std::shared_ptr<SimulatedOwner>& aOwner);
   void ListVms(const std::shared_ptr<SimulatedOwner>& aOwner);
   void PollVms(const std::shared_ptr<SimulatedOwner>& aOwner);
+  std::vector<Vm> ListedVms() const;
+  void CarryOutMove(const std::shared_ptr<SimulatedOwner>& aOwner,
+                    const MoveVm& aMove);
+  // An empty aVm adds a VM for the target.
+  void AddTarget(const std::string& aPool,
+                 const std::string& aVm,
+                 Instant aStartedAt,
+                 bool aRejectsOverload);
   TargetReport MakeReport(SimulatedTarget& aTarget);
   void SendHeartbeats(const std::string& aTarget);
   template<typename Answer, typename Execution, typename Reply>
@@ -146,6 +161,9 @@
   Instant now_;
   std::multimap<Instant, Action> actions_;
   std::map<std::string, std::unique_ptr<SimulatedTarget>> targets_;
+  std::map<std::string, SimulatedVm> vms_; // by name
+  bool areVmsMoved_ = false;
+  Instant vmServiceAwayUntil_;
   std::shared_ptr<SimulatedOwner> owner_;
   std::int64_t token_ = 0;
   int term_ = 0;
--- a/packages/fleet/tests/simulated_fleet_parts.h
+++ b/packages/fleet/tests/simulated_fleet_parts.h
@@ -25,6 +25,7 @@
 {
   std::string id_;
   std::string pool_;
+  std::string vm_;
   std::int64_t incarnation_ = 0;
   Instant startedAt_;
   bool rejectsOverload_ = true;
@@ -51,6 +52,13 @@
   std::int64_t sequence_ = 0;
 };
 
+struct SimulatedFleet::SimulatedVm
+{
+  std::string pool_;
+  std::string target_; // id of the last target there; empty if it had none
+  Instant movingUntil_;
+};
+
 struct SimulatedFleet::SimulatedOwner
   : std::enable_shared_from_this<SimulatedOwner>
 {
@@ -60,7 +68,7 @@
   {
   }
 
-  // VMs stay in their pools: the simulation carries out no orders for them.
+  // VMs stay in their pools, except in a fleet with standby VMs.
   static FleetOptions MakeOptions()
   {
     FleetOptions options;
--- /dev/null
+++ b/packages/fleet/tests/vm_evidence_test.cpp
@@ -0,0 +1,150 @@
+// What the VM service says of a target: which of it proves that the target has
+// ended, and which does not.
+
+#include <catch2/catch.hpp>
+
+#include "reducer_fixture.h"
+#include "state.h"
+
+using namespace cuminbridge;
+
+namespace {
+
+const ItemName kItem{ MakeJobId(1), 0, 0, 0 };
+
+// A VM on standby is ordered to pool "a", where an item waits. The call is
+// carried out and gets no answer. VMs are listed only as a test does it.
+struct MovedVm : ReducerFixture
+{
+  MovedVm()
+  {
+    FleetConfig config;
+    config.version_ = 1;
+    config.pools_.push_back({ "a", true, false });
+    config.pools_.push_back({ "standby", true, true });
+    vm_.name_ = "vm-next";
+    vm_.pool_ = "standby";
+    vm_.state_ = VmState::Up;
+    vm_.capacity_ = { 8000, 32000, 0 };
+    Deliver(ConfigSeen{ config });
+    Deliver(JobsLoaded{});
+    Deliver(TargetsSeen{});
+    Advance(Millis(10));
+    Deliver(JobArrived{ MakeJob(kItem.job_, "a", { 1 }) });
+    for (int round = 0; round < 8 && moves_ == 0; ++round) {
+      ListVm();
+      Advance(Millis(250));
+    }
+    REQUIRE(moves_ == 1);
+    Deliver(VmOrderAnswered{ vm_.name_, VmOrderOutcome::Unknown });
+  }
+
+  // Confirms what is stored, and counts orders and starts.
+  void Advance(Millis aTime)
+  {
+    AdvanceTime(aTime);
+    for (const auto& effect : fleet_.TakeEffects()) {
+      moves_ += std::holds_alternative<MoveVm>(effect) ? 1 : 0;
+      starts_ += std::holds_alternative<StartRun>(effect) ? 1 : 0;
+      if (const auto* store = std::get_if<StoreProgress>(&effect)) {
+        Deliver(ProgressStored{ store->batch_ });
+      }
+    }
+  }
+
+  void ListVm() { Deliver(VmsSeen{ { vm_ }, now_ }); }
+
+  // The target that the move brings joins, and the item starts there.
+  void StartWork()
+  {
+    Advance(Millis(1500));
+    vm_.pool_ = "a";
+    vm_.target_ = "next";
+    ReportTarget();
+    AnswerRenewal("next", {});
+    Advance(Millis(10));
+    Advance(Millis(10));
+    REQUIRE(starts_ == 1);
+    Deliver(StartAnswered{ "next", kItem, 1, StartOutcome::Started, 130 });
+  }
+
+  // The target lists the item's run every 200 ms.
+  void KeepRunning(Millis aTime)
+  {
+    for (Millis passed(0); passed < aTime; passed += Millis(200)) {
+      Advance(Millis(200));
+      ReportTarget();
+      AnswerRenewal("next", { { kItem, 1, "", 10, 0 } });
+    }
+  }
+
+  void ReportTarget()
+  {
+    auto report = MakeReport("next");
+    report.sequence_ = ++sequence_;
+    Deliver(TargetsSeen{ { report } });
+  }
+
+  Vm vm_;
+  int moves_ = 0;
+  int starts_ = 0;
+  std::int64_t sequence_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("an order does not end the target that its own execution brought")
+{
+  // The owner learned late that its order was carried out. All work of the
+  // target that had joined since started elsewhere and ran twice.
+  MovedVm fixture;
+  fixture.StartWork();
+  SECTION("a list of VMs that comes a little later")
+  {
+    fixture.KeepRunning(Millis(600));
+    fixture.ListVm();
+  }
+  SECTION("a list of VMs after the VM service was away for 10 s")
+  {
+    fixture.KeepRunning(Millis(10000));
+    fixture.ListVm();
+  }
+  SECTION("an answer that is read late")
+  {
+    fixture.KeepRunning(Millis(600));
+    fixture.Deliver(VmOrderAnswered{ fixture.vm_.name_, VmOrderOutcome::Done });
+  }
+  fixture.Advance(Millis(10));
+  CHECK(fixture.fleet_.Counts().lost_ == 0);
+  CHECK(fixture.fleet_.State().targets_.at("next").runs_.size() == 1);
+  CHECK(!fixture.fleet_.State().targets_.at("next").hasExited_);
+}
+
+TEST_CASE("work of moved VMs does not run twice while the VM service is away")
+{
+  // VMs are moved, and the answers to the orders are lost.
+  for (const int away : { 500, 2500, 3000, 4000, 12000 }) {
+    INFO("away for " << away << " ms");
+    SimulatedFleet fleet(1);
+    fleet.AddTargets("a", 1);
+    fleet.AddStandbyVms(3);
+    fleet.StartOwner();
+    fleet.RunFor(Millis(1000));
+    // It fills the first target until the others have joined.
+    auto first = MakeJob(MakeJobId(1), "a", { 8 });
+    first.steps_[0].estimate_ = Millis(2300);
+    fleet.Submit(std::move(first));
+    fleet.RunFor(Millis(100));
+    auto second = MakeJob(MakeJobId(2), "a", { 24 });
+    second.steps_[0].estimate_ = Millis(15000);
+    fleet.Submit(std::move(second));
+    fleet.CutVmService(Millis(away));
+    fleet.RunFor(Millis(60000));
+    for (const auto& what : fleet.Violations()) {
+      FAIL_CHECK(what);
+    }
+    CHECK(fleet.TargetIds().size() > 1);
+    CHECK(fleet.Starts(MakeJobId(2)) == 24);
+    CHECK(fleet.StoredState(MakeJobId(2)) == JobState::Completed);
+  }
+}
