Simulation: targets that reject overload count no processor time of fillers

Cause: the simulated target counted a filler's processor time against its capacity when it took a start, and the check of capacities did not. Both now use one function; memory and accelerators of fillers count as before.

--- a/packages/fleet/tests/capacity_test.cpp
+++ b/packages/fleet/tests/capacity_test.cpp
@@ -18,6 +18,14 @@
 constexpr unsigned kHistories = 200;
 constexpr Millis kSettleTime(90000);
 
+// 13187: An owner without its lease started work on a target that had just
+// restarted. 5801, 12214, 14696: Simulated targets that reject overload counted
+// the processor time of fillers, and two gangs kept each other from starting.
+constexpr std::array<unsigned, 4> kRegressionSeeds = { 5801,
+                                                       12214,
+                                                       13187,
+                                                       14696 };
+
 const Resources kFull{ 8000, 32000, 0 };
 const Resources kShrunk{ 2000, 32000, 0 };
 
@@ -278,6 +286,24 @@
   }
 }
 
+TEST_CASE("a target that rejects overload starts fillers when it is full")
+{
+  SimulatedFleet fleet(1);
+  fleet.AddTargets("a", 1);
+  fleet.StartOwner();
+  fleet.RunFor(Millis(1000));
+  auto full = MakeJob(MakeJobId(0), "a", { 8 });
+  full.steps_[0].estimate_ = Millis(9000);
+  fleet.Submit(full);
+  fleet.RunFor(Millis(1000));
+  auto filler = MakeJob(MakeJobId(1), "a", { 1 });
+  filler.steps_[0].isFiller_ = true;
+  fleet.Submit(filler);
+  fleet.RunFor(Millis(3000));
+  CHECK(fleet.Starts(MakeJobId(0)) == 8);
+  CHECK(fleet.StoredState(MakeJobId(1)) == JobState::Completed);
+}
+
 TEST_CASE("an owner without the store starts nothing on outdated capacities")
 {
   SimulatedFleet fleet(1);
@@ -322,12 +348,12 @@
   }
 }
 
-TEST_CASE("a capacity history that failed before keeps every rule")
+TEST_CASE("capacity histories that failed before keep every rule")
 {
-  // An owner without its lease started work on a target that had just
-  // restarted.
-  constexpr unsigned kSeed = 13187;
-  CapacityHistory history(kSeed);
-  history.Run();
-  history.Check();
+  for (const auto seed : kRegressionSeeds) {
+    INFO("seed " << seed);
+    CapacityHistory history(seed);
+    history.Run();
+    history.Check();
+  }
 }
--- a/packages/fleet/tests/simulated_fleet.h
+++ b/packages/fleet/tests/simulated_fleet.h
@@ -140,6 +140,7 @@
   void EndProcess(SimulatedTarget& aTarget);
   void AcknowledgeEnds(SimulatedTarget& aTarget, std::int64_t aLastStored);
   void CheckStart(const SimulatedTarget& aTarget, const StartRun& aStart);
+  Resources ReservedBy(const ItemName& aItem) const;
   void CheckCapacity(const SimulatedTarget& aTarget, const StartRun& aStart);
   void CheckFailed(const std::string& aJob);
   void CheckDone(const Job& aJob, int aOccurrence);
--- a/packages/fleet/tests/simulated_targets.cpp
+++ b/packages/fleet/tests/simulated_targets.cpp
@@ -175,6 +175,17 @@
   }
 }
 
+// What an item takes of its target's capacity. Fillers take no processor time.
+Resources
+SimulatedFleet::ReservedBy(const ItemName& aItem) const
+{
+  const auto& step =
+    jobs_.at(aItem.job_).steps_[static_cast<std::size_t>(aItem.step_)];
+  auto needs = step.needs_;
+  needs.cpu_ = step.isFiller_ ? 0 : needs.cpu_;
+  return needs;
+}
+
 void
 SimulatedFleet::CheckCapacity(const SimulatedTarget& aTarget,
                               const StartRun& aStart)
@@ -194,16 +205,9 @@
       allowed.gpu_ = std::max(allowed.gpu_, it->second.gpu_);
     }
   }
-  const auto needsOf = [this](const ItemName& aItem) {
-    const auto& step =
-      jobs_.at(aItem.job_).steps_[static_cast<std::size_t>(aItem.step_)];
-    auto needs = step.needs_;
-    needs.cpu_ = step.isFiller_ ? 0 : needs.cpu_;
-    return needs;
-  };
-  auto used = needsOf(aStart.item_);
+  auto used = ReservedBy(aStart.item_);
   for (const auto& run : aTarget.runs_) {
-    used += needsOf(run.item_);
+    used += ReservedBy(run.item_);
   }
   if (!used.Fits(allowed)) {
     ReportViolation(
@@ -364,7 +368,7 @@
   const auto closed = target.closedRuns_.find(aStart.item_);
   Resources freeCapacity = target.capacity_;
   for (const auto& run : target.runs_) {
-    freeCapacity -= run.needs_;
+    freeCapacity -= ReservedBy(run.item_);
   }
   const auto& spec = jobs_.at(aStart.item_.job_)
                        .steps_[static_cast<std::size_t>(aStart.item_.step_)];
@@ -373,7 +377,8 @@
   } else if (closed != target.closedRuns_.end() &&
              aStart.run_ <= closed->second) {
     answer.outcome_ = StartOutcome::StaleRun;
-  } else if (target.rejectsOverload_ && !spec.needs_.Fits(freeCapacity)) {
+  } else if (target.rejectsOverload_ &&
+             !ReservedBy(aStart.item_).Fits(freeCapacity)) {
     answer.outcome_ = StartOutcome::NoCapacity;
   }
   if (answer.outcome_ != StartOutcome::Started) {
