Soak: links that refuse connections, several targets and entries cut off at once

What was missing: the soak's Reset accepts a connection and then resets it, which an entry sees as a lost call. A network that refuses connections, and a rack or a data centre that is cut off at once, were never played in real time.

LinkFault::Refuse closes the listening socket and resets what is open, while the target behind it lives on. Two more cases of link faults take half of the targets at once, without and with the links of every second entry to the store.

The programs inherited the sockets of the links that were open when they were started, so a closed link went on to accept connections in them, and resets stayed without effect: each child now closes all but its standard streams first.

--daemon FILE runs another build of the daemon.

--- a/testing/soak/links.cpp
+++ b/testing/soak/links.cpp
@@ -68,6 +68,8 @@
              (aIsRequest ? LinkFault::HoldRequests : LinkFault::HoldAnswers);
   }
 
+  void Listen(); // throws if the near address is in use
+  void SetFault(LinkFault aFault);
   Awaitable<void> Accept();
   Awaitable<void> Serve(std::shared_ptr<Pair> aPair);
   Awaitable<void> Forward(std::shared_ptr<Pair> aPair, bool aIsRequest);
@@ -81,6 +83,35 @@
   std::set<std::shared_ptr<Pair>> pairs_;
 };
 
+void
+Link::State::Listen()
+{
+  const auto near = ReadEndpoint(near_);
+  acceptor_.open(near.protocol());
+  acceptor_.set_option(tcp::acceptor::reuse_address(true));
+  acceptor_.bind(near);
+  acceptor_.listen();
+  asio::co_spawn(io_, Accept(), asio::detached);
+}
+
+void
+Link::State::SetFault(LinkFault aFault)
+{
+  fault_ = aFault;
+  ++changes_;
+  if (aFault == LinkFault::Refuse) {
+    boost::system::error_code ignored;
+    acceptor_.close(ignored);
+  } else if (!acceptor_.is_open()) {
+    Listen();
+  }
+  if (aFault == LinkFault::Reset || aFault == LinkFault::Refuse) {
+    for (const auto& pair : pairs_) {
+      pair->Reset();
+    }
+  }
+}
+
 Awaitable<void>
 Link::State::Accept()
 {
@@ -88,7 +119,7 @@
   while (acceptor_.is_open()) {
     auto pair = std::make_shared<Pair>(
       co_await acceptor_.async_accept(asio::use_awaitable));
-    if (fault_ == LinkFault::Reset) {
+    if (fault_ == LinkFault::Reset || fault_ == LinkFault::Refuse) {
       pair->Reset();
       continue;
     }
@@ -142,7 +173,8 @@
 {
   static const char* const kNames[] = { "none",          "delay",
                                         "hold_requests", "hold_answers",
-                                        "silence",       "reset" };
+                                        "silence",       "reset",
+                                        "refuse" };
   return kNames[static_cast<int>(aFault)];
 }
 
@@ -163,31 +195,19 @@
 void
 Link::Open()
 {
-  const auto near = ReadEndpoint(state_->near_);
-  auto& acceptor = state_->acceptor_;
-  acceptor.open(near.protocol());
-  acceptor.set_option(tcp::acceptor::reuse_address(true));
-  acceptor.bind(near);
-  acceptor.listen();
-  asio::co_spawn(state_->io_, state_->Accept(), asio::detached);
+  state_->Listen();
 }
 
 void
 Link::InjectFault(LinkFault aFault, Millis aTime)
 {
-  state_->fault_ = aFault;
-  const int change = ++state_->changes_;
-  if (aFault == LinkFault::Reset) {
-    for (const auto& pair : state_->pairs_) {
-      pair->Reset();
-    }
-  }
+  state_->SetFault(aFault);
   asio::co_spawn(
     state_->io_,
-    [state = state_, change, aTime]() -> Awaitable<void> {
+    [state = state_, change = state_->changes_, aTime]() -> Awaitable<void> {
       co_await Wait(state->io_, aTime);
       if (state->changes_ == change) {
-        state->fault_ = LinkFault::None;
+        state->SetFault(LinkFault::None);
       }
     },
     asio::detached);
@@ -196,8 +216,7 @@
 void
 Link::ClearFault()
 {
-  ++state_->changes_;
-  state_->fault_ = LinkFault::None;
+  state_->SetFault(LinkFault::None);
 }
 
 const std::string&
--- a/testing/soak/links.h
+++ b/testing/soak/links.h
@@ -1,4 +1,5 @@
-// A loopback proxy for TCP connections that can be delayed, blocked or reset.
+// A loopback proxy for TCP connections that can be delayed, blocked, reset or
+// refused.
 // The near address is the one where it listens, the far address the one that it
 // connects to.
 //
@@ -28,6 +29,7 @@
   HoldAnswers,  // nothing comes back from the far side
   Silence,      // nothing passes in either direction
   Reset,        // open connections are reset, and new ones at once
+  Refuse,       // nothing listens, and open connections are reset
 };
 
 inline constexpr Millis kDelay(120);
--- a/testing/soak/processes.cpp
+++ b/testing/soak/processes.cpp
@@ -44,6 +44,8 @@
                                    O_WRONLY | O_CREAT | O_APPEND,
                                    kMode);
   posix_spawn_file_actions_adddup2(&actions, STDOUT_FILENO, STDERR_FILENO);
+  // A link's socket that a child kept open would go on to accept connections.
+  posix_spawn_file_actions_addclosefrom_np(&actions, STDERR_FILENO + 1);
   const int error =
     posix_spawn(&id_, words[0], &actions, nullptr, words.data(), environ);
   posix_spawn_file_actions_destroy(&actions);
--- a/testing/soak/soak.cpp
+++ b/testing/soak/soak.cpp
@@ -44,6 +44,7 @@
 struct Options
 {
   std::string build_;  // build folder
+  std::string daemon_; // the daemon's program
   unsigned first_ = 1; // first seed
   unsigned seeds_ = 1; // number of seeds
   int seconds_ = 10;   // time of fault injection for each seed
@@ -120,8 +121,7 @@
     const auto number = std::to_string(entry);
     WriteSettings(entry);
     entries_.push_back(std::make_unique<Process>(
-      std::vector<std::string>{ aOptions.build_ +
-                                  "/packages/daemon/cuminbridge",
+      std::vector<std::string>{ aOptions.daemon_,
                                 "--settings",
                                 folder_ + "/entry-" + number + ".conf" },
       folder_ + "/entry-" + number + ".log"));
@@ -194,14 +194,21 @@
 {
   // Long enough that leases lapse and the owner changes.
   constexpr int kLongestMs = 4000;
-  const auto fault = static_cast<LinkFault>(1 + random_() % 5);
+  const auto fault = static_cast<LinkFault>(1 + random_() % 6);
   const auto time = RandomTime(200, kLongestMs);
   const auto inject = [&](Link& aLink) {
     LogFault(std::string(NameOf(fault)) + ' ' + aLink.Name() + " for " +
              std::to_string(time.count()) + " ms");
     aLink.InjectFault(fault, time);
   };
-  switch (random_() % 4) {
+  const auto injectIntoSeveralTargets = [&] {
+    for (auto& link : targets_) {
+      if (random_() % 2 == 0) {
+        inject(*link);
+      }
+    }
+  };
+  switch (random_() % 6) {
     case 0: // all entries' links to the store
       for (auto& link : stores_) {
         inject(*link);
@@ -210,6 +217,16 @@
     case 1: // one entry's link to the store
       inject(*stores_[random_() % stores_.size()]);
       break;
+    case 2: // a rack is cut off
+      injectIntoSeveralTargets();
+      break;
+    case 3: // a data centre is cut off, with the links to the store from there
+      injectIntoSeveralTargets();
+      for (std::size_t entry = random_() % 2; entry < stores_.size();
+           entry += 2) {
+        inject(*stores_[entry]);
+      }
+      break;
     default: // links to two targets, or twice the same one
       inject(*targets_[random_() % targets_.size()]);
       inject(*targets_[random_() % targets_.size()]);
@@ -417,10 +434,19 @@
                                command);
   TCLAP::ValueArg<int> entries(
     "", "entries", "number of entry processes", false, 4, "N", command);
+  TCLAP::ValueArg<std::string> daemon("",
+                                      "daemon",
+                                      "the daemon's program (of BUILD)",
+                                      false,
+                                      "",
+                                      "FILE",
+                                      command);
   TCLAP::UnlabeledValueArg<std::string> build(
     "build", "build folder", true, "", "BUILD", command);
   command.parse(aCount, aArguments);
   return { build.getValue(),
+           daemon.isSet() ? daemon.getValue()
+                          : build.getValue() + "/packages/daemon/cuminbridge",
            first.getValue(),
            seeds.getValue(),
            seconds.getValue(),
