Soak: each run takes a free loopback network

What callers saw: a second soak on the same machine ended in an uncaught exception, as the addresses were in use. Each seed now takes the first network of 127.1 to 127.250 whose lock, a listening socket, is free. If there is none, and after any other failure, the program prints one line and exits with 2.

--- a/testing/soak/soak.cpp
+++ b/testing/soak/soak.cpp
@@ -31,11 +31,6 @@
 
 namespace {
 
-// The first three numbers of the addresses of each kind.
-const std::string kPlatform = "127.0.61"; // the platform's stand-in
-const std::string kStores = "127.0.62";  // one link to the store for each entry
-const std::string kTargets = "127.0.63"; // one link to each target
-const std::string kEntries = "127.0.64";
 constexpr int kVms = 8;
 constexpr int kFirstVm = 11; // last number of the first target's address
 constexpr Millis kStartLimit(20000);
@@ -51,6 +46,48 @@
   int entries_ = 4;    // number of entries
 };
 
+// The loopback addresses of one soak. A listening socket keeps other soaks away
+// from them, so that several can run at once.
+class Network
+{
+public:
+  explicit Network(asio::io_context& aIo); // throws if none is free
+
+  // The first three numbers of the addresses of each kind.
+  std::string platform_; // the platform's stand-in
+  std::string stores_;   // one link to the store for each entry
+  std::string targets_;  // one link to each target
+  std::string entries_;
+
+private:
+  asio::ip::tcp::acceptor lock_;
+};
+
+Network::Network(asio::io_context& aIo)
+  : lock_(aIo)
+{
+  constexpr int kLast = 250;
+  for (int number = 1; number <= kLast; ++number) {
+    const auto base = "127." + std::to_string(number) + '.';
+    const auto endpoint = ReadEndpoint(base + "60.1:7400");
+    boost::system::error_code error;
+    lock_.open(endpoint.protocol());
+    lock_.bind(endpoint, error);
+    if (!error) {
+      lock_.listen(1, error);
+    }
+    if (!error) {
+      platform_ = base + "61";
+      stores_ = base + "62";
+      targets_ = base + "63";
+      entries_ = base + "64";
+      return;
+    }
+    lock_.close();
+  }
+  throw std::runtime_error("no loopback network is free for the soak");
+}
+
 class Soak
 {
 public:
@@ -82,6 +119,7 @@
   std::string folder_;
   std::mt19937 random_;
   asio::io_context io_{ 1 };
+  Network network_{ io_ };
   HttpClient http_{ io_, HttpClientOptions{} };
   Process standin_;
   std::vector<std::unique_ptr<Process>> entries_;
@@ -96,11 +134,12 @@
 };
 
 std::vector<std::string>
-CallerAddresses(int aEntries)
+CallerAddresses(const Network& aNetwork, int aEntries)
 {
   std::vector<std::string> addresses;
   for (int entry = 1; entry <= aEntries; ++entry) {
-    addresses.push_back(kEntries + '.' + std::to_string(entry) + ":8340");
+    addresses.push_back(aNetwork.entries_ + '.' + std::to_string(entry) +
+                        ":8340");
   }
   return addresses;
 }
@@ -110,10 +149,11 @@
   , folder_("/tmp/cuminbridge-soak-" + std::to_string(getpid()) + '-' +
             std::to_string(aSeed))
   , random_(aSeed)
-  , standin_(
-      { aOptions.build_ + "/platform/platform_standin", kPlatform, kTargets },
-      folder_ + "/standin.log")
-  , callers_(io_, CallerAddresses(aOptions.entries_), aSeed)
+  , standin_({ aOptions.build_ + "/platform/platform_standin",
+               network_.platform_,
+               network_.targets_ },
+             folder_ + "/standin.log")
+  , callers_(io_, CallerAddresses(network_, aOptions.entries_), aSeed)
 {
   std::filesystem::create_directories(folder_);
   faultLog_.open(folder_ + "/faults.log");
@@ -125,15 +165,17 @@
                                 "--settings",
                                 folder_ + "/entry-" + number + ".conf" },
       folder_ + "/entry-" + number + ".log"));
-    stores_.push_back(std::make_unique<Link>(
-      io_, kStores + '.' + number + ":7400", kPlatform + ".1:7400"));
+    stores_.push_back(
+      std::make_unique<Link>(io_,
+                             network_.stores_ + '.' + number + ":7400",
+                             network_.platform_ + ".1:7400"));
   }
   for (int vm = 0; vm < kVms; ++vm) {
     const auto number = std::to_string(kFirstVm + vm);
     targets_.push_back(
       std::make_unique<Link>(io_,
-                             kTargets + '.' + number + ":7500",
-                             kPlatform + '.' + number + ":7500"));
+                             network_.targets_ + '.' + number + ":7500",
+                             network_.platform_ + '.' + number + ":7500"));
   }
 }
 
@@ -141,13 +183,13 @@
 Soak::WriteSettings(int aEntry) const
 {
   const auto number = std::to_string(aEntry);
-  const auto ip = kEntries + '.' + number;
+  const auto ip = network_.entries_ + '.' + number;
   std::ofstream file(folder_ + "/entry-" + number + ".conf");
   file << "node_name=entry-" << number << "\nip=" << ip
        << "\nzone=demo-a\nlisten.front=" << ip << ":8340\nlisten.ready=" << ip
-       << ":8343\ninternal_ports=7000,7015\nadvice=" << kPlatform
-       << ".3:7400\nplatform.address=" << kStores << '.' << number
-       << ":7400\ncloud.address=" << kPlatform
+       << ":8343\ninternal_ports=7000,7015\nadvice=" << network_.platform_
+       << ".3:7400\nplatform.address=" << network_.stores_ << '.' << number
+       << ":7400\ncloud.address=" << network_.platform_
        << ".2:7400\nbounds.migrate_s=0.4\n";
 }
 
@@ -272,7 +314,7 @@
   put.body_ =
     nlohmann::json{ { "version", ++configVersion_ }, { "cpu", limit } }.dump();
   LogFault("configuration " + put.body_);
-  co_await http_.Call(kPlatform + ".1:7400", put);
+  co_await http_.Call(network_.platform_ + ".1:7400", put);
 }
 
 Awaitable<void>
@@ -346,7 +388,7 @@
       HttpCall call;
       call.path_ = "/readiness";
       reply = co_await http_.Call(
-        kEntries + '.' + std::to_string(entry) + ":8343", call);
+        network_.entries_ + '.' + std::to_string(entry) + ":8343", call);
     }
   }
   co_return true;
@@ -357,7 +399,7 @@
 {
   HttpCall call;
   call.path_ = "/judge";
-  const auto reply = co_await http_.Call(kPlatform + ".2:7400", call);
+  const auto reply = co_await http_.Call(network_.platform_ + ".2:7400", call);
   const auto body = nlohmann::json::parse(reply.body_, nullptr, false);
   if (!body.is_object()) {
     violations_.emplace_back(
@@ -486,5 +528,11 @@
 int
 main(int argc, char** argv)
 {
-  return cuminbridge::soak::RunSoak(cuminbridge::soak::ReadOptions(argc, argv));
+  try {
+    return cuminbridge::soak::RunSoak(
+      cuminbridge::soak::ReadOptions(argc, argv));
+  } catch (const std::exception& failure) {
+    std::cerr << "soak: " << failure.what() << std::endl;
+    return 2;
+  }
 }
