The build names its version and its commit

What operators saw: nothing in a log or in the metrics told which build an entry ran.

The new case of daemon_test checks the form of the gauge; it does not compile on the code before, which has no such line. daemon_test passes.

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -12,6 +12,7 @@
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
 
+#include "build_info.h"
 #include "caller_api.h"
 #include "daemon_log.h"
 #include "daemon_metrics.h"
@@ -445,7 +446,9 @@
 {
   StartDaemonLog(settings_.name_);
   SetLogLimits(tuning_.log_);
-  Log("started", "data centre " + settings_.dataCentre_);
+  Log("started",
+      "data centre " + settings_.dataCentre_ + ", version " + kBuildVersion +
+        ", commit " + kBuildCommit);
   for (const auto& [server, address] :
        { std::pair(&callerServer_, settings_.callerAddress_),
          std::pair(&readinessServer_, settings_.readyAddress_),
--- a/packages/daemon/src/daemon_metrics.cpp
+++ b/packages/daemon/src/daemon_metrics.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <sstream>
 
+#include "build_info.h"
 #include "daemon_log.h"
 
 namespace cuminbridge {
@@ -167,6 +168,15 @@
   return out.str();
 }
 
+std::string
+FormatBuildInfo()
+{
+  return std::string("# HELP cuminbridge_build_info which build runs\n"
+                     "# TYPE cuminbridge_build_info gauge\n"
+                     "cuminbridge_build_info{version=\"") +
+         kBuildVersion + "\",commit=\"" + kBuildCommit + "\"} 1\n";
+}
+
 std::string
 FormatMetrics(const DaemonMetrics& aMetrics,
               const CallerApi& aCallerApi,
@@ -176,6 +186,7 @@
               Millis aStoreAge)
 {
   std::ostringstream out;
+  out << FormatBuildInfo();
   const auto& counts = aCallerApi.Counts();
   AddCounter(out, "jobs_accepted_total", "jobs stored", counts.accepted_);
   AddCounter(out, "jobs_refused_total", "answered 503", counts.refused_);
--- a/packages/daemon/src/daemon_metrics.h
+++ b/packages/daemon/src/daemon_metrics.h
@@ -59,6 +59,9 @@
   Histogram answerHistogram_;
 };
 
+// Prometheus lines of a gauge that names the build and is always 1.
+std::string FormatBuildInfo();
+
 // aOwners are those in this process. aStoreAge is the
 // time since the store last answered.
 std::string FormatMetrics(const DaemonMetrics& aMetrics,
--- a/packages/daemon/src/main.cpp
+++ b/packages/daemon/src/main.cpp
@@ -1,9 +1,11 @@
 // The command line of cuminbridge.
 
 #include <iostream>
+#include <string>
 
 #include <tclap/CmdLine.h>
 
+#include "build_info.h"
 #include "cuminbridge/daemon.h"
 
 int
@@ -18,7 +20,8 @@
       "it down gracefully; SIGHUP reads the project's own settings "
       "again.\n\nExample: cuminbridge --settings entry.conf",
       ' ',
-      CUMINBRIDGE_VERSION);
+      std::string(cuminbridge::kBuildVersion) + ", commit " +
+        cuminbridge::kBuildCommit);
     TCLAP::ValueArg<std::string> settings(
       "s",
       "settings",
--- a/packages/daemon/tests/metrics_test.cpp
+++ b/packages/daemon/tests/metrics_test.cpp
@@ -1,4 +1,6 @@
-// Histograms in the Prometheus text format.
+// Metrics in the Prometheus text format.
+
+#include <regex>
 
 #include <catch2/catch.hpp>
 
@@ -20,3 +22,13 @@
   CHECK(text.find("x_sum 4.207\n") != std::string::npos);
   CHECK(text.find("x_count 6\n") != std::string::npos);
 }
+
+TEST_CASE("the metrics name the version and the commit of the build")
+{
+  const std::regex lines("# HELP cuminbridge_build_info [^\n]+\n"
+                         "# TYPE cuminbridge_build_info gauge\n"
+                         "cuminbridge_build_info\\{"
+                         "version=\"[0-9]+\\.[0-9]+\\.[0-9]+\","
+                         "commit=\"[A-Za-z0-9._/+-]+\"\\} 1\n");
+  CHECK(std::regex_match(FormatBuildInfo(), lines));
+}
