The log tells why work was given up, and what became of its end

`run_lost` said "its lease expired" or "the process of its target has ended" and nothing of what that rested on. A target listed the success of a run that had been given up, the end was acknowledged, and there was neither a line nor a count.

Cause: the lines held the verdict only, and ApplyEnd() logged no end of kind "done" that does not finish its item.

Now the lines `run_lost`, `target_gone`, `target_silent`, `target_back` and `target_restarted` carry the evidence and its age: number and confirmation of the run; deadline, estimated clock, age of the clock reading and of the last answer; whether this entry was held up lately; age of the list of VMs, and state and target of the VM in it; when an order was sent and what showed it; `born` of both processes, as far as the other answers with it. `end_ignored` tells of an end that neither finishes nor fails its item, `run_stopped` which run is current. Counters: ends_ignored_total, ends_done_ignored_total, runs_stopped_unwanted_total, targets_back_after_loss_total.

An end that the next owner reads again after its item is done, and that of a gang whose other member completed it, are no ignored ends. Ends of jobs that had ended before the owner began count only as ignored.

No decision changes: the new state is read by nothing but lines and counters. A renewal that another process rejects passes on its `born`, which only the log reads.

--- a/packages/ctl/tests/explain_test.cpp
+++ b/packages/ctl/tests/explain_test.cpp
@@ -40,6 +40,20 @@
   CHECK(history[3] == "12:05 e run_lost t: d");
 }
 
+TEST_CASE("what became of a lost run is shown, also after the end of its job")
+{
+  const auto history = ExplainJob("j",
+                                  { Line("12:01", "run_lost", "j", "t"),
+                                    Line("12:01", "target_gone", "", "t"),
+                                    Line("12:03", "target_back", "", "t"),
+                                    Line("12:02", "job_ended", "j", ""),
+                                    Line("12:04", "target_silent", "", "t"),
+                                    Line("12:03", "end_ignored", "j", "t") });
+  REQUIRE(history.size() == 5);
+  CHECK(history[3] == "12:03 e target_back t: d");
+  CHECK(history[4] == "12:03 e end_ignored t: d");
+}
+
 TEST_CASE("an unknown job has no history")
 {
   CHECK(ExplainJob("x", { Line("12:02", "owner_began", "", "") }).empty());
--- a/packages/daemon/src/daemon_metrics.cpp
+++ b/packages/daemon/src/daemon_metrics.cpp
@@ -49,7 +49,7 @@
     const char* help_;
     std::uint64_t FleetCounts::*value_;
   };
-  constexpr std::array<Column, 9> kColumns = { {
+  constexpr std::array<Column, 13> kColumns = { {
     { "runs_started_total", "starts sent", &FleetCounts::starts_ },
     { "starts_not_taken_total",
       "starts refused or without an answer",
@@ -62,6 +62,18 @@
     { "runs_crashed_total",
       "runs whose target's process ended by itself",
       &FleetCounts::crashed_ },
+    { "ends_ignored_total",
+      "listed ends that neither finished nor failed their item",
+      &FleetCounts::endsIgnored_ },
+    { "ends_done_ignored_total",
+      "of these, runs that were done but not current",
+      &FleetCounts::endsDoneIgnored_ },
+    { "runs_stopped_unwanted_total",
+      "runs found on a target that were not current",
+      &FleetCounts::stoppedUnwanted_ },
+    { "targets_back_after_loss_total",
+      "targets back after their runs had been given up",
+      &FleetCounts::targetsBackAfterLoss_ },
     { "vm_moves_total", "VMs moved", &FleetCounts::moves_ },
     { "vm_upkeeps_total", "upkeeps begun", &FleetCounts::maintenanceStarts_ },
     { "jobs_ended_total", "jobs ended", &FleetCounts::jobsEnded_ },
--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -573,6 +573,13 @@
   std::uint64_t failed_ = 0;        // runs
   std::uint64_t lost_ = 0;    // runs whose lease expired or whose target ended
   std::uint64_t crashed_ = 0; // runs counted as Crash
+  // Ends that neither finished nor failed their item; of these, runs that were
+  // done but not current. Runs stopped because they were not current. Targets
+  // heard of again, as the same process, after their runs were given up.
+  std::uint64_t endsIgnored_ = 0;
+  std::uint64_t endsDoneIgnored_ = 0;
+  std::uint64_t stoppedUnwanted_ = 0;
+  std::uint64_t targetsBackAfterLoss_ = 0;
   std::uint64_t moves_ = 0;
   std::uint64_t maintenanceStarts_ = 0;
   std::uint64_t jobsEnded_ = 0;
--- a/packages/fleet/src/crashes.cpp
+++ b/packages/fleet/src/crashes.cpp
@@ -210,7 +210,7 @@
 }
 
 void
-ReleaseEnded(FleetState& aState, Target& aTarget, const char* aWhy)
+ReleaseEnded(FleetState& aState, Target& aTarget, const Ground& aGround)
 {
   std::set<std::string> givenUp;
   if (IsCrash(aState, aTarget)) {
@@ -221,7 +221,7 @@
       givenUp.insert(std::move(*job));
     }
   }
-  ReleaseAll(aState, aTarget, aWhy);
+  ReleaseAll(aState, aTarget, aGround);
   for (const auto& job : givenUp) {
     GiveUp(aState, job);
   }
--- a/packages/fleet/src/crashes.h
+++ b/packages/fleet/src/crashes.h
@@ -4,7 +4,7 @@
 #ifndef cuminbridge_fleet_crashes_h
 #define cuminbridge_fleet_crashes_h
 
-#include "state.h"
+#include "evidence.h"
 
 namespace cuminbridge {
 
@@ -27,7 +27,7 @@
 
 // The target's process has ended. Counts a crash against the items that ran
 // there if it is one, releases all runs, and gives up items beyond the limit.
-void ReleaseEnded(FleetState& aState, Target& aTarget, const char* aWhy);
+void ReleaseEnded(FleetState& aState, Target& aTarget, const Ground& aGround);
 
 // The target's process has crashed: notes that for the runs there, of which a
 // new process may still list some, and which of them are hardly the cause.
--- a/packages/fleet/src/ended_targets.cpp
+++ b/packages/fleet/src/ended_targets.cpp
@@ -72,9 +72,14 @@
       continue;
     }
     if (const char* why = WhyNotOnVm(aState, target)) {
-      aState.Log("target_gone", "", "", id, why);
+      const auto evidence =
+        DescribeVm(aState, target) + "; " + DescribeContact(aState, target);
+      aState.Log("target_gone", "", "", id, std::string(why) + "; " + evidence);
       SetExited(target);
-      ReleaseEnded(aState, target, "the process of its target has ended");
+      ReleaseEnded(aState,
+                   target,
+                   { "the process of its target has ended",
+                     std::string(why) + "; " + evidence });
     }
   }
 }
--- a/packages/fleet/src/reducer.cpp
+++ b/packages/fleet/src/reducer.cpp
@@ -65,6 +65,10 @@
   constexpr Millis kLagMemory(1000);
   if (aState.now_ - aState.lastTickAt_ > kLateTick) {
     aState.lagSuspectedUntil_ = aState.now_ + kLagMemory;
+    if (aState.lastTickAt_ != Instant()) {
+      aState.heldUpUntil_ = aState.now_;
+      aState.heldUpFor_ = aState.now_ - aState.lastTickAt_;
+    }
   }
   aState.lastTickAt_ = aState.now_;
   return aState.now_ < aState.lagSuspectedUntil_;
--- a/packages/fleet/src/run_lists.cpp
+++ b/packages/fleet/src/run_lists.cpp
@@ -68,6 +68,75 @@
   }
 }
 
+const char*
+NameOf(EndKind aKind)
+{
+  static const char* const kNames[] = {
+    "done",
+    "failed",
+    "stopped",
+    "its lease expired",
+    "another member of its gang ended",
+    "the other members of its gang did not start"
+  };
+  return kNames[static_cast<int>(aKind)];
+}
+
+// Logs and counts an end that neither finishes nor fails its item. Ends of runs
+// that were stopped are expected if the run is current.
+void
+NoteIgnoredEnd(FleetState& aState,
+               const Target& aTarget,
+               const EndedRun& aEnd,
+               const ItemRef& aRef,
+               bool aIsRecorded,
+               bool aIsCurrent)
+{
+  const auto& id = aTarget.report_.id_;
+  const bool isDone = aEnd.kind_ == EndKind::Done;
+  const bool hasJobEnded = aRef.job_ && aRef.job_->HasEnded();
+  const bool isItemDone = aRef.item_ && aRef.item_->phase_ == ItemPhase::Done;
+  const bool isCounted =
+    isDone ? aRef.item_ && !isItemDone && !hasJobEnded
+           : aIsCurrent || (aEnd.kind_ == EndKind::Failed && !hasJobEnded);
+  // An end of the run that finished the item may be listed to the next owner
+  // too, and members of a gang end after the one that finished it.
+  const bool hasFinishedItem = isItemDone && aEnd.run_ >= aRef.item_->run_ &&
+                               (!aIsRecorded || aRef.spec_->isGang_);
+  if (isCounted || hasFinishedItem) {
+    return;
+  }
+  ++aState.counts_.endsIgnored_;
+  // Of a job that had ended before this owner began, the items are not known.
+  if (isDone && !aIsCurrent &&
+      (aRef.item_ || IsNotedAsLost(aState, id, aEnd.item_, aEnd.run_))) {
+    ++aState.counts_.endsDoneIgnored_;
+  }
+  aState.Log("end_ignored",
+             aEnd.item_.job_,
+             FormatItem(aEnd.item_),
+             id,
+             std::string(NameOf(aEnd.kind_)) + "; " +
+               DescribeUnwanted(aState, id, aEnd.item_, aEnd.run_));
+}
+
+// A run that was given up has done its work.
+void
+LogDoneAfterLoss(FleetState& aState,
+                 const Target& aTarget,
+                 const EndedRun& aEnd)
+{
+  const auto& id = aTarget.report_.id_;
+  if (IsNotedAsLost(aState, id, aEnd.item_, aEnd.run_)) {
+    aState.Log("run_ended",
+               aEnd.item_.job_,
+               FormatItem(aEnd.item_),
+               id,
+               std::string(NameOf(aEnd.kind_)) + "; " +
+                 DescribeUnwanted(aState, id, aEnd.item_, aEnd.run_));
+  }
+}
+
 // Applies one entry of a target's list of ended runs. What a run has done
 // counts even if the run was given up: the target forgets the end as soon as it
 // is acknowledged.
@@ -76,6 +145,8 @@
 {
   auto* run = FindRun(aTarget, aEnd.item_, aEnd.run_);
   const auto ref = FindItem(aState, aEnd.item_);
+  const bool isRecorded = run != nullptr;
+  bool isCurrent = false;
   if (run) {
     // Runs of earlier owners teach nothing: their start time is not known.
     if (aEnd.kind_ == EndKind::Done && ref.item_ &&
@@ -83,19 +154,28 @@
       aState.runTimes_[ref.job_->job_.queue_].Learn(ref.spec_->estimate_,
                                                     aState.now_ - run->sentAt_);
     }
+    isCurrent = ref.item_ && ref.item_->phase_ == ItemPhase::Assigned &&
+                ref.item_->run_ == aEnd.run_ &&
+                ref.item_->target_ == aTarget.report_.id_;
     if (!aEnd.checkpoint_.empty()) {
       run->checkpoint_ = aEnd.checkpoint_;
     }
     ReleaseRun(aState, aTarget, aEnd.item_, aEnd.run_);
-  } else if (IsCurrentRun(aState, ref, aEnd.run_) &&
-             !aEnd.checkpoint_.empty()) {
-    ref.item_->checkpoint_ = aEnd.checkpoint_;
+  } else {
+    isCurrent = IsCurrentRun(aState, ref, aEnd.run_);
+    if (isCurrent && !aEnd.checkpoint_.empty()) {
+      ref.item_->checkpoint_ = aEnd.checkpoint_;
+    }
   }
+  NoteIgnoredEnd(aState, aTarget, aEnd, ref, isRecorded, isCurrent);
   if (!ref.item_) {
     return;
   }
   if (aEnd.kind_ == EndKind::Done) {
     aTarget.consecutiveFailures_ = 0;
+    if (ref.item_->phase_ != ItemPhase::Done) {
+      LogDoneAfterLoss(aState, aTarget, aEnd);
+    }
     StopOtherRuns(aState, aEnd, ref);
     ref.item_->run_ = std::max(ref.item_->run_, aEnd.run_);
     FinishItem(aState, aEnd.item_, ref);
@@ -107,19 +187,11 @@
     ref.item_->avoidedTarget_ = aTarget.report_.id_;
     FailItem(aState, aEnd.item_, ref, aEnd.run_);
   }
-  static const char* const kEndNames[] = {
-    "done",
-    "failed",
-    "stopped",
-    "its lease expired",
-    "another member of its gang ended",
-    "the other members of its gang did not start"
-  };
   aState.Log("run_ended",
              aEnd.item_.job_,
              FormatItem(aEnd.item_),
              aTarget.report_.id_,
-             kEndNames[static_cast<int>(aEnd.kind_)]);
+             NameOf(aEnd.kind_));
 }
 
 // Adopts or stops a run that the target lists and this owner has no record of.
@@ -150,12 +222,19 @@
                "run " + std::to_string(aSeen.run_));
     return;
   }
+  // Told first: AddRun() assigns the item to the run until that is stopped.
+  const auto unwanted =
+    DescribeUnwanted(aState, aTarget.report_.id_, aSeen.item_, aSeen.run_);
   const bool isUnknown = aState.jobs_.count(aSeen.item_.job_) == 0;
   auto& added = AddRun(aState, aTarget, std::move(run));
   if (isUnknown) {
     added.isJobUnknown_ = true; // its job may still arrive
   } else {
-    Stop(aState, aTarget, added, "not the current run of its work item");
+    ++aState.counts_.stoppedUnwanted_;
+    Stop(aState,
+         aTarget,
+         added,
+         "not the current run of its work item; " + unwanted);
   }
 }
 
@@ -241,12 +320,17 @@
     if (job) {
       givenUp.insert(std::move(*job));
     }
-    aState.Log("run_lost",
-               item.job_,
-               FormatItem(item),
-               aTarget.report_.id_,
-               "its target no longer lists it");
-    ++aState.counts_.lost_;
+    if (lost) {
+      NoteLoss(aState,
+               aTarget,
+               *lost,
+               { "its target no longer lists it",
+                 "list asked for " + FormatAge(aState, aAnswer.sentAt_) +
+                   " with " + std::to_string(aAnswer.running_.size()) +
+                   " running and " + std::to_string(aAnswer.ended_.size()) +
+                   " ended; process born " +
+                   std::to_string(aAnswer.startUnixMs_) });
+    }
     ReleaseRun(aState, aTarget, item, run);
   }
   for (const auto& job : givenUp) {
@@ -295,11 +379,17 @@
     aTarget.isStoredSilent_ = false;
     RecordTarget(aState, aTarget, aTarget.report_.id_);
   }
+  const auto givenUp = NoteReturn(aState, aTarget);
+  if (aTarget.contact_ == Contact::Unresponsive || !givenUp.empty()) {
+    aState.Log("target_back",
+               "",
+               "",
+               aTarget.report_.id_,
+               "the target answers again; " + DescribeContact(aState, aTarget) +
+                 "; " + DescribeLease(aState, aTarget) + givenUp);
+  }
+  aTarget.heardAt_ = aState.now_;
   if (aTarget.contact_ != Contact::Good) {
-    if (aTarget.contact_ == Contact::Unresponsive) {
-      aState.Log(
-        "target_back", "", "", aTarget.report_.id_, "the target answers again");
-    }
     aTarget.contact_ = Contact::Good;
     aState.dirtyPools_.insert(aTarget.report_.pool_);
   }
--- a/packages/fleet/src/runs.cpp
+++ b/packages/fleet/src/runs.cpp
@@ -205,22 +205,21 @@
 }
 
 void
-ReleaseAll(FleetState& aState, Target& aTarget, const char* aWhy)
+ReleaseAll(FleetState& aState, Target& aTarget, const Ground& aGround)
 {
+  if (aTarget.runs_.empty()) {
+    return;
+  }
   while (!aTarget.runs_.empty()) {
     const Run run = aTarget.runs_.back();
-    aState.Log("run_lost",
-               run.item_.job_,
-               FormatItem(run.item_),
-               aTarget.report_.id_,
-               aWhy);
-    ++aState.counts_.lost_;
+    NoteLoss(aState, aTarget, run, aGround);
     ReleaseRun(aState, aTarget, run.item_, run.run_);
   }
+  NoteGivenUp(aState, aTarget);
 }
 
 void
-Stop(FleetState& aState, Target& aTarget, Run& aRun, const char* aWhy)
+Stop(FleetState& aState, Target& aTarget, Run& aRun, const std::string& aWhy)
 {
   if (aRun.phase_ != RunPhase::Stopping) {
     aState.Log("run_stopped",
@@ -276,6 +275,10 @@
                aAnswer.clockMs_ + aState.options_.longestLease_.count());
   }
   UpdateClock(aState, target, aAnswer.clockMs_);
+  if (aAnswer.clockMs_ != 0 &&
+      aAnswer.outcome_ != StartOutcome::OtherIncarnation) {
+    target.heardAt_ = aState.now_;
+  }
   auto* run = FindRun(target, aAnswer.item_, aAnswer.run_);
   if (!run) {
     return;
@@ -324,8 +327,7 @@
       }
       break;
     case StartOutcome::OtherIncarnation:
-      SetExited(target);
-      ReleaseEnded(aState, target, "another process answers at its address");
+      ReleaseReplaced(aState, target, 0, aAnswer.clockMs_);
       break;
     case StartOutcome::Rejected:
       target.avoidUntil_ = aState.now_ + kRejectedPause;
@@ -353,6 +355,9 @@
     return;
   }
   auto* run = FindRun(found->second, aAnswer.item_, aAnswer.run_);
+  if (aAnswer.isDone_) {
+    found->second.heardAt_ = aState.now_;
+  }
   if (run && aAnswer.isDone_ && !run->stoppedAt_) {
     run->stoppedAt_ = aState.now_;
   }
--- a/packages/fleet/src/runs.h
+++ b/packages/fleet/src/runs.h
@@ -3,7 +3,7 @@
 #ifndef cuminbridge_fleet_runs_h
 #define cuminbridge_fleet_runs_h
 
-#include "state.h"
+#include "evidence.h"
 
 namespace cuminbridge {
 
@@ -45,10 +45,13 @@
                 const ItemName& aItem,
                 std::int64_t aRun);
 // Removes all runs of a target and counts them as lost.
-void ReleaseAll(FleetState& aState, Target& aTarget, const char* aWhy);
+void ReleaseAll(FleetState& aState, Target& aTarget, const Ground& aGround);
 
 // Sends a stop. The run stays until the target no longer lists it.
-void Stop(FleetState& aState, Target& aTarget, Run& aRun, const char* aWhy);
+void Stop(FleetState& aState,
+          Target& aTarget,
+          Run& aRun,
+          const std::string& aWhy);
 // Stops all runs of a job.
 void StopJob(FleetState& aState, const JobEntry& aJob, const char* aWhy);
 
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -159,8 +159,9 @@
   // it is now.
   bool mayHaveRestarted_ = false;
   Contact contact_ = Contact::Unreconciled;
-  Instant unresponsiveSince_; // while Unresponsive
-  Instant incarnationSeenAt_; // when its process became known
+  Instant unresponsiveSince_;      // while Unresponsive
+  std::optional<Instant> heardAt_; // when it last answered, for the log
+  Instant incarnationSeenAt_;      // when its process became known
   // A list of VMs has named this process since, or the previous owner used it.
   bool wasOnVm_ = false;
   int listsWithoutIt_ = 0;       // lists of VMs in a row in which no VM has it
@@ -208,6 +209,23 @@
   }
 };
 
+// A run that was given up, for the log.
+struct LostRun
+{
+  ItemName item_;
+  std::int64_t run_ = 0;
+  Instant at_;
+  std::string reason_;
+};
+
+// The runs that were given up at one process of a target.
+struct TargetLoss
+{
+  std::int64_t startUnixMs_ = 0; // of the process; 0: unknown
+  bool isGivenUp_ = false;       // the process; it has not been heard of since
+  std::vector<LostRun> runs_;
+};
+
 //-----------------------------------------------------------------------------
 // [SECTION] VMs and waves
 //-----------------------------------------------------------------------------
@@ -282,6 +300,9 @@
   bool isStoreReachable_ = true; // also true while that can't be told
   Instant lastTickAt_;
   Instant lagSuspectedUntil_;
+  // The last time that this process was held up, for the log.
+  std::optional<Instant> heldUpUntil_;
+  Millis heldUpFor_{ 0 };
   Instant submissionsReadUpTo_;
   std::optional<Instant> targetsAskedAt_; // as TargetsSeen::askedAt_
   bool areStartsPaused_ = false;          // see Dispatch()
@@ -303,6 +324,8 @@
   // Targets that may need a renewal, a stop or the release of lapsed runs. Each
   // tick checks only these; the sweep adds those that need it anew.
   std::set<std::string> watchedTargets_;
+  // Only for the log. By target, also of those that are not listed any more.
+  std::map<std::string, TargetLoss> losses_;
   std::map<std::string, Resources> running_;    // in use, by account
   std::map<std::string, int> limitParts_;       // as LimitsGranted::parts_
   std::map<std::string, ShareBucket> shares_;   // by account
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -194,7 +194,9 @@
                "",
                "",
                aTarget.report_.id_,
-               "it goes on reporting itself");
+               "it goes on reporting itself; " +
+                 DescribeContact(aState, aTarget) +
+                 NoteReturn(aState, aTarget));
     aTarget.hasExited_ = false;
     aTarget.contact_ = Contact::Unreconciled;
     aTarget.nextRenewal_ = aState.now_;
@@ -224,11 +226,15 @@
                aTarget.report_.id_,
                std::string("process started at ") +
                  std::to_string(aStartUnixMs) + ", the one before at " +
-                 std::to_string(aTarget.startUnixMs_) + " (Unix ms)");
+                 std::to_string(aTarget.startUnixMs_) + " (Unix ms); " +
+                 std::to_string(aTarget.runs_.size()) + " runs there; " +
+                 DescribeContact(aState, aTarget) + "; " +
+                 DescribeLease(aState, aTarget));
   }
   if (IsCrash(aState, aTarget)) {
     NoteCrash(aState, aTarget);
   }
+  ForgetLoss(aState, aTarget, aStartUnixMs);
   const auto lastDeadline = aTarget.leaseUntil_;
   aTarget.wasOnVm_ = aTarget.wasOnVm_ && aTarget.startUnixMs_ == 0;
   aTarget.startUnixMs_ = aStartUnixMs;
@@ -267,6 +273,25 @@
   aTarget.reportsSinceExit_ = 0;
 }
 
+void
+ReleaseReplaced(FleetState& aState,
+                Target& aTarget,
+                std::int64_t aStartUnixMs,
+                std::int64_t aClockMs)
+{
+  const auto evidence =
+    "another process answers at its address, born " +
+    (aStartUnixMs == 0 ? "unknown" : std::to_string(aStartUnixMs)) +
+    ", clock " + (aClockMs == 0 ? "unknown" : std::to_string(aClockMs)) + "; " +
+    DescribeContact(aState, aTarget) + "; " + DescribeLease(aState, aTarget);
+  if (!aTarget.hasExited_) {
+    aState.Log("target_gone", "", "", aTarget.report_.id_, evidence);
+  }
+  SetExited(aTarget);
+  ReleaseEnded(
+    aState, aTarget, { "the process of its target has ended", evidence });
+}
+
 void
 UpdateWatchedTargets(FleetState& aState)
 {
@@ -315,6 +340,7 @@
 void
 HandleTargetList(FleetState& aState, const TargetsSeen& aSeen)
 {
+  ForgetOldLosses(aState);
   aState.hasTargets_ = true;
   aState.targetsAskedAt_ = aSeen.askedAt_;
   for (auto& [id, target] : aState.targets_) {
@@ -393,15 +419,7 @@
       aState.Emit(StepDown{});
       break;
     case RenewalOutcome::OtherIncarnation:
-      if (!target.hasExited_) {
-        aState.Log("target_gone",
-                   "",
-                   "",
-                   aAnswer.target_,
-                   "another process answers at its address");
-      }
-      SetExited(target);
-      ReleaseEnded(aState, target, "the process of its target has ended");
+      ReleaseReplaced(aState, target, aAnswer.startUnixMs_, aAnswer.clockMs_);
       SetUnresponsive(aState, target, aAnswer.outcome_);
       break;
     case RenewalOutcome::Refused:
@@ -411,9 +429,13 @@
                    "",
                    "",
                    aAnswer.target_,
-                   aAnswer.outcome_ == RenewalOutcome::Refused
-                     ? "connection refused"
-                     : "no valid answer within the time limit");
+                   std::string(aAnswer.outcome_ == RenewalOutcome::Refused
+                                 ? "connection refused"
+                                 : "no valid answer within the time limit") +
+                     "; asked " + FormatAge(aState, aAnswer.sentAt_) + "; " +
+                     std::to_string(target.runs_.size()) + " runs there; " +
+                     DescribeContact(aState, target) + "; " +
+                     DescribeLease(aState, target));
       }
       SetUnresponsive(aState, target, aAnswer.outcome_);
       if (!target.isStoredSilent_) {
@@ -429,8 +451,11 @@
 {
   if (aTarget.contact_ != Contact::Good && !aTarget.runs_.empty() &&
       HaveLeasesExpired(aState, aTarget)) {
-    ReleaseAll(
-      aState, aTarget, "its lease expired while its target was unresponsive");
+    ReleaseAll(aState,
+               aTarget,
+               { "its lease expired while its target was unresponsive",
+                 DescribeLease(aState, aTarget) + "; " +
+                   DescribeContact(aState, aTarget) });
   }
   RetryStops(aState, aTarget);
   const bool waitsForStore = aTarget.endsApplied_ > aTarget.endsStored_ &&
--- a/packages/fleet/src/targets.h
+++ b/packages/fleet/src/targets.h
@@ -28,6 +28,13 @@
 // it is asked again.
 void SetExited(Target& aTarget);
 
+// Another process has answered at the target's address: its own has ended, with
+// all runs. The start and the clock of the other are 0 if it did not tell them.
+void ReleaseReplaced(FleetState& aState,
+                     Target& aTarget,
+                     std::int64_t aStartUnixMs,
+                     std::int64_t aClockMs);
+
 // Adds the targets that need renewals to the watched ones. Start() adds its
 // target itself.
 void UpdateWatchedTargets(FleetState& aState);
--- a/packages/fleet/src/vm_orders.cpp
+++ b/packages/fleet/src/vm_orders.cpp
@@ -69,6 +69,48 @@
          WallTime(Millis(aTarget.startUnixMs_)) > *recordedAt;
 }
 
+// An order was carried out, as its answer or the list of VMs shows.
+void
+HandleCarriedOut(FleetState& aState,
+                 const std::string& aVm,
+                 VmOrder& aOrder,
+                 const char* aShownBy)
+{
+  aOrder.isAnswered_ = true;
+  aOrder.doneAt_ = aState.now_;
+  auto* target = TargetOfVm(aState, aVm);
+  if (target && MayHaveBegunAfter(aState, aVm, aOrder, *target)) {
+    target->leavingUntil_ = aState.now_;
+    target->isCordoned_ = false;
+  } else if (target) {
+    SetExited(*target);
+    if (!target->runs_.empty()) {
+      const auto evidence =
+        std::string("order sent ") + FormatAge(aState, aOrder.sentAt_) + ", " +
+        aShownBy + "; " + DescribeVm(aState, *target) + "; " +
+        DescribeContact(aState, *target) + ", first seen " +
+        FormatAge(aState, target->incarnationSeenAt_);
+      const std::string reason = "its VM moves or goes down for maintenance";
+      aState.Log(
+        "target_gone", "", "", target->report_.id_, reason + "; " + evidence);
+      ReleaseAll(aState, *target, { reason, evidence });
+    }
+  }
+  aState.unansweredOrders_.erase(aVm);
+  if (aOrder.isMaintenance_) {
+    ++aState.counts_.maintenanceStarts_;
+    auto& wave = aState.waves_[aOrder.wave_];
+    wave.maintenanceBegun_.insert(aVm);
+    wave.down_[aVm] = aState.now_;
+    StoreWave effect;
+    effect.wave_ = aOrder.wave_;
+    effect.record_ = RecordOf(wave);
+    aState.Emit(std::move(effect));
+  } else {
+    ++aState.counts_.moves_;
+  }
+}
+
 } // namespace
 
 std::optional<WallTime>
@@ -148,28 +190,7 @@
   auto& order = found->second;
   auto* target = TargetOfVm(aState, aAnswer.vm_);
   if (aAnswer.outcome_ == VmOrderOutcome::Done) {
-    order.isAnswered_ = true;
-    order.doneAt_ = aState.now_;
-    if (target && MayHaveBegunAfter(aState, aAnswer.vm_, order, *target)) {
-      target->leavingUntil_ = aState.now_;
-      target->isCordoned_ = false;
-    } else if (target) {
-      SetExited(*target);
-      ReleaseAll(aState, *target, "its VM moves or goes down for maintenance");
-    }
-    aState.unansweredOrders_.erase(aAnswer.vm_);
-    if (order.isMaintenance_) {
-      ++aState.counts_.maintenanceStarts_;
-      auto& wave = aState.waves_[order.wave_];
-      wave.maintenanceBegun_.insert(aAnswer.vm_);
-      wave.down_[aAnswer.vm_] = aState.now_;
-      StoreWave effect;
-      effect.wave_ = order.wave_;
-      effect.record_ = RecordOf(wave);
-      aState.Emit(std::move(effect));
-    } else {
-      ++aState.counts_.moves_;
-    }
+    HandleCarriedOut(aState, aAnswer.vm_, order, "it was answered");
     return;
   }
   if (aAnswer.outcome_ == VmOrderOutcome::Unknown) {
@@ -274,7 +295,8 @@
   }
   for (const auto& vm : carriedOut) {
     aState.Log("vm_order_seen", "", "", vm, "the list of VMs shows its effect");
-    HandleVmOrderAnswer(aState, { vm, VmOrderOutcome::Done });
+    HandleCarriedOut(
+      aState, vm, aState.vmOrders_.at(vm), "the list of VMs shows it");
   }
 }
 
