Ends are acknowledged only right after the target has listed them

Callers saw work that had ended done run again (TWICE). Capacity history 2082: a target restarts under its id while the owner can't reach the store. The owner starts three items on the new process, and its next renewal still carries last_seen 16, the last end of the process before. It is carried out there 5 s later and acknowledges ends 1 to 3, which nobody has read. The next owner finds the runs missing and starts their items again.

Cause: each renewal repeated the highest stored number. Numbers begin anew with each process, and Expect-Instance names only the id, which both have.

Now a renewal acknowledges ends only if the last list showed them, arrived less than 500 ms ago and they are stored; all others carry 0. An acknowledgement that gets lost is sent again, as the target lists the ends again. A start whose answer shows a clock that went back forgets the list.

--- a/packages/fleet/src/run_lists.cpp
+++ b/packages/fleet/src/run_lists.cpp
@@ -375,6 +375,10 @@
   aTarget.mayHaveRestarted_ = false;
   aTarget.listedAt_ = aAnswer.sentAt_;
   aTarget.wasSilentBefore_ = false;
+  const auto& ended = aAnswer.ended_;
+  aTarget.firstListedEnd_ = ended.empty() ? 0 : ended.front().number_;
+  aTarget.lastListedEnd_ = ended.empty() ? 0 : ended.back().number_;
+  aTarget.endsListedAt_ = aState.now_;
   if (aTarget.isStoredSilent_) {
     aTarget.isStoredSilent_ = false;
     RecordTarget(aState, aTarget, aTarget.report_.id_);
--- a/packages/fleet/src/runs.cpp
+++ b/packages/fleet/src/runs.cpp
@@ -269,6 +269,8 @@
     // The target has restarted, and neither its report nor a renewal has shown
     // that yet. Leases on it now run on the clock of the new process.
     target.mayHaveRestarted_ = true;
+    target.firstListedEnd_ = 0;
+    target.lastListedEnd_ = 0;
     target.clockMs_ = 0;
     target.leaseUntil_ =
       std::min(target.leaseUntil_,
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -181,10 +181,13 @@
   Instant nextRenewal_;
   // Ended runs, by their number in the target's list. Each of these is a
   // high-water mark: the ends up to it ...
-  std::int64_t endsApplied_ = 0;      // ... are applied to this state
-  std::int64_t endsInBatch_ = 0;      // ... are in the batch on its way
-  std::int64_t endsStored_ = 0;       // ... are stored
-  std::int64_t endsAcknowledged_ = 0; // ... are acknowledged to the target
+  std::int64_t endsApplied_ = 0; // ... are applied to this state
+  std::int64_t endsInBatch_ = 0; // ... are in the batch on its way
+  std::int64_t endsStored_ = 0;  // ... are stored
+  // Ends in its last list, from the first to the last number; 0 if it had none.
+  std::int64_t firstListedEnd_ = 0;
+  std::int64_t lastListedEnd_ = 0;
+  Instant endsListedAt_; // when that list arrived
 
   Instant avoidUntil_;   // no starts until then, after a rejected one
   Instant idleSince_;    // nothing has run there since
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -42,13 +42,32 @@
   return ClockOf(aState, aTarget) >= aTarget.leaseUntil_ + kExpirySlack.count();
 }
 
+// The number up to which listed ends are stored; 0 if none of them is.
+std::int64_t
+LastStoredEnd(const Target& aTarget)
+{
+  const auto last = std::min(aTarget.endsStored_, aTarget.lastListedEnd_);
+  return aTarget.firstListedEnd_ <= last ? last : 0;
+}
+
+// Only ends that were listed just now are acknowledged. Numbers begin anew with
+// each process, and a later one may be there before this owner knows of it.
+std::int64_t
+EndsToAcknowledge(const FleetState& aState, const Target& aTarget)
+{
+  constexpr Millis kMaxListAge(500);
+  const bool isRecent = aState.now_ - aTarget.endsListedAt_ < kMaxListAge;
+  return aTarget.contact_ == Contact::Good && isRecent ? LastStoredEnd(aTarget)
+                                                       : 0;
+}
+
 bool
 NeedsRenewal(const Target& aTarget)
 {
   return !aTarget.runs_.empty() ||
          ((aTarget.isListed_ || aTarget.isInherited_) &&
           aTarget.contact_ != Contact::Good) ||
-         aTarget.endsStored_ > aTarget.endsAcknowledged_;
+         LastStoredEnd(aTarget) > 0;
 }
 
 // Whether the target has accepted a stop and the run has yet to end.
@@ -121,10 +140,7 @@
   RenewTarget effect;
   effect.target_ = aTarget.report_.id_;
   effect.address_ = aTarget.report_.address_;
-  effect.acknowledgedEnds_ =
-    aTarget.contact_ == Contact::Good ? aTarget.endsStored_ : 0;
-  aTarget.endsAcknowledged_ =
-    std::max(aTarget.endsAcknowledged_, effect.acknowledgedEnds_);
+  effect.acknowledgedEnds_ = EndsToAcknowledge(aState, aTarget);
   if (aTarget.contact_ == Contact::Good && !aTarget.runs_.empty()) {
     effect.wait_ = HasStopped(aTarget) || HasStartingItem(aTarget) ? kStopWait
                    : NeedsPacing(aTarget)  ? aState.options_.pacedRenewalWait_
@@ -242,7 +258,8 @@
   aTarget.endsApplied_ = 0;
   aTarget.endsStored_ = 0;
   aTarget.endsInBatch_ = 0;
-  aTarget.endsAcknowledged_ = 0;
+  aTarget.firstListedEnd_ = 0;
+  aTarget.lastListedEnd_ = 0;
   aTarget.clockMs_ = 0;
   UpdateClock(aState, aTarget, aClockMs);
   // A start or a renewal for the previous process may have reached this one,
--- a/packages/fleet/tests/one_target_test.cpp
+++ b/packages/fleet/tests/one_target_test.cpp
@@ -474,3 +474,51 @@
   fixture.AdvanceTime(Millis(10));
   CHECK(fixture.CountEffects<StartRun>() == 1);
 }
+
+TEST_CASE("ends are acknowledged only right after the target has listed them")
+{
+  // Capacity history 2082: the number went out again, the next process under
+  // the same id got it, and ends that nobody had read were gone.
+  OneTargetFleet fixture;
+  fixture.Deliver(JobArrived{ MakeJob(MakeJobId(1), "a", { 2 }) });
+  EndedRun end;
+  end.number_ = 1;
+  end.item_ = { MakeJobId(1), 0, 0, 0 };
+  end.run_ = 1;
+  end.kind_ = EndKind::Done;
+  RunningRun other;
+  other.item_ = { MakeJobId(1), 0, 0, 1 };
+  other.run_ = 1;
+  std::vector<std::int64_t> acknowledged;
+  const auto collect = [&] {
+    for (const auto& effect : fixture.fleet_.TakeEffects()) {
+      if (const auto* store = std::get_if<StoreProgress>(&effect)) {
+        fixture.Deliver(ProgressStored{ store->batch_ });
+      } else if (const auto* renewal = std::get_if<RenewTarget>(&effect)) {
+        acknowledged.push_back(renewal->acknowledgedEnds_);
+      }
+    }
+  };
+  const auto round = [&](const std::vector<EndedRun>& aEnded) {
+    fixture.AdvanceTime(Millis(100));
+    collect();
+    acknowledged.clear();
+    fixture.ReducerFixture::AnswerRenewal("t", { other }, aEnded);
+    for (int tick = 0; tick < 10; ++tick) {
+      collect();
+      fixture.AdvanceTime(Millis(20));
+    }
+    collect();
+  };
+  using Numbers = std::vector<std::int64_t>;
+  fixture.Deliver(
+    StartAnswered{ "t", end.item_, end.run_, StartOutcome::Started, 100 });
+  fixture.Deliver(
+    StartAnswered{ "t", other.item_, other.run_, StartOutcome::Started, 100 });
+  round({ end });
+  CHECK(acknowledged == Numbers{ 1 });
+  round({});
+  CHECK(acknowledged == Numbers{ 0 });
+  round({});
+  CHECK(acknowledged == Numbers{ 0 });
+}
