A new owner allows for deadlines on the clock of the process before

Callers saw work run twice (TWICE), or start again after it had ended done. That clock is far ahead, so the lease lasts up to max_hold_ms (10 s) instead of 4 s. The items end done, or still run, and start elsewhere.

Cause: the next owner allowed for such leases only once the target had listed its runs. Now it does so too when a report shows that the process is young (up to 15 s), and adds the time for which such a call may still come. A silent target that restarted shortly before a change of owner is thus given up later, by up to 10 s; one that answers is not affected.

--- a/packages/fleet/src/run_lists.cpp
+++ b/packages/fleet/src/run_lists.cpp
@@ -338,24 +338,6 @@
   }
 }
 
-// An earlier owner that did not know of a restart may have sent deadlines on
-// the clock of the previous process. For as long as such a lease may last, no
-// lease on a young process counts as expired.
-void
-AllowForPreviousClock(const FleetState& aState,
-                      Target& aTarget,
-                      std::int64_t aClockMs)
-{
-  const auto& options = aState.options_;
-  const WallTime born{ Millis(aTarget.startUnixMs_) };
-  const bool isYoung =
-    aState.TimeOfDay() - born < options.ownerAllowance_ + options.longestLease_;
-  if (aState.term_ > 1 && !aTarget.hasListedRuns_ && isYoung) {
-    aTarget.leaseUntil_ =
-      std::max(aTarget.leaseUntil_, aClockMs + options.longestLease_.count());
-  }
-}
-
 } // namespace
 
 void
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -229,6 +229,25 @@
   aState.unrecordedTargets_.insert(aId);
 }
 
+void
+AllowForPreviousClock(const FleetState& aState,
+                      Target& aTarget,
+                      std::int64_t aClockMs)
+{
+  const auto& options = aState.options_;
+  const WallTime born{ Millis(aTarget.startUnixMs_) };
+  const Millis age =
+    std::chrono::duration_cast<Millis>(aState.TimeOfDay() - born);
+  if (aState.term_ > 1 && !aTarget.hasListedRuns_ &&
+      age < options.ownerAllowance_ + options.longestLease_) {
+    // Such a call may still come while the process is younger than this.
+    const auto mayCome = std::max(Millis(0), options.ownerAllowance_ - age);
+    const auto lease = options.longestLease_ + mayCome;
+    aTarget.leaseUntil_ =
+      std::max(aTarget.leaseUntil_, aClockMs + lease.count());
+  }
+}
+
 void
 BeginIncarnation(FleetState& aState,
                  Target& aTarget,
@@ -267,6 +286,7 @@
   // lies further ahead than longestLease_.
   aTarget.leaseUntil_ =
     std::min(lastDeadline, aClockMs + aState.options_.longestLease_.count());
+  AllowForPreviousClock(aState, aTarget, aClockMs);
   aTarget.contact_ = Contact::Unreconciled;
   aTarget.incarnationSeenAt_ = aState.now_;
   aTarget.nextRenewal_ = aState.now_;
--- a/packages/fleet/src/targets.h
+++ b/packages/fleet/src/targets.h
@@ -24,6 +24,13 @@
                       std::int64_t aStartUnixMs,
                       std::int64_t aClockMs);
 
+// An earlier owner that did not know of a restart may have sent deadlines on
+// the clock of the previous process. For as long as such a lease may last, no
+// lease on a young process counts as expired.
+void AllowForPreviousClock(const FleetState& aState,
+                           Target& aTarget,
+                           std::int64_t aClockMs);
+
 // The target's process has ended. If it goes on reporting itself all the same,
 // it is asked again.
 void SetExited(Target& aTarget);
--- a/packages/fleet/tests/capacity_test.cpp
+++ b/packages/fleet/tests/capacity_test.cpp
@@ -21,10 +21,9 @@
 // 13187: An owner without its lease started work on a target that had just
 // restarted. 5801, 12214, 14696: Simulated targets that reject overload counted
 // the processor time of fillers, and two gangs kept each other from starting.
-constexpr std::array<unsigned, 4> kRegressionSeeds = { 5801,
-                                                       12214,
-                                                       13187,
-                                                       14696 };
+// 6628, 7754: A former owner's deadline was on the clock of the process before.
+constexpr std::array<unsigned, 6> kRegressionSeeds = { 5801,  6628,  7754,
+                                                       12214, 13187, 14696 };
 
 const Resources kFull{ 8000, 32000, 0 };
 const Resources kShrunk{ 2000, 32000, 0 };
