A VM that is up and names no target may have one

What callers would see: work of a silent target starts elsewhere although it runs on, where the platform lists its VM as up without an id.

Cause: ReleaseEndedTargets() read any VM without an id as one whose target has ended. The users' protocol says what a VM's state and id are, and not that each living target is named at all times. Likewise a target of the previous owner whose VM this owner has never read counted as gone once two lists did not name it, also while some VM was up and named nobody.

Change: a VM without an id proves the end of its target only if it is down, moving, in maintenance or on standby. A target whose VM is not known is gone only if no VM may have a target that is not named. A VM that is missing from two lists in a row still counts as gone for good.

--- a/packages/fleet/src/ended_targets.cpp
+++ b/packages/fleet/src/ended_targets.cpp
@@ -15,6 +15,28 @@
 // added or removed.
 constexpr int kListsToBeGone = 2;
 
+// Whether a VM may have a target that the list does not name: the platform does
+// not promise that it names each. VMs on standby have none.
+bool
+MayHaveUnnamedTarget(const FleetState& aState, const Vm& aVm)
+{
+  const auto* pool = FindPool(aState.config_, aVm.pool_);
+  return aVm.target_.empty() && aVm.state_ == VmState::Up &&
+         !(pool && pool->isStandby_);
+}
+
+// Whether the target is on none of the VMs, whichever of them it was on.
+bool
+IsOnNoVm(const FleetState& aState, const Target& aTarget)
+{
+  return aTarget.listsWithoutIt_ >= kListsToBeGone &&
+         (!aTarget.report_.vm_.empty() ||
+          std::none_of(
+            aState.vms_.begin(), aState.vms_.end(), [&](const auto& aEntry) {
+              return MayHaveUnnamedTarget(aState, aEntry.second);
+            }));
+}
+
 // Why no VM has the target any more, or null if one may.
 const char*
 WhyNotOnVm(const FleetState& aState, const Target& aTarget)
@@ -24,7 +46,10 @@
   }
   const auto vm = aState.vms_.find(aTarget.report_.vm_);
   if (vm == aState.vms_.end()) {
-    return aTarget.listsWithoutIt_ >= kListsToBeGone ? "no VM has it" : nullptr;
+    return IsOnNoVm(aState, aTarget) ? "no VM has it" : nullptr;
+  }
+  if (MayHaveUnnamedTarget(aState, vm->second)) {
+    return nullptr;
   }
   return vm->second.target_.empty() ? "its VM has no target"
                                     : "its VM has another target";
--- a/packages/fleet/tests/vm_evidence_test.cpp
+++ b/packages/fleet/tests/vm_evidence_test.cpp
@@ -78,6 +78,15 @@
     }
   }
 
+  // The target answers no renewal.
+  void Silence()
+  {
+    RenewalAnswered renewal;
+    renewal.target_ = "next";
+    renewal.sentAt_ = now_;
+    Deliver(renewal);
+  }
+
   void ReportTarget()
   {
     auto report = MakeReport("next");
@@ -148,3 +157,77 @@
     CHECK(fleet.StoredState(MakeJobId(2)) == JobState::Completed);
   }
 }
+
+TEST_CASE("a VM that is up and names no target may have one")
+{
+  // The platform promises no name for each target that lives. Work of a silent
+  // target started elsewhere although it ran on.
+  MovedVm fixture;
+  fixture.StartWork();
+  fixture.ListVm();
+  fixture.KeepRunning(Millis(4000));
+  fixture.ListVm();
+  fixture.Silence();
+  fixture.vm_.target_.clear();
+  const auto isReleased = [&] {
+    for (int list = 0; list < 3; ++list) {
+      fixture.Advance(Millis(50));
+      fixture.ListVm();
+    }
+    return fixture.fleet_.State().targets_.at("next").runs_.empty();
+  };
+  SECTION("not named")
+  {
+    CHECK(!isReleased());
+  }
+  SECTION("on standby")
+  {
+    fixture.vm_.pool_ = "standby";
+    CHECK(isReleased());
+  }
+  SECTION("down, moving or in maintenance")
+  {
+    fixture.vm_.state_ =
+      GENERATE(VmState::Down, VmState::Moving, VmState::Maintenance);
+    CHECK(isReleased());
+  }
+}
+
+TEST_CASE("a target on an unknown VM may be on one that names no target")
+{
+  // The new owner has never read where the target is, and can't reach it.
+  Instant now(Millis(1000000));
+  Fleet next(FleetOptions{}, now);
+  const auto handle = [&](const Event& aEvent) { next.Handle(aEvent, now); };
+  handle(Tick{ WallTime(now.time_since_epoch()), true });
+  JobsLoaded loaded;
+  loaded.term_ = 2;
+  loaded.jobs_ = { MakeJob(kItem.job_, "a", { 1 }) };
+  Progress progress;
+  progress.state_ = JobState::Serving;
+  progress.items_.push_back({ 0, 0, 0, false, {}, 1, "", "silent", {} });
+  loaded.progress_[kItem.job_] = progress;
+  loaded.targets_ = { { "silent", "silent", "a" } };
+  handle(loaded);
+  handle(TargetsSeen{});
+  RenewalAnswered noAnswer;
+  noAnswer.target_ = "silent";
+  noAnswer.sentAt_ = now;
+  handle(noAnswer);
+  Vm vm;
+  vm.name_ = "vm";
+  vm.pool_ = "a";
+  vm.state_ = VmState::Up;
+  const auto isReleased = [&] {
+    for (int list = 0; list < 3; ++list) {
+      now += Millis(100);
+      handle(VmsSeen{ { vm }, now });
+    }
+    const auto target = next.State().targets_.find("silent");
+    return target == next.State().targets_.end() ||
+           target->second.runs_.empty();
+  };
+  CHECK(!isReleased());
+  vm.target_ = "other";
+  CHECK(isReleased());
+}
