A late answer to a start shows no restart

What callers saw: none reported. On sites where targets shorten leases to 6 s, work could run twice after an owner was held up for more than 2 s.

Cause: the answer to a start counted as that of a restarted target if its clock was more than 2 s behind the known one. An answer that waits in the socket while the process is held up is that old. The known end of the leases was then lowered to the old clock plus the longest lease. With the clock that the answer to another start brought, the leases counted as expired before they had.

The answer tells when its start was sent. Within one process the target read its clock after that, however late the answer is read, so it is compared with the least that the clock can have shown then. This also finds restarts that the 2 s hid.

--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -279,6 +279,7 @@
   std::int64_t run_ = 0;
   StartOutcome outcome_ = StartOutcome::Unknown;
   std::int64_t clockMs_ = 0; // clock of the target; 0 if it was not reported
+  Instant sentAt_;           // of the request
 };
 
 struct StopAnswered
--- a/packages/fleet/src/runs.cpp
+++ b/packages/fleet/src/runs.cpp
@@ -13,6 +13,10 @@
 namespace {
 
 constexpr double kSlowestClock = 1.02; // a target's clock may be 2% slow
+// What a steady clock of another process may run ahead of this one's, and what
+// is lost by counting in whole milliseconds.
+constexpr double kFastestClock = 1.02;
+constexpr std::int64_t kRoundingMs = 2;
 // Run numbers that each owner has for one item. An owner's numbers lie above
 // all that earlier owners gave out; no item is started this often by one owner.
 constexpr std::int64_t kRunsPerTerm = 256;
@@ -59,14 +63,22 @@
   }
 }
 
+// What the target's clock showed at least at that time.
+std::int64_t
+LeastClockAt(const Target& aTarget, Instant aAt)
+{
+  const auto elapsed = static_cast<double>((aAt - aTarget.clockAt_).count());
+  const auto passed =
+    elapsed < 0 ? elapsed * kFastestClock : elapsed / kSlowestClock;
+  return aTarget.clockMs_ + static_cast<std::int64_t>(passed);
+}
+
 } // namespace
 
 std::int64_t
 ClockOf(const FleetState& aState, const Target& aTarget)
 {
-  const auto elapsed =
-    static_cast<double>((aState.now_ - aTarget.clockAt_).count());
-  return aTarget.clockMs_ + static_cast<std::int64_t>(elapsed / kSlowestClock);
+  return LeastClockAt(aTarget, aState.now_);
 }
 
 void
@@ -88,14 +100,10 @@
 }
 
 bool
-HasClockRestarted(const FleetState& aState,
-                  const Target& aTarget,
-                  std::int64_t aClockMs)
+HasClockRestarted(const Target& aTarget, std::int64_t aClockMs, Instant aSentAt)
 {
-  // An answer arrives less than this after the target read its clock.
-  constexpr std::int64_t kMaxDelayMs = 2000;
   return aClockMs > 0 && aTarget.clockMs_ != 0 &&
-         aClockMs + kMaxDelayMs < ClockOf(aState, aTarget);
+         aClockMs + kRoundingMs < LeastClockAt(aTarget, aSentAt);
 }
 
 Run*
@@ -265,7 +273,7 @@
     return;
   }
   auto& target = found->second;
-  if (HasClockRestarted(aState, target, aAnswer.clockMs_)) {
+  if (HasClockRestarted(target, aAnswer.clockMs_, aAnswer.sentAt_)) {
     // The target has restarted, and neither its report nor a renewal has shown
     // that yet. Leases on it now run on the clock of the new process.
     target.mayHaveRestarted_ = true;
--- a/packages/fleet/src/runs.h
+++ b/packages/fleet/src/runs.h
@@ -12,11 +12,12 @@
 // Takes in a clock reading of the target; 0 is none.
 void UpdateClock(FleetState& aState, Target& aTarget, std::int64_t aClockMs);
 
-// Whether a clock reading is too low to come from the process that is known at
-// the target: another process has started there.
-bool HasClockRestarted(const FleetState& aState,
-                       const Target& aTarget,
-                       std::int64_t aClockMs);
+// Whether the clock reading in the answer to a call sent then is too low to
+// come from the process that is known at the target: another process has
+// started there. How late the answer is read does not matter.
+bool HasClockRestarted(const Target& aTarget,
+                       std::int64_t aClockMs,
+                       Instant aSentAt);
 
 // Returns the deadline of a lease that is sent now, and records it. A deadline
 // never exceeds the usual lease, even if a later one was sent before, because
--- a/packages/fleet/tests/one_target_test.cpp
+++ b/packages/fleet/tests/one_target_test.cpp
@@ -346,8 +346,12 @@
   fixture.Deliver(JobArrived{ job });
   fixture.AdvanceTime(Millis(10));
   CHECK(fixture.CountEffects<StartRun>() == 1);
-  fixture.Deliver(
-    StartAnswered{ "t", { job.id_, 0, 0, 0 }, 1, StartOutcome::Started, 400 });
+  fixture.Deliver(StartAnswered{ "t",
+                                 { job.id_, 0, 0, 0 },
+                                 1,
+                                 StartOutcome::Started,
+                                 400,
+                                 fixture.now_ });
   fixture.report_.clockMs_ += 1500;
   ++fixture.report_.sequence_;
   fixture.Deliver(TargetsSeen{ { fixture.report_ } });
--- a/packages/fleet/tests/simulated_fleet.cpp
+++ b/packages/fleet/tests/simulated_fleet.cpp
@@ -468,12 +468,17 @@
   };
   if (auto* start = std::get_if<StartRun>(&aEffect)) {
     const auto call = *start;
+    const auto sent = now_;
     Call(
       aOwner,
       call.target_,
       StartAnswered{
         call.target_, call.item_, call.run_, StartOutcome::Unknown, 0 },
-      [this, token, call] { return HandleStart(token, call); },
+      [this, token, call, sent] {
+        auto answer = HandleStart(token, call);
+        answer.sentAt_ = sent;
+        return answer;
+      },
       deliver);
   } else if (auto* stop = std::get_if<StopRun>(&aEffect)) {
     const auto call = *stop;
