The clock of the process before is not that of the next one

What callers would see: after a target has restarted under its id, its first silence of more than 4.2 s starts all its work elsewhere while it runs on.

Cause: the answer to a start that the process before had written was read after the list of targets had shown the next process, as when the owner was held up for as long as the restart took. Its clock, far ahead of that of the next process, was taken in, and nothing lowers a known clock while a process lives. Deadlines for the target lay far ahead from then on. The target shortens them to its longest lease (10 s, 6 s on some sites), and the owner counts with 4 s.

The clock in an answer counts only if its start was sent after the present process became known, or if it shows a restart.

Evidence: "the answer of the process before says nothing of the next one's clock" on the code before, a lease for the next process whose clock is at 420: CHECK( starts.front().leaseUntil_ <= ... ) 601319 <= 4420

--- a/packages/fleet/src/runs.cpp
+++ b/packages/fleet/src/runs.cpp
@@ -273,7 +273,9 @@
     return;
   }
   auto& target = found->second;
-  if (HasClockRestarted(target, aAnswer.clockMs_, aAnswer.sentAt_)) {
+  const bool hasRestarted =
+    HasClockRestarted(target, aAnswer.clockMs_, aAnswer.sentAt_);
+  if (hasRestarted) {
     // The target has restarted, and neither its report nor a renewal has shown
     // that yet. Leases on it now run on the clock of the new process.
     target.mayHaveRestarted_ = true;
@@ -284,7 +286,10 @@
       std::min(target.leaseUntil_,
                aAnswer.clockMs_ + aState.options_.longestLease_.count());
   }
-  UpdateClock(aState, target, aAnswer.clockMs_);
+  // Else the process before may have answered.
+  if (hasRestarted || aAnswer.sentAt_ > target.incarnationSeenAt_) {
+    UpdateClock(aState, target, aAnswer.clockMs_);
+  }
   if (aAnswer.clockMs_ != 0 &&
       aAnswer.outcome_ != StartOutcome::OtherIncarnation) {
     target.heardAt_ = aState.now_;
--- a/packages/fleet/tests/pauses_test.cpp
+++ b/packages/fleet/tests/pauses_test.cpp
@@ -141,3 +141,22 @@
     fixture.Pass(Millis(100));
   }
 }
+
+TEST_CASE(
+  "the answer of the process before says nothing of the next one's clock")
+{
+  // Leases on the next process counted as expired while it held them.
+  PausedOwner fixture;
+  const auto late = fixture.AnswerToStart(fixture.kFirst);
+  fixture.AdvanceTime(Millis(3000));
+  fixture.ShowNextProcess();
+  fixture.Deliver(late);
+  fixture.Pass(Millis(10));
+  fixture.AnswerRenewal(kNextBorn, {});
+  fixture.Pass(Millis(10));
+  const auto starts = fixture.TakeStarts();
+  REQUIRE(starts.size() == 1);
+  CHECK(starts.front().leaseUntil_ > fixture.clockMs_);
+  CHECK(starts.front().leaseUntil_ <=
+        fixture.clockMs_ + FleetOptions{}.targetLease_.count());
+}
