Lists that the process before wrote are not applied to the next

What callers would see: an item whose run ended done runs again.

Cause: the answer to a renewal that the process before had written was read after the list of targets had shown the next process. The owner went back to the process before, stored its ends, and acknowledged their numbers to the next process, which counts its own ends from 1. Ends that no owner had read were forgotten.

An answer of an earlier process to a renewal that was sent before the present one became known is dropped, and the target is asked again. A process that began earlier by its time of day, as after a step of its clock, is still recognised by renewals sent later.

Evidence: "ends that the process before listed are not acknowledged to the next" on the code before: CHECK( fixture.lastAcknowledged_ == 0 ) 3 == 0

--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -199,6 +199,16 @@
   }
 }
 
+// Whether the process before may have written the answer: it was asked before
+// the present one was known. What it lists is gone, and its numbers of ends say
+// nothing about those of the present one.
+bool
+IsOfProcessBefore(const Target& aTarget, const RenewalAnswered& aAnswer)
+{
+  return aAnswer.startUnixMs_ < aTarget.startUnixMs_ &&
+         aAnswer.sentAt_ <= aTarget.incarnationSeenAt_;
+}
+
 // A report of a target whose process counts as ended. One may have been on its
 // way when it ended.
 void
@@ -449,6 +459,9 @@
   target.nextRenewal_ = aState.now_;
   switch (aAnswer.outcome_) {
     case RenewalOutcome::Answered:
+      if (IsOfProcessBefore(target, aAnswer)) {
+        break;
+      }
       HandleRunLists(aState, target, aAnswer);
       ReplaceSlowRuns(aState, target);
       break;
--- a/packages/fleet/tests/pauses_test.cpp
+++ b/packages/fleet/tests/pauses_test.cpp
@@ -160,3 +160,31 @@
   CHECK(starts.front().leaseUntil_ <=
         fixture.clockMs_ + FleetOptions{}.targetLease_.count());
 }
+
+TEST_CASE(
+  "ends that the process before listed are not acknowledged to the next")
+{
+  // An end of the next process was acknowledged unread, and its item ran again.
+  PausedOwner fixture;
+  RenewalAnswered late;
+  late.target_ = "t";
+  late.outcome_ = RenewalOutcome::Answered;
+  late.sentAt_ = fixture.now_;
+  late.startUnixMs_ = kFormerBorn;
+  late.clockMs_ = fixture.clockMs_;
+  EndedRun end;
+  end.number_ = 3;
+  end.item_ = fixture.kFirst;
+  end.run_ = 1;
+  end.kind_ = EndKind::Done;
+  late.ended_ = { end };
+  fixture.AdvanceTime(Millis(3000));
+  fixture.ShowNextProcess();
+  fixture.TakeStarts();
+  fixture.Deliver(late);
+  for (int step = 0; step < 10; ++step) {
+    fixture.Pass(Millis(20));
+    fixture.TakeStarts();
+    CHECK(fixture.lastAcknowledged_ == 0);
+  }
+}
