Whether an owner may start work is decided by the time, not by the last tick

What callers would see: an item that runs twice, after an owner was held up past its lease and a target restarted at that time.

Cause: the permission to start work and to order VMs was a boolean as of the last tick. Events that were handled before the next tick went by it, although another owner may have taken over meanwhile. And a start that was decided in time could leave later: it waits for a connection, or the process is held up before it sends.

The tick carries until when the owner is the sole one, and each decision compares that with the present time. Starts and orders for VMs are asked about once more when they leave; they count as not sent if the time is over. The same holds for those that are on their way when the owner ends or hands over.

Evidence, with a target on a thread of its own, on the code before: "an owner that was held up past its lease starts nothing" CHECK( fixture.target_.Starts() == 1 ) 2 == 1 "a start that was held up on its way out does not leave any more" CHECK( fixture.target_.Starts() == 0 ) 1 == 0

--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -94,11 +94,15 @@
   , fleet_(MakeOptions(aContext.settings_, aContext.tuning_, aOwnership.cell_),
            aContext.clocks_.Now())
   , targetHttp_(aContext.io_, MakeTargetHttpOptions())
-  , targets_(targetHttp_, aOwnership.token_, aContext.clocks_)
+  , targets_(targetHttp_,
+             aOwnership.token_,
+             aContext.clocks_,
+             [this] { return MayStart(); })
   , vms_(aContext.http_,
          aContext.settings_.vmServiceAddress_,
          aContext.settings_.name_,
-         aOwnership.token_)
+         aOwnership.token_,
+         [this] { return MayStart(); })
   , advice_(aContext.http_, aContext.settings_.adviceAddress_)
   , keys_(aOwnership.cell_.number_)
   , writer_(aContext,
@@ -152,6 +156,19 @@
   return !hasEnded_ && context_.clocks_.Now() < ownership_.validUntil_;
 }
 
+Instant
+Owner::SoleOwnerUntil() const
+{
+  return ownership_.validUntil_ - kLeaseMargin;
+}
+
+bool
+Owner::MayStart() const
+{
+  return !hasEnded_ && !isHandingOver_ &&
+         context_.clocks_.Now() < SoleOwnerUntil();
+}
+
 void
 Owner::ApplyTuning()
 {
@@ -226,7 +243,7 @@
   const auto self = shared_from_this();
   while (!hasEnded_) {
     Handle(Tick{ context_.clocks_.TimeOfDay(),
-                 context_.clocks_.Now() + kLeaseMargin < ownership_.validUntil_,
+                 SoleOwnerUntil(),
                  !context_.store_.IsUnreachable() });
     co_await Sleep(context_.io_, kTickInterval);
   }
--- a/packages/daemon/src/owner_reads.cpp
+++ b/packages/daemon/src/owner_reads.cpp
@@ -245,7 +245,7 @@
   loaded.inheritedUntil_ =
     DecodeOwnerRecord(ownership_.previousOwner_).inheritedUntil_;
   LogPreviousOwner(previousState);
-  Handle(Tick{ context_.clocks_.TimeOfDay(), false });
+  Handle(Tick{ context_.clocks_.TimeOfDay(), Instant() });
   for (const auto& job : loaded.jobs_) {
     if (ownership_.map_->CellOfJob(job.id_) != ownership_.cell_.number_) {
       loaded.guests_.insert(job.id_);
--- a/packages/daemon/tests/ownership_test.cpp
+++ b/packages/daemon/tests/ownership_test.cpp
@@ -1,6 +1,11 @@
 // The lease of an owner that does not answer, and an owner whose list of
 // targets another writer fills, against the stand-in of the platform's store.
 
+#include <atomic>
+#include <thread>
+
+#include <nlohmann/json.hpp>
+
 #include "election.h"
 #include "state.h"
 #include "store_fixture.h"
@@ -35,9 +40,10 @@
 // The owner of the only cell. There are no targets and no VM service.
 struct OwnerFixture : StoreFixture
 {
-  OwnerFixture()
+  explicit OwnerFixture(Millis aValidity = Millis(60000))
   {
     const auto lease = Await(store_.CreateLease(Millis(60000)));
+    lease_ = lease.revision_;
     StoreWrite write;
     write.puts_ = { { keys_.Owner(), "", lease.revision_ },
                     { keys_.Of(kChainKey), "0", 0 } };
@@ -46,7 +52,7 @@
     ownership.map_ = std::make_shared<CellMap>();
     ownership.token_ = Write(write);
     ownership.lease_ = lease.revision_;
-    ownership.validUntil_ = clocks_.Now() + Millis(60000);
+    ownership.validUntil_ = clocks_.Now() + aValidity;
     owner_ = std::make_shared<Owner>(context_, ownership, FleetConfig{});
     owner_->Begin();
   }
@@ -62,12 +68,16 @@
     }
   }
 
+  // As if it had run out. The owner does not know of it yet.
+  void EndLease() { Await(store_.RevokeLease(lease_)); }
+
   Millis TargetListAge()
   {
     const auto& askedAt = owner_->GetFleet().State().targetsAskedAt_;
     return askedAt ? clocks_.Now() - *askedAt : Millis::max();
   }
 
+  std::int64_t lease_ = 0;
   std::shared_ptr<Owner> owner_;
 };
 
@@ -114,3 +124,140 @@
   }
   CHECK(oldest < PlatformSettings{}.drainLimit_);
 }
+
+namespace {
+
+// A target on a thread of its own, which goes on while the owner is held up.
+class TargetThread
+{
+public:
+  static constexpr const char* kAddress = "127.0.43.6:18731";
+
+  TargetThread()
+  {
+    REQUIRE(server_.Open(kAddress).empty());
+    thread_ = std::thread([this] { io_.run(); });
+  }
+  ~TargetThread()
+  {
+    io_.stop();
+    thread_.join();
+  }
+  TargetThread(const TargetThread&) = delete;
+  TargetThread& operator=(const TargetThread&) = delete;
+
+  int Starts() const { return starts_; }
+
+private:
+  Awaitable<HttpResponse> Serve(const HttpRequest& aRequest)
+  {
+    if (aRequest.path_ == "/run-start") {
+      const auto body = nlohmann::json::parse(aRequest.body_);
+      running_.push_back({ body.at("task"), body.at("run"), "", 0 });
+      ++starts_;
+    }
+    co_await Sleep(io_, Millis(20));
+    HttpResponse response;
+    response.body_ = nlohmann::json{
+      { "clock_ms", 5000 },
+      { "born", 5 },
+      { "running", running_ },
+      { "ended", nlohmann::json::array() }
+    }.dump();
+    co_return response;
+  }
+
+  std::atomic<int> starts_ = 0;
+  nlohmann::json running_ = nlohmann::json::array();
+  boost::asio::io_context io_;
+  HttpServer server_{ io_, {}, [this](const HttpRequest& aRequest) {
+                       return Serve(aRequest);
+                     } };
+  std::thread thread_;
+};
+
+FleetConfig
+MakeConfig()
+{
+  FleetConfig config;
+  config.version_ = 1;
+  config.pools_.push_back({ "a", true, false });
+  Queue queue;
+  queue.name_ = "queue-a";
+  queue.pool_ = "a";
+  config.queues_.push_back(queue);
+  return config;
+}
+
+Job
+MakeSmallJob(const std::string& aId)
+{
+  Job job;
+  job.id_ = aId;
+  job.queue_ = "queue-a";
+  Step step;
+  step.count_ = 1;
+  step.needs_ = { 1000, 0, 0 };
+  job.steps_.push_back(step);
+  return job;
+}
+
+// Longer than an owner may rely on its last renewal, but not so long that what
+// it has read counts as old.
+constexpr Millis kHeldUp(850);
+
+// The owner of a target, whose lease on the cell nobody renews from now on.
+struct HeldUpOwner : OwnerFixture
+{
+  HeldUpOwner()
+    : OwnerFixture(kOwnerLease)
+  {
+    const nlohmann::json entry = {
+      { "service", "a" },   { "address", TargetThread::kAddress },
+      { "state", "ready" }, { "capacity", { { "cpu", 8000 } } },
+      { "sequence", 1 },    { "born", 5 },
+      { "clock_ms", 5000 }
+    };
+    standin_.Put("servers/t", entry);
+    owner_->Handle(ConfigSeen{ MakeConfig() });
+    while (!IsUsable()) {
+      RunFor(Millis(10));
+    }
+  }
+
+  bool IsUsable() const
+  {
+    const auto& targets = owner_->GetFleet().State().targets_;
+    const auto target = targets.find("t");
+    return target != targets.end() && target->second.IsUsable(clocks_.Now());
+  }
+
+  TargetThread target_;
+};
+
+} // namespace
+
+TEST_CASE("an owner that was held up past its lease starts nothing")
+{
+  // It went by what it had known before, while another owner started the work.
+  HeldUpOwner fixture;
+  fixture.owner_->HandleSubmittedJob(MakeSmallJob("00000000000000a1"));
+  fixture.RunFor(Millis(300));
+  REQUIRE(fixture.target_.Starts() == 1); // as long as its lease is valid
+  fixture.EndLease();
+  std::this_thread::sleep_for(kHeldUp);
+  fixture.owner_->HandleSubmittedJob(MakeSmallJob("00000000000000a2"));
+  fixture.RunFor(Millis(300));
+  CHECK(fixture.target_.Starts() == 1);
+}
+
+TEST_CASE("a start that was held up on its way out does not leave any more")
+{
+  // It was decided while the lease was valid, and sent when it was not.
+  HeldUpOwner fixture;
+  fixture.EndLease();
+  fixture.owner_->HandleSubmittedJob(MakeSmallJob("00000000000000a1"));
+  std::this_thread::sleep_for(kHeldUp);
+  fixture.RunFor(Millis(300));
+  CHECK(fixture.target_.Starts() == 0);
+}
--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -354,15 +354,16 @@
   FleetOptions options_;
 };
 
-// Time has passed. Comes a few times in each 100 ms. isSoleOwner_ is false if
-// the owner's lease has expired or may expire before a call would arrive,
-// because another owner may have taken over by then. Then nothing is started
-// and no VM is ordered: a target that has restarted would accept the start, as
-// it has not seen the token of the other owner.
+// Time has passed. Comes a few times in each 100 ms. From soleOwnerUntil_ on,
+// the owner's lease may expire before a call would arrive, and another owner
+// may have taken over by then. Then nothing is started and no VM is ordered: a
+// target that has restarted would accept the start, as it has not seen the
+// token of the other owner. It is a time, as the process may be held up until
+// after it, and other events may come before the next tick.
 struct Tick
 {
   WallTime timeOfDay_;
-  bool isSoleOwner_ = false;
+  Instant soleOwnerUntil_;
   bool isStoreReachable_ = true; // as seen from this process
 };
 
--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -416,7 +416,7 @@
     return " were last read " +
            std::to_string((aState.now_ - aReadAt).count()) + " ms ago";
   };
-  if (!aState.isSoleOwner_) {
+  if (!aState.IsSoleOwner()) {
     return "another owner may have taken over";
   }
   if (!aState.MayReachStore()) {
--- a/packages/fleet/src/reducer.cpp
+++ b/packages/fleet/src/reducer.cpp
@@ -79,7 +79,7 @@
 {
   aState.timeOfDay_ = aTick.timeOfDay_;
   aState.timeOfDayAt_ = aState.now_;
-  aState.isSoleOwner_ = aTick.isSoleOwner_;
+  aState.soleOwnerUntil_ = aTick.soleOwnerUntil_;
   const bool hasLagged = HasLagged(aState);
   aState.isStoreReachable_ = aTick.isStoreReachable_ || hasLagged;
   if (aState.now_ < aState.nextSweep_) {
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -299,7 +299,7 @@
   Instant now_;
   WallTime timeOfDay_;
   Instant timeOfDayAt_;
-  bool isSoleOwner_ = false;     // see Tick
+  Instant soleOwnerUntil_;       // see Tick
   bool isStoreReachable_ = true; // also true while that can't be told
   Instant lastTickAt_;
   Instant lagSuspectedUntil_;
@@ -382,6 +382,7 @@
                                 std::move(aTarget),
                                 std::move(aDetail) });
   }
+  bool IsSoleOwner() const { return now_ < soleOwnerUntil_; }
   // False only if the store certainly does not answer this process.
   bool MayReachStore() const
   {
--- a/packages/fleet/src/vm_orders.cpp
+++ b/packages/fleet/src/vm_orders.cpp
@@ -33,7 +33,7 @@
   if (target && !target->runs_.empty()) {
     return "not sent: its target has runs";
   }
-  if (!aState.isSoleOwner_) {
+  if (!aState.IsSoleOwner()) {
     return "not sent: the lease on the fleet may run out before it arrives";
   }
   // The next owner orders nothing for the VM for a fixed time after the
--- a/packages/fleet/src/vms.cpp
+++ b/packages/fleet/src/vms.cpp
@@ -191,7 +191,7 @@
 void
 PlanVms(FleetState& aState)
 {
-  if (!aState.isSoleOwner_ || aState.isReconciling_ ||
+  if (!aState.IsSoleOwner() || aState.isReconciling_ ||
       aState.now_ < aState.nextPlan_ ||
       aState.now_ - aState.vmsSeen_ > kOrderTimeout) {
     return;
--- a/packages/fleet/tests/crashes_test.cpp
+++ b/packages/fleet/tests/crashes_test.cpp
@@ -203,7 +203,7 @@
     queue.pool_ = "a";
     config.queues_.push_back(queue);
     Deliver(ConfigSeen{ config });
-    Deliver(Tick{ WallTime(now_.time_since_epoch()), true });
+    Deliver(Tick{ WallTime(now_.time_since_epoch()), kAlways });
     Deliver(JobsLoaded{});
     Deliver(TargetsSeen{ { MakeReport("t"), MakeReport("u") } });
     AdvanceTime(Millis(10));
--- a/packages/fleet/tests/one_target_test.cpp
+++ b/packages/fleet/tests/one_target_test.cpp
@@ -221,7 +221,7 @@
   const auto wall = [&now] { return WallTime(now.time_since_epoch()); };
   third.Handle(ConfigSeen{ config }, now);
   third.Handle(SubmissionsRead{ now }, now);
-  third.Handle(Tick{ wall(), true }, now);
+  third.Handle(Tick{ wall(), kAlways }, now);
   JobsLoaded loaded;
   loaded.jobs_ = { job };
   Progress progress;
@@ -246,7 +246,7 @@
       renewal.sentAt_ = now;
       third.Handle(renewal, now);
       third.Handle(SubmissionsRead{ now }, now);
-      third.Handle(Tick{ wall(), true }, now);
+      third.Handle(Tick{ wall(), kAlways }, now);
       for (const auto& effect : third.TakeEffects()) {
         starts += std::holds_alternative<StartRun>(effect) ? 1 : 0;
         if (const auto* store = std::get_if<StoreProgress>(&effect)) {
@@ -346,12 +346,8 @@
   fixture.Deliver(JobArrived{ job });
   fixture.AdvanceTime(Millis(10));
   CHECK(fixture.CountEffects<StartRun>() == 1);
-  fixture.Deliver(StartAnswered{ "t",
-                                 { job.id_, 0, 0, 0 },
-                                 1,
-                                 StartOutcome::Started,
-                                 400,
-                                 fixture.now_ });
+  fixture.Deliver(StartAnswered{
+    "t", { job.id_, 0, 0, 0 }, 1, StartOutcome::Started, 400, fixture.now_ });
   fixture.report_.clockMs_ += 1500;
   ++fixture.report_.sequence_;
   fixture.Deliver(TargetsSeen{ { fixture.report_ } });
--- a/packages/fleet/tests/reducer_fixture.h
+++ b/packages/fleet/tests/reducer_fixture.h
@@ -31,7 +31,7 @@
     if (aIsSubmissionRead) {
       Deliver(SubmissionsRead{ now_ });
     }
-    Deliver(Tick{ WallTime(now_.time_since_epoch()), true });
+    Deliver(Tick{ WallTime(now_.time_since_epoch()), kAlways });
   }
 
   // The target answers a renewal and lists these runs.
--- a/packages/fleet/tests/refused_connections_test.cpp
+++ b/packages/fleet/tests/refused_connections_test.cpp
@@ -49,7 +49,7 @@
     config.version_ = 1;
     config.pools_.push_back({ "a", true, false });
     Deliver(ConfigSeen{ config });
-    Deliver(Tick{ WallTime(now_.time_since_epoch()), true });
+    Deliver(Tick{ WallTime(now_.time_since_epoch()), kAlways });
     Deliver(JobsLoaded{});
     Deliver(TargetsSeen{ { MakeReport("t") } });
     AdvanceTime(Millis(10));
@@ -219,7 +219,7 @@
   const auto tick = [&] {
     fixture.now_ += Millis(50);
     handle(SubmissionsRead{ fixture.now_ });
-    handle(Tick{ WallTime(fixture.now_.time_since_epoch()), true });
+    handle(Tick{ WallTime(fixture.now_.time_since_epoch()), kAlways });
   };
   handle(ConfigSeen{ fixture.fleet_.State().config_ });
   tick();
--- a/packages/fleet/tests/simulated_fleet.cpp
+++ b/packages/fleet/tests/simulated_fleet.cpp
@@ -106,7 +106,8 @@
     owner_->replacedAt_ = ownerCutUntil_ > now_ ? ownerCutAt_ : now_;
     owner_->hasEnded_ = owner_->hasEnded_ || aFormer != PreviousOwner::Unknown;
     if (!owner_->hasEnded_) {
-      Deliver(*owner_, Tick{ WallTime(now_.time_since_epoch()), false, false });
+      Deliver(*owner_,
+              Tick{ WallTime(now_.time_since_epoch()), kNever, false });
     }
   }
   ownerCutUntil_ = now_;
@@ -118,7 +119,7 @@
     Deliver(*owner, OptionsChanged{ FleetOptions{} });
   }
   Deliver(*owner, ConfigSeen{ config_ });
-  Deliver(*owner, Tick{ WallTime(now_.time_since_epoch()), true });
+  Deliver(*owner, Tick{ WallTime(now_.time_since_epoch()), kAlways });
   JobsLoaded loaded;
   loaded.readAt_ = now_;
   for (const auto& [id, job] : jobs_) {
@@ -292,7 +293,7 @@
   }
   Deliver(*aOwner,
           Tick{ WallTime(now_.time_since_epoch()),
-                isStoreReachable,
+                isStoreReachable ? kAlways : kNever,
                 isStoreReachable });
   At(kTickInterval, [this, aOwner] { TickOwner(aOwner); });
 }
--- a/packages/fleet/tests/simulated_fleet.h
+++ b/packages/fleet/tests/simulated_fleet.h
@@ -23,6 +23,10 @@
 
 namespace cuminbridge {
 
+// For Tick::soleOwnerUntil_.
+inline constexpr Instant kAlways = Instant::max();
+inline constexpr Instant kNever;
+
 // How often each fault happens, each a share from 0 to 1.
 struct SimulatedFaults
 {
--- a/packages/fleet/tests/takeover_test.cpp
+++ b/packages/fleet/tests/takeover_test.cpp
@@ -23,7 +23,7 @@
     queue.pool_ = "a";
     config.queues_.push_back(queue);
     Deliver(ConfigSeen{ config });
-    Deliver(Tick{ WallTime(now_.time_since_epoch()), true });
+    Deliver(Tick{ WallTime(now_.time_since_epoch()), kAlways });
     loaded_.term_ = 2;
     loaded_.previousOwner_ = PreviousOwner::Unknown;
   }
@@ -152,7 +152,7 @@
 
   // The store is lost: then no cancellation can be acknowledged either.
   fixture.Deliver(
-    Tick{ WallTime(fixture.now_.time_since_epoch()), true, false });
+    Tick{ WallTime(fixture.now_.time_since_epoch()), kAlways, false });
   CHECK(fixture.TakeStarts().size() == 1);
 
   // The store is back, and its changes have not been read yet.
@@ -238,7 +238,7 @@
   const auto tickWithoutStore = [&fixture](Millis aTime) {
     fixture.now_ += aTime;
     fixture.Deliver(
-      Tick{ WallTime(fixture.now_.time_since_epoch()), true, false });
+      Tick{ WallTime(fixture.now_.time_since_epoch()), kAlways, false });
   };
   fixture.AdvanceTime(Millis(10));
   fixture.Deliver(JobArrived{ MakeJob(MakeJobId(1), "a", { 1 }), false });
@@ -578,12 +578,12 @@
   fixture.AdvanceTime(Millis(10));
   fixture.AnswerRenewal("t", {}, {});
   fixture.Deliver(
-    Tick{ WallTime(fixture.now_.time_since_epoch()), false, false });
+    Tick{ WallTime(fixture.now_.time_since_epoch()), kNever, false });
   fixture.Deliver(JobArrived{ MakeJob(MakeJobId(1), "a", { 1 }), false });
   for (int step = 0; step < 50; ++step) {
     fixture.now_ += Millis(100);
     fixture.Deliver(
-      Tick{ WallTime(fixture.now_.time_since_epoch()), false, false });
+      Tick{ WallTime(fixture.now_.time_since_epoch()), kNever, false });
     fixture.AnswerRenewal("t", {}, {});
   }
   CHECK(fixture.TakeStarts().empty());
--- a/packages/web/include/cuminbridge/web.h
+++ b/packages/web/include/cuminbridge/web.h
@@ -49,6 +49,10 @@
 // [SECTION] Client
 //-----------------------------------------------------------------------------
 
+// Asked when a call is about to leave: it may have waited for a connection, or
+// its process may have been held up.
+using MaySend = std::function<bool()>;
+
 struct HttpCall
 {
   std::string method_ = "GET";
@@ -63,6 +67,7 @@
   // Does not wait for a connection while all allowed ones to the address are in
   // use, but opens one more.
   bool isUrgent_ = false;
+  MaySend maySend_; // if it is set and returns false, the call is not sent
   const char* kind_ = "other"; // under which HttpClient counts it; a literal
 };
 
@@ -89,7 +94,7 @@
 {
   Answered, // a whole response arrived
   Refused,  // no process listens at the address: the call was not sent
-  NotSent,  // no connection in time: the call was not sent
+  NotSent,  // no connection in time, or HttpCall::maySend_ refused
   Lost,     // no whole response: it may have been carried out, or will be
 };
 
--- a/packages/web/src/client.cpp
+++ b/packages/web/src/client.cpp
@@ -213,6 +213,11 @@
     request.body() = std::move(aCall.body_);
   }
   request.prepare_payload();
+  if (aCall.maySend_ && !aCall.maySend_()) {
+    stream->expires_never();
+    pool->idle_.push_back({ std::move(stream), steady_clock::now() });
+    co_return reply;
+  }
   reply.outcome_ = CallOutcome::Lost;
   const auto extendDeadline = [&] {
     stream->expires_at(
