An owner that was held up beyond its allowance ends before it acts

What callers would see: work that runs twice on targets that the next owner can't reach.

Cause: only the coroutine that renews the lease ended an owner whose allowance was over. After a long pause, ticks and answers that were handled first still sent renewals to targets, for which the next owner does not wait any more.

Each event checks the allowance first.

Evidence: "an owner that was held up beyond its allowance has ended" on the code before: CHECK( owner->HasEnded() ) false

--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -169,6 +169,16 @@
          context_.clocks_.Now() < SoleOwnerUntil();
 }
 
+void
+Owner::EndIfAllowanceOver()
+{
+  const FleetOptions options;
+  if (context_.clocks_.Now() >
+      ownership_.validUntil_ + options.ownerAllowance_) {
+    End("the lease on the cell could not be renewed in time");
+  }
+}
+
 void
 Owner::ApplyTuning()
 {
@@ -221,13 +231,10 @@
 Owner::Renew()
 {
   const auto self = shared_from_this();
-  const FleetOptions options;
   while (!hasEnded_) {
     co_await Sleep(context_.io_, kRenewInterval);
-    if (context_.clocks_.Now() >
-        ownership_.validUntil_ + options.ownerAllowance_) {
-      End("the lease on the cell could not be renewed in time");
-    } else if (!hasEnded_) {
+    EndIfAllowanceOver();
+    if (!hasEnded_) {
       Spawn([self] { return self->RenewOnce(); });
     }
   }
@@ -290,6 +297,8 @@
 void
 Owner::Handle(const Event& aEvent)
 {
+  // The process may have been held up since the last renewal was due.
+  EndIfAllowanceOver();
   if (hasEnded_) {
     return;
   }
--- a/packages/daemon/src/owner.h
+++ b/packages/daemon/src/owner.h
@@ -98,6 +98,7 @@
   // Until then, a call that leaves arrives before another owner can take over.
   Instant SoleOwnerUntil() const;
   bool MayStart() const; // runs and operations on VMs
+  void EndIfAllowanceOver();
   bool HandleSubmission(const StoreItem& aItem); // false if it can't be decoded
   void Execute(Effect aEffect);
   void Store(const StoreProgress& aEffect);
--- a/packages/daemon/tests/ownership_test.cpp
+++ b/packages/daemon/tests/ownership_test.cpp
@@ -261,3 +261,20 @@
   fixture.RunFor(Millis(300));
   CHECK(fixture.target_.Starts() == 0);
 }
+
+TEST_CASE("an owner that was held up beyond its allowance has ended")
+{
+  // It handled what had come meanwhile first, and renewed leases on targets for
+  // which the next owner did not wait any more.
+  StoreFixture fixture;
+  Ownership ownership;
+  ownership.map_ = std::make_shared<CellMap>();
+  ownership.validUntil_ =
+    fixture.clocks_.Now() - FleetOptions{}.ownerAllowance_ + Millis(50);
+  const auto owner =
+    std::make_shared<Owner>(fixture.context_, ownership, FleetConfig{});
+  REQUIRE(!owner->HasEnded());
+  std::this_thread::sleep_for(Millis(60));
+  owner->Handle(SubmissionsRead{ fixture.clocks_.Now() });
+  CHECK(owner->HasEnded());
+}
