Answers that came while the process was held up are read

What callers would see: after a pause, targets count as silent and starts as not answered although the answers are there; such starts are stopped.

Cause: one round of the reactor reports at most 128 events, but ends all timers that have expired. The stream's time-outs close their connections without a look whether bytes wait there.

The time-out of a call now closes its connection only if nothing waits there to be read. Otherwise it looks again after 5 ms, up to 40 times.

--- a/packages/web/src/client.cpp
+++ b/packages/web/src/client.cpp
@@ -69,6 +69,74 @@
   }
 }
 
+namespace {
+
+// Ends what a call waits for on its connection when its time is over. The
+// stream's own time-outs don't look whether the answer has arrived: after the
+// process was held up, the reactor reports some of the connections that have
+// bytes to read and all timers that have expired.
+class CallTimer
+{
+public:
+  explicit CallTimer(tcp_stream& aStream)
+    : state_(std::make_shared<State>(aStream))
+  {
+  }
+  ~CallTimer()
+  {
+    state_->stream_ = nullptr;
+    state_->timer_.cancel();
+  }
+  CallTimer(const CallTimer&) = delete;
+  CallTimer& operator=(const CallTimer&) = delete;
+
+  void ExpireAt(steady_clock::time_point aAt)
+  {
+    state_->rechecks_ = 0;
+    Wait(state_, aAt);
+  }
+
+private:
+  struct State
+  {
+    explicit State(tcp_stream& aStream)
+      : stream_(&aStream)
+      , timer_(aStream.get_executor())
+    {
+    }
+
+    tcp_stream* stream_; // null once the call is over
+    asio::steady_timer timer_;
+    int rechecks_ = 0;
+  };
+
+  static void Wait(const std::shared_ptr<State>& aState,
+                   steady_clock::time_point aAt)
+  {
+    aState->timer_.expires_at(aAt);
+    aState->timer_.async_wait(
+      [state = aState, aAt](boost::system::error_code aError) {
+        // The reactor soon reports the connection. But bytes also wait while
+        // the call still writes, which the peer may not read.
+        constexpr std::chrono::milliseconds kInterval(5);
+        constexpr int kMaxRechecks = 40;
+        // It may have been set anew after it expired.
+        if (aError || !state->stream_ || state->timer_.expiry() != aAt) {
+          return;
+        }
+        if (IsStillOpen(*state->stream_) || ++state->rechecks_ > kMaxRechecks) {
+          state->stream_->close();
+        } else {
+          Wait(state, steady_clock::now() + kInterval);
+        }
+      });
+  }
+
+  std::shared_ptr<State> state_;
+};
+
+} // namespace
+
 struct HttpClient::Pool
 {
   struct Idle
@@ -219,9 +287,10 @@
     co_return reply;
   }
   reply.outcome_ = CallOutcome::Lost;
+  stream->expires_never();
+  CallTimer timer(*stream);
   const auto extendDeadline = [&] {
-    stream->expires_at(
-      std::max(deadline, steady_clock::now() + aCall.stallLimit_));
+    timer.ExpireAt(std::max(deadline, steady_clock::now() + aCall.stallLimit_));
   };
   http::serializer<true, http::string_body> serializer(request);
   while (!serializer.is_done()) {
@@ -237,7 +306,7 @@
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxResponseBytes);
   parser.eager(true);
-  stream->expires_at(deadline);
+  timer.ExpireAt(deadline);
   while (!parser.is_done()) {
     const auto [error, got] =
       co_await http::async_read_some(*stream, buffer, parser, kAsTuple);
@@ -251,7 +320,6 @@
   reply.status_ = static_cast<int>(parser.get().result_int());
   reply.body_ = std::move(parser.get().body());
   if (parser.get().keep_alive()) {
-    stream->expires_never();
     pool->idle_.push_back({ std::move(stream), steady_clock::now() });
   }
   co_return reply;
--- a/packages/web/tests/web_test.cpp
+++ b/packages/web/tests/web_test.cpp
@@ -1,5 +1,7 @@
 // HttpClient against HttpServer, over loopback.
 
+#include <thread>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/read.hpp>
@@ -189,3 +191,62 @@
   CHECK(CallSlowServer(milliseconds(400), milliseconds(200)).outcome_ ==
         CallOutcome::Lost);
 }
+
+namespace {
+
+// A client that is held up while a server, on an io_context of its own, answers
+// all of its calls.
+struct PausedClient
+{
+  explicit PausedClient(std::size_t aCalls, std::size_t aBytes = 2)
+  {
+    HttpServer server(
+      serverIo_, {}, [&](const HttpRequest&) -> Awaitable<HttpResponse> {
+        HttpResponse response;
+        response.body_ = std::string(aBytes, 'x');
+        co_return response;
+      });
+    REQUIRE(server.Open(kAddress).empty());
+    HttpClientOptions options;
+    options.maxConnections_ = aCalls;
+    HttpClient client(io_, options);
+    for (std::size_t call = 0; call < aCalls; ++call) {
+      boost::asio::co_spawn(io_, CallOnce(client), boost::asio::detached);
+    }
+    // No answer comes before the server runs. A timer of the process, as there
+    // always is one, expires before.
+    boost::asio::steady_timer tick(io_, std::chrono::milliseconds(110));
+    tick.async_wait([](boost::system::error_code) {});
+    io_.run_for(std::chrono::milliseconds(100));
+    std::this_thread::sleep_for(std::chrono::milliseconds(20));
+    serverIo_.run_for(std::chrono::milliseconds(500));
+    io_.run_for(std::chrono::milliseconds(300));
+  }
+
+  Awaitable<void> CallOnce(HttpClient& aClient)
+  {
+    HttpCall call;
+    call.path_ = "/";
+    call.limit_ = std::chrono::milliseconds(300);
+    const auto reply = co_await aClient.Call(kAddress, call);
+    answered_ += reply.IsAnswered() ? 1 : 0;
+  }
+
+  boost::asio::io_context io_{ 1 };
+  boost::asio::io_context serverIo_{ 1 };
+  std::size_t answered_ = 0;
+};
+
+} // namespace
+
+TEST_CASE("answers that came while the process was held up are read")
+{
+  // One round of the reactor reads at most 128 sockets, but ends all calls
+  // whose time is over.
+  for (const std::size_t calls : { 1, 100, 600 }) {
+    INFO(calls << " calls");
+    CHECK(PausedClient(calls).answered_ == calls);
+  }
+  constexpr std::size_t kLarge = 30000; // bytes; takes several reads
+  CHECK(PausedClient(10, kLarge).answered_ == 10);
+}
