--- a/packages/fleet/src/jobs.cpp
+++ b/packages/fleet/src/jobs.cpp
@@ -348,10 +348,10 @@
   // Upper bound on the wait for earlier owners, whatever the clocks say.
   const auto longest =
     aState.options_.ownerAllowance_ + 2 * aState.options_.targetLease_;
+  // Another machine has stored the bound, by its own time of day.
+  const auto until = aLoaded.inheritedUntil_ + aState.options_.clockSkew_;
   aState.inheritedUntil_ =
-    aState.now_ + std::clamp(aLoaded.inheritedUntil_ - aState.TimeOfDay(),
-                             Millis(0),
-                             longest);
+    aState.now_ + std::clamp(until - aState.TimeOfDay(), Millis(0), longest);
   aState.loadedWaves_ = aLoaded.waves_;
   for (const auto& order : aLoaded.orders_) {
     const auto apart = OrderPause(aState.options_);
--- a/packages/fleet/tests/takeover_test.cpp
+++ b/packages/fleet/tests/takeover_test.cpp
@@ -568,6 +568,33 @@
   }
 }
 
+TEST_CASE("work of an earlier owner is waited for although times of day differ")
+{
+  // The owner between stored until when, by a time of day behind this one's.
+  TakenOverFleet fixture;
+  const auto id = MakeJobId(1);
+  const Millis wait(8000);
+  fixture.AddTarget("t");
+  fixture.AddTarget("u");
+  fixture.loaded_.jobs_ = { MakeJob(id, "a", { 1 }) };
+  fixture.loaded_.progress_[id] = MakeRunningProgress();
+  fixture.loaded_.previousOwner_ = PreviousOwner::Ended;
+  fixture.loaded_.inheritedUntil_ = WallTime(fixture.now_.time_since_epoch()) +
+                                    wait - FleetOptions{}.clockSkew_;
+  const auto until = fixture.now_ + wait;
+  fixture.TakeOver();
+  fixture.AdvanceTime(Millis(10));
+  fixture.LeaveUnanswered("t");
+  while (fixture.now_ < until) {
+    fixture.AnswerRenewal("u", {}, {});
+    REQUIRE(fixture.TakeStarts().empty());
+    fixture.AdvanceTime(Millis(50));
+  }
+  fixture.AdvanceTime(Millis(300));
+  fixture.AnswerRenewal("u", {}, {});
+  CHECK(fixture.TakeStarts().size() == 1);
+}
+
 TEST_CASE("nothing starts once another owner may have taken over")
 {
   // A target restarted just then: it had not seen the token of the next owner,
