--- a/packages/fleet/src/vm_orders.cpp
+++ b/packages/fleet/src/vm_orders.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 #include <utility>
 
+#include "evidence.h"
 #include "fleet_waves.h"
 #include "targets.h"
 
--- a/packages/fleet/tests/run_log_test.cpp
+++ b/packages/fleet/tests/run_log_test.cpp
@@ -20,7 +20,7 @@
     config.version_ = 1;
     config.pools_.push_back({ "a", true, false });
     Deliver(ConfigSeen{ config });
-    Deliver(Tick{ WallTime(now_.time_since_epoch()), true });
+    Deliver(Tick{ WallTime(now_.time_since_epoch()), kAlways });
     Deliver(JobsLoaded{});
     Deliver(TargetsSeen{ { MakeReport("t") } });
     AdvanceTime(Millis(10));
--- a/packages/fleet/tests/vm_evidence_test.cpp
+++ b/packages/fleet/tests/vm_evidence_test.cpp
@@ -200,7 +200,7 @@
   Instant now(Millis(1000000));
   Fleet next(FleetOptions{}, now);
   const auto handle = [&](const Event& aEvent) { next.Handle(aEvent, now); };
-  handle(Tick{ WallTime(now.time_since_epoch()), true });
+  handle(Tick{ WallTime(now.time_since_epoch()), kAlways });
   JobsLoaded loaded;
   loaded.term_ = 2;
   loaded.jobs_ = { MakeJob(kItem.job_, "a", { 1 }) };
@@ -260,7 +260,7 @@
   config.version_ = 1;
   config.pools_.push_back({ "a", true, false });
   fixture.Deliver(ConfigSeen{ config });
-  fixture.Deliver(Tick{ WallTime(fixture.now_.time_since_epoch()), true });
+  fixture.Deliver(Tick{ WallTime(fixture.now_.time_since_epoch()), kAlways });
   JobsLoaded loaded;
   loaded.term_ = 2;
   loaded.orders_ = { { vm.name_, WallTime(fixture.now_.time_since_epoch()) } };
