Simulation: a start after an end that is acknowledged later breaks TWICE

The simulated fleet reported a start after the end of a done run was acknowledged, but not one between the end and its acknowledgement. RULES, TWICE: "a start after a run has ended done, if that end is taken note of then or later". It now counts the starts of an item when a run of it ends done, and reports it at the acknowledgement if there were more since. Ends whose target's lease has lapsed meanwhile are left out, as before.

--- a/packages/fleet/tests/simulated_fleet.h
+++ b/packages/fleet/tests/simulated_fleet.h
@@ -187,7 +187,9 @@
   std::map<ItemName, int> runningNow_;
   std::set<ItemName> done_;             // some run ended done
   std::set<ItemName> acknowledgedDone_; // and an owner acknowledged that end
-  std::map<ItemName, int> failures_;    // failed runs, acknowledged or not
+  // Starts of the item by the time that this run of it ended done.
+  std::map<std::pair<ItemName, std::int64_t>, int> startsWhenDone_;
+  std::map<ItemName, int> failures_; // failed runs, acknowledged or not
   std::map<ItemName, int> acknowledgedFailures_;
   std::map<std::string, int> starts_;
   std::set<ItemName> deadly_;
--- a/packages/fleet/tests/simulated_targets.cpp
+++ b/packages/fleet/tests/simulated_targets.cpp
@@ -85,6 +85,7 @@
   aTarget.ended_.push_back(std::move(end));
   if (aKind == EndKind::Done) {
     done_.insert(run.item_);
+    startsWhenDone_[{ run.item_, run.run_ }] = itemStarts_[run.item_];
   } else if (aKind == EndKind::Failed) {
     ++failures_[run.item_];
   }
@@ -470,6 +471,12 @@
       return true;
     }
     if (aEnd.kind_ == EndKind::Done) {
+      if (itemStarts_[aEnd.item_] >
+          startsWhenDone_[{ aEnd.item_, aEnd.run_ }]) {
+        ReportViolation(
+          "item had been started after an end that is now acknowledged: " +
+          FormatItem(aEnd.item_));
+      }
       acknowledgedDone_.insert(aEnd.item_);
     } else if (aEnd.kind_ == EndKind::Failed) {
       ++acknowledgedFailures_[aEnd.item_];
