--- a/packages/fleet/tests/crashes_test.cpp
+++ b/packages/fleet/tests/crashes_test.cpp
@@ -8,12 +8,15 @@
 
 #include "crashes.h"
 #include "reducer_fixture.h"
+#include "seeds.h"
 #include "state.h"
 
 using namespace cuminbridge;
 
 namespace {
 
+constexpr unsigned kHistories = 100;
+
 constexpr Millis kSettleTime(30000);
 const ItemName kDeadly{ MakeJobId(0), 0, 0, 0 };
 
@@ -744,7 +747,8 @@
 
 TEST_CASE("random histories with items that crash their targets")
 {
-  for (unsigned seed = 1; seed <= 100; ++seed) {
+  const auto seeds = ReadSeeds(kHistories);
+  for (unsigned seed = seeds.first_; seed < seeds.end_; ++seed) {
     INFO("seed " << seed);
     std::mt19937 random(seed);
     const auto draw = [&](int aLeast, int aMost) {
--- a/packages/fleet/tests/refused_connections_test.cpp
+++ b/packages/fleet/tests/refused_connections_test.cpp
@@ -4,12 +4,15 @@
 #include <catch2/catch.hpp>
 
 #include "reducer_fixture.h"
+#include "seeds.h"
 #include "state.h"
 
 using namespace cuminbridge;
 
 namespace {
 
+constexpr unsigned kHistories = 300;
+
 const ItemName kItem{ MakeJobId(1), 0, 0, 0 };
 
 std::string
@@ -268,7 +271,8 @@
 
 TEST_CASE("random histories with refused connections")
 {
-  for (unsigned seed = 1; seed <= 300; ++seed) {
+  const auto seeds = ReadSeeds(kHistories);
+  for (unsigned seed = seeds.first_; seed < seeds.end_; ++seed) {
     INFO("seed " << seed);
     std::mt19937 random(seed);
     const auto draw = [&](int aLeast, int aMost) {
