A wave is not completed because one list of VMs lacks a VM of it

Cause: a VM that the last list of VMs lacks counted as removed from the fleet, so the wave no longer waited for it, and status and record were stored at once. A list is read page by page while VMs change. Targets are taken for gone only after two lists without their VM; waves were not.

Change: a VM of a wave counts as removed once two lists in a row lack it.

--- a/packages/fleet/src/ended_targets.cpp
+++ b/packages/fleet/src/ended_targets.cpp
@@ -11,10 +11,6 @@
 
 namespace {
 
-// A VM can be missing from one list that is read page by page while others are
-// added or removed.
-constexpr int kListsToBeGone = 2;
-
 // Whether a VM may have a target that the list does not name: the platform does
 // not promise that it names each. VMs on standby have none.
 bool
--- a/packages/fleet/src/ended_targets.h
+++ b/packages/fleet/src/ended_targets.h
@@ -7,6 +7,10 @@
 
 namespace cuminbridge {
 
+// A VM can be missing from one list that is read page by page while others are
+// added or removed.
+inline constexpr int kListsToBeGone = 2;
+
 // Releases what ran on targets that do not answer and have left their VM, as
 // the list shows. A refused connection alone proves nothing: a network that
 // rejects connections to a live target looks the same.
--- a/packages/fleet/src/fleet_waves.cpp
+++ b/packages/fleet/src/fleet_waves.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 
+#include "ended_targets.h"
 #include "vm_orders.h"
 #include "waves.h"
 
@@ -19,10 +20,13 @@
   return vm != aState.vms_.end() && vm->second.state_ == VmState::Maintenance;
 }
 
+// Whether a VM of the wave has been removed from the fleet.
 bool
-IsKnownVm(const FleetState& aState, const std::string& aVm)
+IsRemoved(const WaveState& aWave, const std::string& aVm)
 {
-  return aState.vms_.count(aVm) != 0;
+  const auto missing = aWave.listsWithout_.find(aVm);
+  return missing != aWave.listsWithout_.end() &&
+         missing->second >= kListsToBeGone;
 }
 
 int
@@ -65,7 +69,7 @@
     const bool mayBeDown =
       IsInMaintenance(aState, name) || !MayOrder(aState, name);
     view.down_ += mayBeDown && aWave.down_.count(name) == 0 ? 1 : 0;
-    if (aWave.maintenanceBegun_.count(name) != 0 || !IsKnownVm(aState, name)) {
+    if (aWave.maintenanceBegun_.count(name) != 0 || IsRemoved(aWave, name)) {
       continue;
     }
     WaveVm vm;
@@ -95,7 +99,7 @@
                         IsUp(aState, down->first) &&
                         aState.vmsSeen_ > down->second + kListLag;
     const bool isRemoved =
-      order == aState.vmOrders_.end() && !IsKnownVm(aState, down->first);
+      order == aState.vmOrders_.end() && IsRemoved(aWave, down->first);
     down = isBack || isRemoved ? aWave.down_.erase(down) : std::next(down);
   }
   const auto view = MakeWaveView(aState, aWave);
@@ -193,6 +197,20 @@
   }
 }
 
+void
+NoteMissingVms(FleetState& aState)
+{
+  for (auto& [number, wave] : aState.waves_) {
+    for (const auto& vm : wave.wave_.vms_) {
+      if (aState.vms_.count(vm) != 0) {
+        wave.listsWithout_.erase(vm);
+      } else {
+        ++wave.listsWithout_[vm];
+      }
+    }
+  }
+}
+
 bool
 IsDownForOpenWave(const FleetState& aState, const std::string& aVm)
 {
--- a/packages/fleet/src/fleet_waves.h
+++ b/packages/fleet/src/fleet_waves.h
@@ -9,6 +9,8 @@
 
 // Adds the waves that are new to this owner, with what the store holds of them.
 void HandleWaves(FleetState& aState, const WavesSeen& aSeen);
+// Counts the lists of VMs that lack a VM of a wave.
+void NoteMissingVms(FleetState& aState);
 // Orders maintenance and cordons targets, as PlanWave() decides.
 void PlanWaves(FleetState& aState);
 WaveRecord RecordOf(const WaveState& aWave);
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -253,6 +253,8 @@
   WallTime firstSeenAt_;                   // by any owner
   std::set<std::string> maintenanceBegun_; // VMs
   std::map<std::string, Instant> down_;    // VM, and since when
+  // Lists of VMs in a row without the VM; only of VMs that the last one lacks.
+  std::map<std::string, int> listsWithout_;
   bool isCompleted_ = false;
   bool isStatusStored_ = false; // not used
 };
--- a/packages/fleet/src/vms.cpp
+++ b/packages/fleet/src/vms.cpp
@@ -184,6 +184,7 @@
     aState.vms_[vm.name_] = vm;
   }
   aState.vmsSeen_ = aSeen.askedAt_;
+  NoteMissingVms(aState);
   ConfirmOrders(aState);
   ReleaseEndedTargets(aState, aSeen);
 }
--- a/packages/fleet/tests/vm_evidence_test.cpp
+++ b/packages/fleet/tests/vm_evidence_test.cpp
@@ -286,3 +286,24 @@
   advance(Millis(10));
   CHECK(fixture.fleet_.Counts().lost_ == 0);
 }
+
+TEST_CASE("a wave is not completed because one list of VMs lacks a VM of it")
+{
+  // A list is read page by page and may miss a VM. The wave was stored as
+  // completed before that VM had its maintenance.
+  MovedVm fixture;
+  fixture.StartWork();
+  fixture.ListVm();
+  fixture.Deliver(
+    WavesSeen{ { { 1, { fixture.vm_.name_ }, Millis(20000), 1 } } });
+  fixture.KeepRunning(Millis(4000));
+  const auto isCompleted = [&] {
+    fixture.Deliver(VmsSeen{ {}, fixture.now_ });
+    fixture.KeepRunning(Millis(400));
+    return fixture.fleet_.State().waves_.at(1).isCompleted_;
+  };
+  CHECK(!isCompleted());
+  fixture.ListVm();
+  CHECK(!isCompleted());
+  CHECK(isCompleted()); // missing twice in a row: it is gone for good
+}
