--- a/packages/fleet/tests/pauses_test.cpp
+++ b/packages/fleet/tests/pauses_test.cpp
@@ -32,7 +32,7 @@
     AnswerRenewal(kFormerBorn, {});
     Deliver(ProgressStored{ 1 });
     AdvanceTime(Millis(20));
-    Deliver(JobArrived{ MakeJob(kFirst.job_, "a", { 1 }) });
+    Deliver(JobArrived{ MakeJob(first_.job_, "a", { 1 }) });
     AdvanceTime(Millis(10));
     sentAt_ = now_;
     CHECK(TakeStarts().size() == 1);
@@ -94,8 +94,8 @@
 
   static constexpr Millis kLongestLease{ 6000 };
   static constexpr std::int64_t kNextClock = 400;
-  const ItemName kFirst{ MakeJobId(1), 0, 0, 0 };
-  const ItemName kSecond{ MakeJobId(2), 0, 0, 0 };
+  const ItemName first_{ MakeJobId(1), 0, 0, 0 };
+  const ItemName second_{ MakeJobId(2), 0, 0, 0 };
   TargetReport report_ = MakeReport("t");
   std::int64_t clockMs_ = 600000; // of the target, now
   Instant sentAt_;                // of the start
@@ -119,17 +119,17 @@
   // The known end of the leases was lowered. With the clock that another answer
   // brought, they counted as expired 2 s early, and work ran twice.
   PausedOwner fixture;
-  const auto late = fixture.AnswerToStart(fixture.kFirst);
+  const auto late = fixture.AnswerToStart(fixture.first_);
   fixture.clockMs_ += 4500;
   fixture.now_ += Millis(4500);
-  fixture.AnswerRenewal(kFormerBorn, { MakeRunning(fixture.kFirst) });
+  fixture.AnswerRenewal(kFormerBorn, { MakeRunning(fixture.first_) });
   fixture.AdvanceTime(Millis(0));
-  fixture.Deliver(JobArrived{ MakeJob(fixture.kSecond.job_, "a", { 1 }) });
+  fixture.Deliver(JobArrived{ MakeJob(fixture.second_.job_, "a", { 1 }) });
   fixture.Pass(Millis(10));
   fixture.sentAt_ = fixture.now_;
   CHECK(fixture.TakeStarts().size() == 1);
   fixture.Deliver(late);
-  fixture.Deliver(fixture.AnswerToStart(fixture.kSecond));
+  fixture.Deliver(fixture.AnswerToStart(fixture.second_));
   RenewalAnswered silent; // carried out, but not answered
   silent.target_ = "t";
   fixture.Pass(Millis(500));
@@ -147,7 +147,7 @@
 {
   // Leases on the next process counted as expired while it held them.
   PausedOwner fixture;
-  const auto late = fixture.AnswerToStart(fixture.kFirst);
+  const auto late = fixture.AnswerToStart(fixture.first_);
   fixture.AdvanceTime(Millis(3000));
   fixture.ShowNextProcess();
   fixture.Deliver(late);
@@ -174,7 +174,7 @@
   late.clockMs_ = fixture.clockMs_;
   EndedRun end;
   end.number_ = 3;
-  end.item_ = fixture.kFirst;
+  end.item_ = fixture.first_;
   end.run_ = 1;
   end.kind_ = EndKind::Done;
   late.ended_ = { end };
