Only an entry's own answer shows that an owner has ended

What callers would see: work that runs twice on targets that the next owner can't reach, after something else answered in place of the former owner.

Cause: any answer with another text than the owner's term counted as "has ended", whatever its status: a 503 of something between the entries, or the 404 of an entry that does not know the path. The next owner then does not wait for the time in which the former one may go on renewing leases.

The answer must have status 200 and hold a number.

Evidence: "only an entry's own answer shows that an owner has ended" on the code before: 7 of its 8 checks failed, the first with CHECK( ReadPreviousOwner(owner, reply) == PreviousOwner::Unknown ) 1 == 0 The test "a refused connection does not show that an owner has ended" now sets the status that entries answer with; it checks the same.

--- a/packages/daemon/src/records.cpp
+++ b/packages/daemon/src/records.cpp
@@ -31,6 +31,16 @@
   return aKey.find(aPart) != std::string::npos;
 }
 
+// Whether the reply is an entry's answer to kOwnerPath.
+bool
+NamesTerm(const HttpReply& aReply)
+{
+  constexpr int kOk = 200;
+  const auto& text = aReply.body_;
+  return aReply.IsAnswered() && aReply.status_ == kOk && !text.empty() &&
+         text.find_first_not_of("0123456789") == std::string::npos;
+}
+
 void
 DecodeSubmissions(const StoreReply& aReply,
                   JobsLoaded& aLoaded,
@@ -137,7 +147,7 @@
   if (aOwner.hasHandedOver_ || aOwner.address_.empty()) {
     return PreviousOwner::HandedOver;
   }
-  return aReply.IsAnswered() && aReply.body_ != std::to_string(aOwner.term_)
+  return NamesTerm(aReply) && aReply.body_ != std::to_string(aOwner.term_)
            ? PreviousOwner::Ended
            : PreviousOwner::Unknown;
 }
--- a/packages/daemon/tests/election_test.cpp
+++ b/packages/daemon/tests/election_test.cpp
@@ -46,6 +46,7 @@
   reply.outcome_ = CallOutcome::NotSent;
   CHECK(ReadPreviousOwner(owner, reply) == PreviousOwner::Unknown);
   reply.outcome_ = CallOutcome::Answered;
+  reply.status_ = 200;
   reply.body_ = "7";
   CHECK(ReadPreviousOwner(owner, reply) == PreviousOwner::Unknown);
   reply.body_ = "0"; // its process has restarted, or stepped down
@@ -55,3 +56,23 @@
   CHECK(ReadPreviousOwner(handedOver, {}) == PreviousOwner::HandedOver);
   CHECK(ReadPreviousOwner({}, {}) == PreviousOwner::HandedOver);
 }
+
+TEST_CASE("only an entry's own answer shows that an owner has ended")
+{
+  // Something between the entries may answer in place of a live owner.
+  const auto owner = DecodeOwnerRecord("7 10.1.0.23:7000 1700");
+  HttpReply reply;
+  reply.outcome_ = CallOutcome::Answered;
+  reply.status_ = 503;
+  CHECK(ReadPreviousOwner(owner, reply) == PreviousOwner::Unknown);
+  reply.body_ = "0";
+  CHECK(ReadPreviousOwner(owner, reply) == PreviousOwner::Unknown);
+  reply.status_ = 200;
+  for (const char* other : { "", "{}", "not found", "8 of 9", "-1" }) {
+    INFO(other);
+    reply.body_ = other;
+    CHECK(ReadPreviousOwner(owner, reply) == PreviousOwner::Unknown);
+  }
+  reply.body_ = "8"; // it owns the cell anew
+  CHECK(ReadPreviousOwner(owner, reply) == PreviousOwner::Ended);
+}
