--- a/testing/soak/links.cpp
+++ b/testing/soak/links.cpp
@@ -63,7 +63,7 @@
 
   bool IsHeld(bool aIsRequest) const
   {
-    return fault_ == LinkFault::Silence ||
+    return fault_ == LinkFault::Silence || fault_ == LinkFault::Vanish ||
            fault_ ==
              (aIsRequest ? LinkFault::HoldRequests : LinkFault::HoldAnswers);
   }
@@ -97,6 +97,9 @@
 void
 Link::State::SetFault(LinkFault aFault)
 {
+  const bool mustReset = fault_ == LinkFault::Vanish ||
+                         aFault == LinkFault::Reset ||
+                         aFault == LinkFault::Refuse;
   fault_ = aFault;
   ++changes_;
   if (aFault == LinkFault::Refuse) {
@@ -105,7 +108,7 @@
   } else if (!acceptor_.is_open()) {
     Listen();
   }
-  if (aFault == LinkFault::Reset || aFault == LinkFault::Refuse) {
+  if (mustReset) {
     for (const auto& pair : pairs_) {
       pair->Reset();
     }
@@ -174,7 +177,7 @@
   static const char* const kNames[] = { "none",          "delay",
                                         "hold_requests", "hold_answers",
                                         "silence",       "reset",
-                                        "refuse" };
+                                        "refuse",        "vanish" };
   return kNames[static_cast<int>(aFault)];
 }
 
--- a/testing/soak/links.h
+++ b/testing/soak/links.h
@@ -30,6 +30,7 @@
   Silence,      // nothing passes in either direction
   Reset,        // open connections are reset, and new ones at once
   Refuse,       // nothing listens, and open connections are reset
+  Vanish,       // silence, after which all connections are reset
 };
 
 inline constexpr Millis kDelay(120);
--- a/testing/soak/soak.cpp
+++ b/testing/soak/soak.cpp
@@ -33,9 +33,25 @@
 
 constexpr int kVms = 8;
 constexpr int kFirstVm = 11; // last number of the first target's address
+constexpr int kHighestLimit = 50000; // of the client account
 constexpr Millis kStartLimit(20000);
 constexpr Millis kFinalStateLimit(60000);
 
+// A fault of a target that the stand-in can be ordered to make.
+struct TargetFault
+{
+  const char* name_; // as the stand-in calls it
+  int leastMs_;
+  int mostMs_;
+  bool isCrash_;
+};
+
+// Leases lapse within the longer ones, and entries of targets in the store.
+const TargetFault kTargetFaults[] = { { "restart", 300, 3000, true },
+                                      { "replace", 1000, 6000, true },
+                                      { "freeze", 500, 6000, false },
+                                      { "silence", 3500, 8000, false } };
+
 struct Options
 {
   std::string build_;  // build folder
@@ -104,13 +120,18 @@
   Awaitable<void> InjectFaults();
   Awaitable<void> RestartEntry(std::size_t aEntry);
   Awaitable<void> PauseEntry(std::size_t aEntry);
-  Awaitable<void> ChangeConfig();
+  Awaitable<void> ChangeConfig(int aLimit); // of the client account
+  Awaitable<void> BreakTarget();
+  Awaitable<void> Order(std::string aHost,
+                        std::string aPath,
+                        std::string aBody);
   Awaitable<void> CollectViolations();
   void InjectLinkFaults();
   void ClearFaults();
   void WriteSettings(int aEntry) const;
   Awaitable<void> Wait(Millis aTime);
   Millis RandomTime(int aLeast, int aMost);
+  int RandomLimit();
   void LogFault(const std::string& aWhat);
   template<typename Task>
   void Spawn(Task aTask);
@@ -151,7 +172,8 @@
   , random_(aSeed)
   , standin_({ aOptions.build_ + "/platform/platform_standin",
                network_.platform_,
-               network_.targets_ },
+               network_.targets_,
+               std::to_string(aSeed) },
              folder_ + "/standin.log")
   , callers_(io_, CallerAddresses(network_, aOptions.entries_), aSeed)
 {
@@ -206,6 +228,13 @@
   return Millis(std::uniform_int_distribution<int>(aLeast, aMost)(random_));
 }
 
+int
+Soak::RandomLimit()
+{
+  constexpr int kStep = 10000;
+  return kHighestLimit - kStep * static_cast<int>(random_() % 4);
+}
+
 void
 Soak::LogFault(const std::string& aWhat)
 {
@@ -303,18 +332,42 @@
   entries_[aEntry]->Signal(SIGCONT);
 }
 
-// Files a new configuration version with another limit, as an operator does.
+// An order of an operator, which the stand-in carries out.
 Awaitable<void>
-Soak::ChangeConfig()
+Soak::Order(std::string aHost, std::string aPath, std::string aBody)
 {
-  HttpCall put;
-  put.method_ = "POST";
-  put.path_ = "/operator/limit";
-  const int limit = 20000 + 10000 * static_cast<int>(random_() % 4);
-  put.body_ =
-    nlohmann::json{ { "version", ++configVersion_ }, { "cpu", limit } }.dump();
-  LogFault("configuration " + put.body_);
-  co_await http_.Call(network_.platform_ + ".1:7400", put);
+  LogFault(aPath + ' ' + aBody);
+  HttpCall call;
+  call.method_ = "POST";
+  call.path_ = std::move(aPath);
+  call.body_ = std::move(aBody);
+  co_await http_.Call(network_.platform_ + aHost + ":7400", std::move(call));
+}
+
+// Files a new configuration version with another limit.
+Awaitable<void>
+Soak::ChangeConfig(int aLimit)
+{
+  const nlohmann::json order = { { "version", ++configVersion_ },
+                                 { "cpu", aLimit } };
+  co_await Order(".1", "/operator/limit", order.dump());
+}
+
+Awaitable<void>
+Soak::BreakTarget()
+{
+  const auto& fault = kTargetFaults[random_() % std::size(kTargetFaults)];
+  const auto vm = random_() % kVms;
+  const auto time = RandomTime(fault.leastMs_, fault.mostMs_);
+  if (fault.isCrash_) {
+    // The process alone ends, or all of its VM.
+    targets_[vm]->InjectFault(
+      random_() % 2 == 0 ? LinkFault::Refuse : LinkFault::Vanish, time);
+  }
+  const nlohmann::json order = { { "machine", "vm-" + std::to_string(vm + 1) },
+                                 { "fault", fault.name_ },
+                                 { "ms", time.count() } };
+  co_await Order(".2", "/operator/target", order.dump());
 }
 
 Awaitable<void>
@@ -324,7 +377,7 @@
     SystemClocks().Now() + std::chrono::seconds(options_.seconds_);
   while (SystemClocks().Now() < until) {
     const auto entry = random_() % entries_.size();
-    switch (random_() % 6) {
+    switch (random_() % 9) {
       case 0:
         Spawn([this, entry] { return RestartEntry(entry); });
         break;
@@ -332,7 +385,12 @@
         Spawn([this, entry] { return PauseEntry(entry); });
         break;
       case 2:
-        Spawn([this] { return ChangeConfig(); });
+        Spawn([this] { return ChangeConfig(RandomLimit()); });
+        break;
+      case 3:
+      case 4:
+      case 5:
+        Spawn([this] { return BreakTarget(); });
         break;
       default:
         InjectLinkFaults();
@@ -428,6 +486,8 @@
     co_await Wait(Millis(20));
   }
   ClearFaults();
+  // The lowest limit alone would keep the backlog waiting for longer.
+  co_await ChangeConfig(kHighestLimit);
   co_await callers_.PollUntilFinal(kFinalStateLimit);
   co_await CollectViolations();
 }
