A given-up run that is done no longer counts its item as assigned

Callers would see a job that never ends: the last waiting item of a step is not started again. Since what a given-up run has done counts, an item can become done while another run of it is assigned. MarkItemDone() left such an item in StepState::assigned_, and ReleaseRun() takes off only runs whose item is still assigned. The step then counted as many waiting items too few, and dispatch passed over it.

Now MarkItemDone() takes the item off the assigned ones.

--- a/packages/fleet/src/jobs.cpp
+++ b/packages/fleet/src/jobs.cpp
@@ -56,6 +56,8 @@
 {
   if (aItem.phase_ == ItemPhase::Waiting) {
     --aJob.unassigned_;
+  } else if (aItem.phase_ == ItemPhase::Assigned) {
+    --aStep.assigned_; // another run of it is done
   }
   aItem.phase_ = ItemPhase::Done;
   aItem.checkpoint_.clear();
--- a/packages/fleet/tests/capacity_test.cpp
+++ b/packages/fleet/tests/capacity_test.cpp
@@ -22,7 +22,8 @@
 // restarted. 5801, 12214, 14696: Simulated targets that reject overload counted
 // the processor time of fillers, and two gangs kept each other from starting.
 // 6628, 7754: A former owner's deadline was on the clock of the process before.
-constexpr std::array<unsigned, 6> kRegressionSeeds = { 5801,  6628,  7754,
+// 222: An item that a given-up run had done still counted as assigned.
+constexpr std::array<unsigned, 7> kRegressionSeeds = { 222,   5801,  6628, 7754,
                                                        12214, 13187, 14696 };
 
 const Resources kFull{ 8000, 32000, 0 };
--- a/packages/fleet/tests/given_up_runs_test.cpp
+++ b/packages/fleet/tests/given_up_runs_test.cpp
@@ -9,12 +9,13 @@
 namespace {
 
 const ItemName kItem{ MakeJobId(1), 0, 0, 0 };
+const ItemName kOtherItem{ MakeJobId(1), 0, 0, 1 };
 
-// Run 1 of an item was confirmed on target "t", which then fell silent until
-// its lease had surely expired: the run was given up.
+// Run 1 of each item was confirmed on target "t", which then fell silent until
+// its lease had surely expired: the runs were given up.
 struct GivenUpRun : ReducerFixture
 {
-  GivenUpRun()
+  explicit GivenUpRun(int aItems = 1)
   {
     FleetConfig config;
     config.version_ = 1;
@@ -26,9 +27,10 @@
     AdvanceTime(Millis(10));
     AnswerRenewal("t", {});
     Deliver(ProgressStored{ 1 });
-    Deliver(JobArrived{ MakeJob(MakeJobId(1), "a", { 1 }) });
+    Deliver(JobArrived{ MakeJob(MakeJobId(1), "a", { aItems }) });
     AdvanceTime(Millis(10));
     Deliver(StartAnswered{ "t", kItem, 1, StartOutcome::Started, 130 });
+    Deliver(StartAnswered{ "t", kOtherItem, 1, StartOutcome::Started, 130 });
     Deliver(RenewalAnswered{ "t", RenewalOutcome::Unresponsive, now_ });
     AdvanceTime(Millis(5000));
     AdvanceTime(Millis(10));
@@ -94,3 +96,20 @@
     CHECK_FALSE(std::holds_alternative<StartRun>(effect));
   }
 }
+
+TEST_CASE("a given-up run that is done leaves no item of its step waiting")
+{
+  // Capacity history 222: its item still counted as assigned.
+  GivenUpRun fixture(2);
+  fixture.Deliver(TargetsSeen{
+    { ReducerFixture::MakeReport("t"), ReducerFixture::MakeReport("u") } });
+  fixture.AdvanceTime(Millis(10));
+  fixture.AnswerRenewal("u", {});
+  fixture.ConfirmStores();
+  REQUIRE(fixture.CountEffects<StartRun>() == 2); // run 2 of each, on "u"
+  fixture.AnswerWithDoneRun();
+  fixture.Deliver(
+    StartAnswered{ "u", kOtherItem, 2, StartOutcome::NoCapacity, 200 });
+  fixture.ConfirmStores();
+  CHECK(fixture.CountEffects<StartRun>() == 1);
+}
