The test of a held-up client waits for calls, not for fixed times

Its phases had fixed lengths. With the address sanitizer, and once in five runs on a busy machine, the calls had not been sent or answered in time: CHECK( PausedClient(calls).answered_ == calls ) 41 == 100 Each phase now ends when all calls have come that far, and the test fails if that took longer than the calls may take. It checks the same.

--- a/packages/web/tests/web_test.cpp
+++ b/packages/web/tests/web_test.cpp
@@ -195,46 +195,79 @@
 namespace {
 
 // A client that is held up while a server, on an io_context of its own, answers
-// all of its calls.
-struct PausedClient
+// all of its calls. It goes on once the time of the calls is over.
+class PausedClient
 {
+public:
   explicit PausedClient(std::size_t aCalls, std::size_t aBytes = 2)
+    : body_(aBytes, 'x')
   {
-    HttpServer server(
-      serverIo_, {}, [&](const HttpRequest&) -> Awaitable<HttpResponse> {
-        HttpResponse response;
-        response.body_ = std::string(aBytes, 'x');
-        co_return response;
-      });
-    REQUIRE(server.Open(kAddress).empty());
+    REQUIRE(server_.Open(kAddress).empty());
     HttpClientOptions options;
     options.maxConnections_ = aCalls;
+    options.connectTimeout_ = kLimit;
     HttpClient client(io_, options);
+    const auto deadline = std::chrono::steady_clock::now() + kLimit;
     for (std::size_t call = 0; call < aCalls; ++call) {
       boost::asio::co_spawn(io_, CallOnce(client), boost::asio::detached);
     }
-    // No answer comes before the server runs. A timer of the process, as there
-    // always is one, expires before.
-    boost::asio::steady_timer tick(io_, std::chrono::milliseconds(110));
+    while (requests_ < aCalls) {
+      io_.run_for(kStep);
+      serverIo_.run_for(kStep);
+    }
+    // There always is some timer that expires before the answers come.
+    boost::asio::steady_timer tick(io_, kStep);
     tick.async_wait([](boost::system::error_code) {});
-    io_.run_for(std::chrono::milliseconds(100));
-    std::this_thread::sleep_for(std::chrono::milliseconds(20));
-    serverIo_.run_for(std::chrono::milliseconds(500));
-    io_.run_for(std::chrono::milliseconds(300));
+    std::this_thread::sleep_for(2 * kStep);
+    mayAnswer_ = true;
+    while (!server_.IsIdle()) {
+      serverIo_.run_for(kStep);
+    }
+    REQUIRE(std::chrono::steady_clock::now() < deadline);
+    std::this_thread::sleep_until(deadline + kStep);
+    while (ended_ < aCalls) {
+      io_.run_one();
+    }
+  }
+
+  std::size_t Answered() const { return answered_; }
+
+private:
+  static constexpr std::chrono::milliseconds kLimit{ 2000 };
+  static constexpr std::chrono::milliseconds kStep{ 5 };
+
+  Awaitable<HttpResponse> Serve()
+  {
+    ++requests_;
+    while (!mayAnswer_) {
+      boost::asio::steady_timer timer(serverIo_, kStep);
+      co_await timer.async_wait(boost::asio::use_awaitable);
+    }
+    HttpResponse response;
+    response.body_ = body_;
+    co_return response;
   }
 
   Awaitable<void> CallOnce(HttpClient& aClient)
   {
     HttpCall call;
     call.path_ = "/";
-    call.limit_ = std::chrono::milliseconds(300);
+    call.limit_ = kLimit;
     const auto reply = co_await aClient.Call(kAddress, call);
     answered_ += reply.IsAnswered() ? 1 : 0;
+    ++ended_;
   }
 
   boost::asio::io_context io_{ 1 };
   boost::asio::io_context serverIo_{ 1 };
+  HttpServer server_{ serverIo_, {}, [this](const HttpRequest&) {
+                       return Serve();
+                     } };
+  std::string body_;
+  std::size_t requests_ = 0;
+  bool mayAnswer_ = false;
   std::size_t answered_ = 0;
+  std::size_t ended_ = 0;
 };
 
 } // namespace
@@ -245,8 +278,8 @@
   // whose time is over.
   for (const std::size_t calls : { 1, 100, 600 }) {
     INFO(calls << " calls");
-    CHECK(PausedClient(calls).answered_ == calls);
+    CHECK(PausedClient(calls).Answered() == calls);
   }
   constexpr std::size_t kLarge = 30000; // bytes; takes several reads
-  CHECK(PausedClient(10, kLarge).answered_ == 10);
+  CHECK(PausedClient(10, kLarge).Answered() == 10);
 }
