The number of a given-up run is not used again

An item was given up on two targets; when the first one listed its run again, to be stopped, the item took the number of that older run, and the next start got the number of the second run again. Two runs of one number can't be told apart: the end of the one would count for the other.

The highest number of an item is kept beside that of its current run.

--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -218,7 +218,7 @@
     }
     chosen.push_back(static_cast<std::size_t>(best));
     ReserveCapacity(aCandidates, aTargets, chosen.back(), spec);
-    run = std::max(run, step.items_[index].run_);
+    run = std::max(run, step.items_[index].LastRun());
   }
   for (std::size_t index = 0; index < chosen.size(); ++index) {
     StartItem(aState, aWaiting, index, *aTargets[chosen[index]], run + 1);
@@ -261,7 +261,7 @@
       return;
     }
     const auto chosen = static_cast<std::size_t>(best);
-    StartItem(aState, aWaiting, index, *aTargets[chosen], item.run_ + 1);
+    StartItem(aState, aWaiting, index, *aTargets[chosen], item.LastRun() + 1);
     ReserveCapacity(aCandidates, aTargets, chosen, spec);
     aCandidates[chosen].hasTrial_ = aCandidates[chosen].hasTrial_ || isSuspect;
   }
--- a/packages/fleet/src/run_lists.cpp
+++ b/packages/fleet/src/run_lists.cpp
@@ -26,7 +26,7 @@
 IsCurrentRun(FleetState& aState, const ItemRef& aRef, std::int64_t aRun)
 {
   if (!aRef.item_ || aRef.job_->HasEnded() ||
-      aRef.item_->phase_ == ItemPhase::Done || aRun < aRef.item_->run_) {
+      aRef.item_->phase_ == ItemPhase::Done || aRun < aRef.item_->LastRun()) {
     return false;
   }
   if (aRef.item_->phase_ == ItemPhase::Waiting) {
--- a/packages/fleet/src/runs.cpp
+++ b/packages/fleet/src/runs.cpp
@@ -54,6 +54,7 @@
   }
   ref.item_->phase_ = ItemPhase::Assigned;
   --ref.job_->unassigned_;
+  ref.item_->highestRun_ = ref.item_->LastRun();
   ref.item_->run_ = aRun.run_;
   ref.item_->target_ = aTarget.report_.id_;
   ++ref.step_->assigned_;
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -3,6 +3,8 @@
 #ifndef cuminbridge_fleet_state_h
 #define cuminbridge_fleet_state_h
 
+#include <algorithm>
+
 #include "cuminbridge/fleet.h"
 
 #include "demand_peaks.h"
@@ -28,7 +30,8 @@
   // Run numbers that failed. Owners store them, so that a failure that two
   // owners see counts once.
   std::vector<std::int64_t> failedRuns_;
-  std::int64_t run_ = 0; // highest run number given out
+  std::int64_t run_ = 0; // while Assigned, that run; else the last one known
+  std::int64_t highestRun_ = 0; // of earlier runs: numbers are not used again
   // Targets whose process ended under it. A long-running item that gets to work
   // forgets them.
   std::vector<Crash> crashes_;
@@ -39,6 +42,8 @@
   std::string avoidedTarget_; // where a run failed last, or was too slow
   int slowReplacements_ = 0;  // runs stopped because they were too slow
   Instant notBefore_;         // earliest next start; never set, so no limit
+
+  std::int64_t LastRun() const { return std::max(run_, highestRun_); }
 };
 
 // Answer of the advice service for one target.
