A stop that the process before answered says nothing of the next one

A start without an answer is stopped, so that it can't be carried out later. If its target restarts under its id after it has answered the stop, the next process knows nothing of that, and the start may still arrive there. The owner took the missing run for ended and started its item elsewhere at once.

The stop is now sent to the next process too, and the item waits for its answer.

Evidence: 'a stop that the process before answered is sent to the next one' saw one stop instead of two before, and a start.

--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -310,6 +310,9 @@
     // A confirmed run is lost unless the new process lists it. A start without
     // an answer may still reach the new process.
     run.isUnconfirmed_ = run.isUnconfirmed_ || run.confirmedAt_.has_value();
+    if (!run.confirmedAt_) {
+      run.stoppedAt_.reset(); // only the process before knows of the stop
+    }
   }
 }
 
--- a/packages/fleet/tests/next_process_test.cpp
+++ b/packages/fleet/tests/next_process_test.cpp
@@ -164,3 +164,19 @@
   REQUIRE(starts.size() == 1);
   CHECK(starts[0].run_ == 3);
 }
+
+TEST_CASE("a stop that the process before answered is sent to the next one")
+{
+  // The start may still arrive there.
+  ReplacedProcess fixture;
+  fixture.Deliver(StartAnswered{
+    "t", kFirst, 1, StartOutcome::Unknown, 0, fixture.firstSentAt_ });
+  fixture.Collect();
+  REQUIRE(fixture.stops_ == 1);
+  fixture.Deliver(StopAnswered{ "t", kFirst, 1, true });
+  fixture.Replace();
+  fixture.Wait(Millis(500));
+  fixture.Renew("t");
+  CHECK(fixture.Collect().empty());
+  CHECK(fixture.stops_ == 2);
+}
