A late rejection at a former address ends no run of the next process

A target restarts under its id at another address, answers renewals and runs work. The answer to a start that had been sent to the former address, 421 by another process, then comes late: all runs of the new process were given up and started elsewhere while they ran.

Only an answer to a call that was sent after the present process was known tells that it has ended.

Evidence: 'a rejection by another process at the former address ends no run' lost one run before. The line about such an answer is tested with the time of its call now.

--- a/packages/fleet/src/runs.cpp
+++ b/packages/fleet/src/runs.cpp
@@ -343,7 +343,10 @@
       }
       break;
     case StartOutcome::OtherIncarnation:
-      ReleaseReplaced(aState, target, 0, aAnswer.clockMs_);
+      // Else it tells of the process before, which had another address.
+      if (aAnswer.sentAt_ > target.incarnationSeenAt_) {
+        ReleaseReplaced(aState, target, 0, aAnswer.clockMs_);
+      }
       break;
     case StartOutcome::Rejected:
       target.avoidUntil_ = aState.now_ + kRejectedPause;
--- a/packages/fleet/tests/next_process_test.cpp
+++ b/packages/fleet/tests/next_process_test.cpp
@@ -180,3 +180,22 @@
   CHECK(fixture.Collect().empty());
   CHECK(fixture.stops_ == 2);
 }
+
+TEST_CASE("a rejection by another process at the former address ends no run")
+{
+  ReplacedProcess fixture;
+  fixture.report_.address_ = "elsewhere";
+  fixture.Replace();
+  fixture.Renew("t");
+  fixture.Collect();
+  fixture.Renew("t");
+  fixture.Submit(kSecond);
+  const auto starts = fixture.Collect();
+  REQUIRE(starts.size() == 1);
+  REQUIRE(starts[0].item_ == kSecond);
+  fixture.ConfirmStart(kSecond, starts[0].run_);
+  fixture.Renew("t", { MakeRunning(kSecond, starts[0].run_) });
+  fixture.Deliver(StartAnswered{
+    "t", kFirst, 1, StartOutcome::OtherIncarnation, 0, fixture.firstSentAt_ });
+  CHECK(fixture.fleet_.Counts().lost_ == 0);
+}
--- a/packages/fleet/tests/run_log_test.cpp
+++ b/packages/fleet/tests/run_log_test.cpp
@@ -215,8 +215,8 @@
   }
   SECTION("a start")
   {
-    fixture.Deliver(
-      StartAnswered{ "t", kItem, 1, StartOutcome::OtherIncarnation });
+    fixture.Deliver(StartAnswered{
+      "t", kItem, 1, StartOutcome::OtherIncarnation, 0, fixture.now_ });
   }
   const auto detail = fixture.Detail("target_gone");
   CHECK_THAT(detail,
