--- a/packages/daemon/tests/ownership_test.cpp
+++ b/packages/daemon/tests/ownership_test.cpp
@@ -1,12 +1,10 @@
 // The lease of an owner that does not answer, and an owner whose list of
 // targets another writer fills, against the stand-in of the platform's store.
 
-#include <atomic>
 #include <thread>
 
-#include <nlohmann/json.hpp>
-
 #include "election.h"
+#include "standin_target.h"
 #include "state.h"
 #include "store_fixture.h"
 
@@ -127,55 +125,6 @@
 
 namespace {
 
-// A target on a thread of its own, which goes on while the owner is held up.
-class TargetThread
-{
-public:
-  static constexpr const char* kAddress = "127.0.43.6:18731";
-
-  TargetThread()
-  {
-    REQUIRE(server_.Open(kAddress).empty());
-    thread_ = std::thread([this] { io_.run(); });
-  }
-  ~TargetThread()
-  {
-    io_.stop();
-    thread_.join();
-  }
-  TargetThread(const TargetThread&) = delete;
-  TargetThread& operator=(const TargetThread&) = delete;
-
-  int Starts() const { return starts_; }
-
-private:
-  Awaitable<HttpResponse> Serve(const HttpRequest& aRequest)
-  {
-    if (aRequest.path_ == "/run-start") {
-      const auto body = nlohmann::json::parse(aRequest.body_);
-      running_.push_back({ body.at("task"), body.at("run"), "", 0 });
-      ++starts_;
-    }
-    co_await Sleep(io_, Millis(20));
-    HttpResponse response;
-    response.body_ = nlohmann::json{
-      { "clock_ms", 5000 },
-      { "born", 5 },
-      { "running", running_ },
-      { "ended", nlohmann::json::array() }
-    }.dump();
-    co_return response;
-  }
-
-  std::atomic<int> starts_ = 0;
-  nlohmann::json running_ = nlohmann::json::array();
-  boost::asio::io_context io_;
-  HttpServer server_{ io_, {}, [this](const HttpRequest& aRequest) {
-                       return Serve(aRequest);
-                     } };
-  std::thread thread_;
-};
-
 FleetConfig
 MakeConfig()
 {
@@ -212,13 +161,7 @@
   HeldUpOwner()
     : OwnerFixture(kOwnerLease)
   {
-    const nlohmann::json entry = {
-      { "service", "a" },   { "address", TargetThread::kAddress },
-      { "state", "ready" }, { "capacity", { { "cpu", 8000 } } },
-      { "sequence", 1 },    { "born", 5 },
-      { "clock_ms", 5000 }
-    };
-    standin_.Put("servers/t", entry);
+    standin::PutEntry(standin_, "t", "a");
     owner_->Handle(ConfigSeen{ MakeConfig() });
     while (!IsUsable()) {
       RunFor(Millis(10));
@@ -232,7 +175,7 @@
     return target != targets.end() && target->second.IsUsable(clocks_.Now());
   }
 
-  TargetThread target_;
+  standin::TargetThread target_;
 };
 
 } // namespace
--- a/packages/fleet/src/vm_orders.cpp
+++ b/packages/fleet/src/vm_orders.cpp
@@ -83,7 +83,7 @@
     target->leavingUntil_ = aState.now_;
     target->isCordoned_ = false;
   } else if (target && !target->runs_.empty()) {
-    // None was there when the order was sent, and the platform answers the same
+    // None was there when the order was sent, and an answer looks no different
     // if an earlier order was carried out. The next list tells.
     target->leavingUntil_ = aState.now_ + kOrderTimeout;
     aState.Log("target_doubted",
