Nothing starts in a data centre whose operator empties it

Owners watch the requests where the settings hold a limit for them; elsewhere nothing is read. A start must arrive while what is known of the requests is younger than the limit; a new owner reads them before its first start. Evacuated data centres count as lost capacity and lend no VMs. Short work may start there until the limit, after all other targets; long-running items leave as their step's availability allows, and give way to work that waits. fleet evacuations, log events and metrics show what is asked and what still runs.

Random histories with evacuations fail if the age of the requests or the requests themselves are ignored.

--- a/packages/daemon/src/daemon_metrics.cpp
+++ b/packages/daemon/src/daemon_metrics.cpp
@@ -85,6 +85,19 @@
     }
     AddCounter(aOut, column.name_, column.help_, sum);
   }
+  std::set<std::string> evacuated;
+  int runsToLeave = 0;
+  for (const auto* owner : aOwners) {
+    for (const auto& row : owner->GetFleet().Evacuations()) {
+      evacuated.insert(row.dataCentre_);
+      runsToLeave += row.ending_ + row.longRunning_ + row.stopping_;
+    }
+  }
+  AddGauge(aOut,
+           "evacuations",
+           "data centres that are being evacuated",
+           static_cast<double>(evacuated.size()));
+  AddGauge(aOut, "evacuated_runs", "runs that are still there", runsToLeave);
   std::map<std::string, int> waiting;
   for (const auto* owner : aOwners) {
     for (const auto& load : owner->GetFleet().Loads()) {
--- a/packages/daemon/src/owner.cpp
+++ b/packages/daemon/src/owner.cpp
@@ -30,6 +30,9 @@
 // clocks.
 constexpr Millis kStartSlack(200);
 
+// Part of the limit for evacuations that is kept free, likewise.
+constexpr Millis kEvacuationSlack(300);
+
 // The former owner's last stop may arrive this much after the first call of the
 // next one was sent.
 constexpr Millis kStopSlack(200);
@@ -57,6 +60,8 @@
     std::min(options.startTimeout_,
              aSettings.cancelLimit_ - options.maxSubmissionAge_ - kStartSlack);
   options.maxTargetsAge_ = aSettings.drainLimit_;
+  options.maxEvacuationsAge_ =
+    std::max(Millis(0), aSettings.evacuationLimit_ - kEvacuationSlack);
   options.stopTime_ = aSettings.stopTime_ + kStopSlack;
   options.maxReportAge_ = aSettings.contactLimit_ + aSettings.heartbeat_;
   const std::chrono::duration<double> interval = options.planInterval_;
@@ -130,6 +135,9 @@
   Spawn([self] { return self->Renew(); });
   Spawn([self] { return self->Load(); });
   Spawn([self] { return self->WatchTargets(); });
+  if (context_.settings_.evacuationLimit_.count() > 0) {
+    Spawn([self] { return self->WatchEvacuations(); });
+  }
   Spawn([self] { return self->writer_.Run(); });
 }
 
--- a/packages/daemon/src/owner.h
+++ b/packages/daemon/src/owner.h
@@ -84,6 +84,7 @@
   void LogReachability(const char* aService,
                        bool& aIsReachable,
                        bool aIsAnswered);
+  Awaitable<void> WatchEvacuations();
   Awaitable<void> PollWaves();
   void CompleteWaves(const std::vector<Wave>& aWaves,
                      const StoreReply& aRecords);
--- a/packages/daemon/src/views.cpp
+++ b/packages/daemon/src/views.cpp
@@ -98,6 +98,24 @@
   return { { "waves", std::move(rows) } };
 }
 
+json
+ShowEvacuations(const std::vector<Owner*>& aOwners)
+{
+  json rows = json::array();
+  for (const auto* owner : aOwners) {
+    for (const auto& row : owner->GetFleet().Evacuations()) {
+      rows.push_back({ { "data_centre", row.dataCentre_ },
+                       { "cell", owner->GetCell().number_ },
+                       { "known_for_ms", row.knownFor_.count() },
+                       { "targets", row.targets_ },
+                       { "ending", row.ending_ },
+                       { "long_running", row.longRunning_ },
+                       { "stopping", row.stopping_ } });
+    }
+  }
+  return { { "evacuations", std::move(rows) } };
+}
+
 json
 ShowOwner(const std::vector<Owner*>& aOwners, const PlatformSettings& aSettings)
 {
@@ -141,7 +159,7 @@
   } else if (aView == "owners") {
     answer.body_ = ShowOwners(aPeers).dump();
   } else if (aView != "pools" && aView != "accounts" && aView != "waves" &&
-             aView != "owner") {
+             aView != "evacuations" && aView != "owner") {
     answer.status_ = kNotFound;
   } else if (aOwners.empty()) {
     answer.status_ = kMisdirectedRequest;
@@ -149,9 +167,10 @@
   } else if (aView == "owner") {
     answer.body_ = ShowOwner(aOwners, aSettings).dump();
   } else {
-    answer.body_ = (aView == "pools"      ? ShowPools(aOwners)
-                    : aView == "accounts" ? ShowAccounts(aOwners)
-                                          : ShowWaves(aOwners))
+    answer.body_ = (aView == "pools"         ? ShowPools(aOwners)
+                    : aView == "accounts"    ? ShowAccounts(aOwners)
+                    : aView == "evacuations" ? ShowEvacuations(aOwners)
+                                             : ShowWaves(aOwners))
                      .dump();
   }
   return answer;
--- a/packages/daemon/src/views.h
+++ b/packages/daemon/src/views.h
@@ -11,10 +11,10 @@
 // change nothing; operators submit jobs through the callers' interface.
 inline constexpr const char* kViewPrefix = "/v1/";
 
-// aView is "queues", "pools", "accounts", "waves", "owner" or "owners"; any
-// other name is answered 404. "queues" and "owners" are answered by every
-// entry. The others show the cells that this entry owns: an entry that owns
-// none answers 421 with the address of an owner.
+// aView is "queues", "pools", "accounts", "waves", "evacuations", "owner" or
+// "owners"; any other name is answered 404. "queues" and "owners" are answered
+// by every entry. The others show the cells that this entry owns: an entry that
+// owns none answers 421 with the address of an owner.
 HttpResponse ShowView(std::string_view aView,
                       const CallerApi& aCallerApi,
                       const CellPeers& aPeers,
--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -80,6 +80,10 @@
   // of targets that it goes by is younger than this: a target that drains gets
   // no new work. Comes from the settings.
   Millis maxTargetsAge_{ 2000 };
+  // A start must reach its target while the requests to evacuate data centres
+  // that it goes by are younger than this. 0: none are ever made. Comes from
+  // the settings.
+  Millis maxEvacuationsAge_{ 0 };
   // In a pool that does not reject overload, a start must reach its target
   // while the report that it goes by is younger than this: capacities shrink.
   // Comes from the settings.
@@ -258,6 +262,14 @@
   std::vector<Wave> waves_;
 };
 
+// All data centres whose operator asks that nothing more start there. While one
+// is named, its targets get no work.
+struct EvacuationsSeen
+{
+  std::set<std::string> dataCentres_;
+  Instant askedAt_; // when the list was requested: it is no older than this
+};
+
 enum class StartOutcome
 {
   Started,
@@ -377,6 +389,7 @@
                            TargetsSeen,
                            VmsSeen,
                            WavesSeen,
+                           EvacuationsSeen,
                            StartAnswered,
                            StopAnswered,
                            RenewalAnswered,
@@ -567,6 +580,20 @@
   bool operator==(const WaveSummary&) const = default;
 };
 
+// What still runs in a data centre that is being evacuated.
+struct EvacuationSummary
+{
+  std::string dataCentre_;
+  Millis knownFor_{ 0 }; // to this owner
+  int targets_ = 0;
+  int ending_ = 0;      // runs that end there by themselves
+  int longRunning_ = 0; // runs that wait for capacity elsewhere, or until their
+                        // step may lack one item
+  int stopping_ = 0;    // runs that are being stopped
+
+  bool operator==(const EvacuationSummary&) const = default;
+};
+
 struct FleetCounts
 {
   std::uint64_t starts_ = 0;        // runs sent to a target
@@ -606,6 +633,7 @@
   std::vector<PoolSummary> Pools() const;
   std::vector<AccountSummary> Accounts() const;
   std::vector<WaveSummary> Waves() const;
+  std::vector<EvacuationSummary> Evacuations() const;
   // As in PeerCapacitySeen, for the other cells.
   std::map<std::string, std::int64_t> FreeCpu() const;
   std::map<std::string, std::int64_t> OfferedCpu() const;
--- a/packages/fleet/src/candidates.cpp
+++ b/packages/fleet/src/candidates.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "crashes.h"
+#include "evacuation/evacuation.h"
 #include "targets.h"
 
 namespace cuminbridge {
@@ -43,7 +44,8 @@
 {
   Targets targets;
   for (auto* target : aState.byPool_[aPool]) {
-    if (target->IsUsable(aState.now_) && IsCapacityKnown(aState, *target)) {
+    if (target->IsSound(aState.now_) && !IsClosed(*target, aState.now_) &&
+        IsCapacityKnown(aState, *target)) {
       targets.push_back(target);
     }
   }
@@ -65,7 +67,8 @@
       candidate.fillerRuns_ += run.isFiller_ ? 1 : 0;
     }
     candidate.isAvoided_ = target->consecutiveFailures_ >= kFailuresToAvoid ||
-                           target->slowUntil_ > aState.now_;
+                           target->slowUntil_ > aState.now_ ||
+                           target->isEvacuated_;
     candidate.awaitsMaintenance_ = target->awaitsMaintenance_;
     candidate.hasTrial_ = HasTrial(aState, *target);
     candidates.push_back(candidate);
--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -7,6 +7,7 @@
 #include "account_limits.h"
 #include "candidates.h"
 #include "crashes.h"
+#include "evacuation/evacuation.h"
 #include "jobs.h"
 #include "placing.h"
 #include "runs.h"
@@ -389,6 +390,11 @@
     }
     auto candidates =
       CandidatesForStep(base, targets, step, NameOf(waiting, 0));
+    for (std::size_t index = 0; index < candidates.size(); ++index) {
+      candidates[index].isEligible_ =
+        candidates[index].isEligible_ &&
+        MayStillRun(aState, *targets[index], *waiting.job_, step);
+    }
     if (NeedsAdvice(aState, *waiting.job_)) {
       ApplyAdvice(aState, targets, waiting, candidates);
     }
@@ -410,7 +416,6 @@
 std::string
 WhyPaused(const FleetState& aState)
 {
-  constexpr Millis kLeastStartTime(300); // for a start to reach its target
   const auto& options = aState.options_;
   const auto ago = [&](Instant aReadAt) {
     return " were last read " +
@@ -419,6 +424,13 @@
   if (!aState.IsSoleOwner()) {
     return "another owner may have taken over";
   }
+  const auto left = TimeToReachTarget(
+    aState.evacuations_, options.maxEvacuationsAge_, aState.now_);
+  if (left && *left < kLeastStartTime) {
+    return aState.evacuations_.askedAt_
+             ? "evacuations" + ago(*aState.evacuations_.askedAt_)
+             : "evacuations have not been read";
+  }
   if (!aState.MayReachStore()) {
     return "";
   }
--- a/packages/fleet/src/reducer.cpp
+++ b/packages/fleet/src/reducer.cpp
@@ -6,6 +6,7 @@
 #include <utility>
 
 #include "dispatch.h"
+#include "evacuation/evacuation.h"
 #include "fleet_waves.h"
 #include "jobs.h"
 #include "pacing.h"
@@ -96,6 +97,7 @@
     EndIfDone(aState, *job); // removes it from the active ones
   }
   UpdateWatchedTargets(aState);
+  NoteStepsThatWait(aState);
   Evacuate(aState);
   PlanVms(aState);
   PaceFillers(aState);
@@ -154,6 +156,10 @@
   }
   void operator()(const VmsSeen& aEvent) { HandleVms(state_, aEvent); }
   void operator()(const WavesSeen& aEvent) { HandleWaves(state_, aEvent); }
+  void operator()(const EvacuationsSeen& aEvent)
+  {
+    HandleEvacuations(state_, aEvent);
+  }
   void operator()(const StartAnswered& aEvent)
   {
     HandleStartAnswer(state_, aEvent);
--- a/packages/fleet/src/relocate.cpp
+++ b/packages/fleet/src/relocate.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "evacuation/evacuation.h"
 #include "jobs.h"
 #include "run_speed.h"
 #include "runs.h"
@@ -132,9 +133,14 @@
 void
 Evacuate(FleetState& aState)
 {
+  std::map<std::string, WaitingWork> waiting;
+  if (!aState.evacuations_.asked_.empty()) {
+    waiting = WaitingWorkByPool(aState);
+  }
   for (auto& [id, target] : aState.targets_) {
     if (target.contact_ != Contact::Good ||
-        (!target.isCordoned_ && !target.report_.isDraining_)) {
+        (!target.isCordoned_ && !target.report_.isDraining_ &&
+         !MustBeEmptied(aState, target, waiting))) {
       continue;
     }
     const bool isOverdue =
@@ -148,7 +154,8 @@
       const bool mayStop =
         target.report_.isDraining_ || MayStop(aState, run.item_, ref);
       if (mayStop && (isOverdue || HasCapacityElsewhere(aState, target, ref))) {
-        Stop(aState, target, run, "its target is cordoned or drains");
+        Stop(
+          aState, target, run, "its target is cordoned, evacuated or drains");
       }
     }
   }
--- a/packages/fleet/src/relocate.h
+++ b/packages/fleet/src/relocate.h
@@ -7,8 +7,8 @@
 
 namespace cuminbridge {
 
-// Stops long-running work on targets that are cordoned or drain, as far as the
-// availability of its steps allows; it starts again elsewhere.
+// Stops long-running work on targets that are cordoned, evacuated or drain, as
+// far as the availability of its steps allows; it starts again elsewhere.
 void Evacuate(FleetState& aState);
 
 // Stops runs on a target that works far slower than expected, where others have
--- a/packages/fleet/src/runs.cpp
+++ b/packages/fleet/src/runs.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "crashes.h"
+#include "evacuation/evacuation.h"
 #include "jobs.h"
 #include "targets.h"
 
@@ -33,10 +34,18 @@
 
 // Within this, a start has to reach its target.
 Millis
-StartTime(const FleetState& aState)
+StartTime(const FleetState& aState, const Target& aTarget)
 {
   const auto& options = aState.options_;
-  const auto time = std::min(options.startTimeout_, options.targetLease_);
+  auto time = std::min(options.startTimeout_, options.targetLease_);
+  const auto evacuations = TimeToReachTarget(
+    aState.evacuations_, options.maxEvacuationsAge_, aState.now_);
+  time = std::min(time, evacuations.value_or(time));
+  if (aTarget.isEvacuated_) {
+    time = std::min(
+      time,
+      std::chrono::duration_cast<Millis>(aTarget.closesAt_ - aState.now_));
+  }
   if (!aState.targetsAskedAt_ || !aState.MayReachStore()) {
     return time;
   }
@@ -165,7 +174,7 @@
   effect.ticket_ = std::move(aTicket);
   // Short, so that a start that is held up on its way is rejected. The renewal
   // that follows at once extends it.
-  effect.leaseUntil_ = ExtendLease(aState, aTarget, StartTime(aState));
+  effect.leaseUntil_ = ExtendLease(aState, aTarget, StartTime(aState, aTarget));
   AddRun(aState, aTarget, std::move(run));
   aState.watchedTargets_.insert(aTarget.report_.id_);
   ++aState.counts_.starts_;
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -200,6 +200,8 @@
   bool awaitsMaintenance_ = false; // its VM does, by an open wave
   bool isCordoned_ = false;        // gets no work: a wave needs it empty now
   Instant cordonedAt_;             // when it was cordoned
+  bool isEvacuated_ = false;       // its data centre is, or may be
+  Instant closesAt_;               // while it is: as Evacuation::closesAt_
   Instant slowUntil_;              // was found slow: used last until then
   int consecutiveFailures_ = 0;    // failed runs since the last success there
 
@@ -209,12 +211,14 @@
   {
     return !mayHaveRestarted_ && report_.startUnixMs_ == startUnixMs_;
   }
-  bool IsUsable(Instant aNow) const
+  // Whether it may take work, unless its data centre is being evacuated.
+  bool IsSound(Instant aNow) const
   {
     return isListed_ && HasReported() && isRecorded_ && !hasExited_ &&
            contact_ == Contact::Good && !report_.isDraining_ && !isCordoned_ &&
            avoidUntil_ <= aNow && leavingUntil_ <= aNow;
   }
+  bool IsUsable(Instant aNow) const { return IsSound(aNow) && !isEvacuated_; }
 };
 
 // A run that was given up, for the log.
@@ -264,6 +268,23 @@
   bool isStatusStored_ = false; // not used
 };
 
+// A data centre that is being evacuated.
+struct Evacuation
+{
+  Instant seenAt_;
+  // A start that arrives there by then keeps the operator's limit, as the
+  // request was certainly made less than that before. Never set if this owner
+  // has not seen the time before the request.
+  Instant closesAt_;
+};
+
+struct EvacuationState
+{
+  std::optional<Instant> askedAt_;          // as EvacuationsSeen::askedAt_
+  std::map<std::string, Evacuation> asked_; // by data centre
+  std::set<std::string> noted_; // steps of which the log says that they wait
+};
+
 // Load that arriving work offers to a pool: the cores that it would keep busy,
 // as an average in which older arrivals decay exponentially.
 struct OfferedLoad
@@ -315,9 +336,10 @@
   Millis heldUpFor_{ 0 };
   Instant submissionsReadUpTo_;
   std::optional<Instant> targetsAskedAt_; // as TargetsSeen::askedAt_
-  bool areStartsPaused_ = false;          // see Dispatch()
-  bool hasJobs_ = false;                  // JobsLoaded has come
-  bool hasTargets_ = false;               // TargetsSeen has come
+  EvacuationState evacuations_;
+  bool areStartsPaused_ = false; // see Dispatch()
+  bool hasJobs_ = false;         // JobsLoaded has come
+  bool hasTargets_ = false;      // TargetsSeen has come
   bool isReconciling_ = true; // some target has not been asked what runs there
   int term_ = 1;              // number of this owner, counted from 1
   PreviousOwner previousOwner_ = PreviousOwner::Unknown;
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -5,6 +5,7 @@
 #include <algorithm>
 
 #include "crashes.h"
+#include "evacuation/evacuation.h"
 #include "jobs.h"
 #include "relocate.h"
 #include "run_lists.h"
@@ -447,6 +448,7 @@
       aState.byPool_[target.report_.pool_].push_back(&target);
     }
   }
+  MarkEvacuatedTargets(aState);
   UpdateWatchedTargets(aState);
 }
 
--- a/packages/fleet/src/vms.cpp
+++ b/packages/fleet/src/vms.cpp
@@ -6,6 +6,7 @@
 #include <algorithm>
 
 #include "ended_targets.h"
+#include "evacuation/evacuation.h"
 #include "fleet_waves.h"
 #include "jobs.h"
 #include "moves.h"
@@ -131,7 +132,7 @@
   for (const auto& [name, vm] : aState.vms_) {
     const auto view = views.find(vm.pool_);
     if (view != views.end() && view->second.isStandby_ &&
-        IsMovable(aState, name)) {
+        IsMovable(aState, name) && !IsEvacuated(aState, vm)) {
       ++view->second.size_;
       view->second.idle_.push_back({ name, Millis(0), vm.capacity_.cpu_ });
       largestStandby = std::max(largestStandby, vm.capacity_.cpu_);
@@ -150,7 +151,9 @@
     if (!order.isMaintenance_ && view != views.end()) {
       const auto vm = aState.vms_.find(name);
       view->second.incomingCpu_ +=
-        vm == aState.vms_.end() ? 0 : vm->second.capacity_.cpu_;
+        vm == aState.vms_.end() || IsEvacuated(aState, vm->second)
+          ? 0
+          : vm->second.capacity_.cpu_;
     }
   }
   ApplyPeaks(aState, views);
--- a/packages/fleet/tests/history_test.cpp
+++ b/packages/fleet/tests/history_test.cpp
@@ -40,9 +40,10 @@
 class History
 {
 public:
-  explicit History(unsigned aSeed)
+  explicit History(unsigned aSeed, bool aHasEvacuations = false)
     : random_(aSeed)
     , fleet_(aSeed, DrawFaults())
+    , hasEvacuations_(aHasEvacuations)
   {
   }
 
@@ -54,12 +55,18 @@
     account.name_ = "limited";
     account.limit_.cpu_ = 1000 * Draw(6, 20);
     fleet_.SetAccount(account);
+    if (hasEvacuations_) {
+      fleet_.ServeEvacuations();
+    }
     fleet_.StartOwner();
     const int events = Draw(10, 40);
     for (int event = 0; event < events; ++event) {
       InjectRandomEvent();
       fleet_.RunFor(Millis(Draw(5, 900)));
     }
+    for (const auto* dataCentre : kDataCentres) {
+      fleet_.EndEvacuation(dataCentre);
+    }
     for (const auto& id : fleet_.TargetIds()) {
       fleet_.SlowTarget(id, 1);
     }
@@ -121,8 +128,30 @@
     fleet_.Submit(std::move(job));
   }
 
+  // Each data centre is evacuated for a few events, at times both.
+  void ChangeEvacuations()
+  {
+    for (const auto* dataCentre : kDataCentres) {
+      if (!fleet_.IsEvacuationAsked(dataCentre)) {
+        if (Draw(0, 9) == 0) {
+          fleet_.RequestEvacuation(dataCentre);
+        }
+      } else if (Draw(0, 14) == 0) {
+        fleet_.EndEvacuation(dataCentre);
+      }
+    }
+    if (Draw(0, 9) == 0) {
+      fleet_.HideEvacuations(Millis(Draw(100, 12000)));
+    } else if (Draw(0, 9) == 0) {
+      fleet_.CutOwnerFromStore(Millis(Draw(100, 7000)));
+    }
+  }
+
   void InjectRandomEvent()
   {
+    if (hasEvacuations_) {
+      ChangeEvacuations();
+    }
     const int kind = Draw(0, 17);
     if (kind < 8) {
       Submit();
@@ -156,16 +185,19 @@
   }
 
   std::mt19937 random_;
+  static constexpr std::array<const char*, 2> kDataCentres = { "0", "1" };
+
   SimulatedFleet fleet_;
+  bool hasEvacuations_;
   int jobs_ = 0;
   std::set<int> cancelled_;
 };
 
 void
-RunSeed(unsigned aSeed)
+RunSeed(unsigned aSeed, bool aHasEvacuations = false)
 {
   INFO("seed " << aSeed);
-  History history(aSeed);
+  History history(aSeed, aHasEvacuations);
   history.Run();
   history.Check();
 }
@@ -180,6 +212,14 @@
   }
 }
 
+TEST_CASE("random histories with evacuations keep every rule")
+{
+  const auto seeds = ReadSeeds(kDefaultHistories);
+  for (unsigned seed = seeds.first_; seed < seeds.end_; ++seed) {
+    RunSeed(seed, true);
+  }
+}
+
 TEST_CASE("histories that failed before keep every rule")
 {
   for (const auto seed : kRegressionSeeds) {
--- a/packages/fleet/tests/simulated_fleet.cpp
+++ b/packages/fleet/tests/simulated_fleet.cpp
@@ -118,6 +118,12 @@
   if (areVmsMoved_) {
     Deliver(*owner, OptionsChanged{ FleetOptions{} });
   }
+  if (areEvacuationsServed_) {
+    auto options = owner->fleet_.State().options_;
+    options.maxEvacuationsAge_ = kEvacuationLimit;
+    Deliver(*owner, OptionsChanged{ options });
+    ListEvacuations(owner);
+  }
   Deliver(*owner, ConfigSeen{ config_ });
   Deliver(*owner, Tick{ WallTime(now_.time_since_epoch()), kAlways });
   JobsLoaded loaded;
@@ -354,6 +360,7 @@
   report.address_ = aTarget.id_;
   report.pool_ = aTarget.pool_;
   report.vm_ = aTarget.vm_;
+  report.dataCentre_ = aTarget.dataCentre_;
   report.capacity_ = aTarget.capacity_;
   report.isDraining_ = aTarget.isDraining_;
   report.startUnixMs_ = aTarget.incarnation_;
--- a/packages/fleet/tests/simulated_fleet.h
+++ b/packages/fleet/tests/simulated_fleet.h
@@ -26,6 +26,9 @@
 // For Tick::soleOwnerUntil_.
 inline constexpr Instant kAlways = Instant::max();
 inline constexpr Instant kNever;
+// Nothing starts in a data centre later than this after its evacuation was
+// asked for.
+inline constexpr Millis kEvacuationLimit(5000);
 
 // How often each fault happens, each a share from 0 to 1.
 struct SimulatedFaults
@@ -82,6 +85,18 @@
   void CutOwnerFromStore(Millis aTime);
   void CutTargetFromStore(const std::string& aTarget, Millis aTime);
 
+  // The deployment asks for evacuations, from the next owner on. Targets lie in
+  // data centres "0" and "1" by turns.
+  void ServeEvacuations() { areEvacuationsServed_ = true; }
+  void RequestEvacuation(const std::string& aDataCentre);
+  void EndEvacuation(const std::string& aDataCentre);
+  bool IsEvacuationAsked(const std::string& aDataCentre) const
+  {
+    return evacuations_.count(aDataCentre) != 0;
+  }
+  // The owner can't read the requests for the time, but all else in the store.
+  void HideEvacuations(Millis aTime) { evacuationsHiddenUntil_ = now_ + aTime; }
+
   // The VM service answers no call for the time, but carries out orders.
   void CutVmService(Millis aTime) { vmServiceAwayUntil_ = now_ + aTime; }
 
@@ -116,6 +131,7 @@
   void ListTargets(const std::shared_ptr<SimulatedOwner>& aOwner);
   void ListVms(const std::shared_ptr<SimulatedOwner>& aOwner);
   void PollVms(const std::shared_ptr<SimulatedOwner>& aOwner);
+  void ListEvacuations(const std::shared_ptr<SimulatedOwner>& aOwner);
   std::vector<Vm> ListedVms() const;
   void CarryOutMove(const std::shared_ptr<SimulatedOwner>& aOwner,
                     const MoveVm& aMove);
@@ -146,6 +162,7 @@
   void CheckStart(const SimulatedTarget& aTarget, const StartRun& aStart);
   Resources ReservedBy(const ItemName& aItem) const;
   void CheckCapacity(const SimulatedTarget& aTarget, const StartRun& aStart);
+  void CheckEvacuation(const SimulatedTarget& aTarget, const StartRun& aStart);
   void CheckFailed(const std::string& aJob);
   void CheckDone(const Job& aJob, int aOccurrence);
   std::vector<std::pair<SimulatedTarget*, std::size_t>> FindGang(
@@ -168,6 +185,9 @@
   std::map<std::string, std::unique_ptr<SimulatedTarget>> targets_;
   std::map<std::string, SimulatedVm> vms_; // by name
   bool areVmsMoved_ = false;
+  bool areEvacuationsServed_ = false;
+  std::map<std::string, Instant> evacuations_; // and when each was asked for
+  Instant evacuationsHiddenUntil_;
   Instant vmServiceAwayUntil_;
   std::shared_ptr<SimulatedOwner> owner_;
   std::int64_t token_ = 0;
--- a/packages/fleet/tests/simulated_fleet_parts.h
+++ b/packages/fleet/tests/simulated_fleet_parts.h
@@ -26,6 +26,7 @@
   std::string id_;
   std::string pool_;
   std::string vm_;
+  std::string dataCentre_;
   std::int64_t incarnation_ = 0;
   Instant startedAt_;
   bool rejectsOverload_ = true;
--- a/packages/fleet/tests/simulated_targets.cpp
+++ b/packages/fleet/tests/simulated_targets.cpp
@@ -229,6 +229,7 @@
     return;
   }
   CheckCapacity(aTarget, aStart);
+  CheckEvacuation(aTarget, aStart);
   if (runningNow_[aStart.item_] > 0) {
     ReportViolation("item started while another run of it is running: " + name);
   }
--- a/packages/fleet/tests/simulated_vms.cpp
+++ b/packages/fleet/tests/simulated_vms.cpp
@@ -23,6 +23,7 @@
   target->id_ = id;
   target->pool_ = aPool;
   target->vm_ = aVm.empty() ? "vm-" + id : aVm;
+  target->dataCentre_ = std::to_string(targets_.size() % 2);
   target->startedAt_ = aStartedAt;
   target->incarnation_ = target->startedAt_.time_since_epoch().count();
   target->capacity_ = { 8000, 32000, 0 };
@@ -59,6 +60,7 @@
     const auto target = targets_.find(entry.target_);
     if (target != targets_.end()) {
       vm.capacity_ = target->second->capacity_;
+      vm.dataCentre_ = target->second->dataCentre_;
     }
     if (vm.state_ == VmState::Up && target != targets_.end()) {
       const bool isDown = target->second->downUntil_ > now_;
@@ -102,4 +104,51 @@
   });
 }
 
+void
+SimulatedFleet::RequestEvacuation(const std::string& aDataCentre)
+{
+  evacuations_.emplace(aDataCentre, now_);
+}
+
+void
+SimulatedFleet::EndEvacuation(const std::string& aDataCentre)
+{
+  evacuations_.erase(aDataCentre);
+}
+
+void
+SimulatedFleet::ListEvacuations(const std::shared_ptr<SimulatedOwner>& aOwner)
+{
+  constexpr Millis kInterval(1000);
+  if (aOwner->hasEnded_ || aOwner->replacedAt_) {
+    return;
+  }
+  const bool isReadable =
+    ownerCutUntil_ <= now_ && evacuationsHiddenUntil_ <= now_;
+  if (isReadable) {
+    EvacuationsSeen seen;
+    seen.askedAt_ = now_;
+    At(kNetworkDelay, [this, aOwner, seen]() mutable {
+      for (const auto& [dataCentre, askedAt] : evacuations_) {
+        seen.dataCentres_.insert(dataCentre);
+      }
+      At(kNetworkDelay, [this, aOwner, seen] { Deliver(*aOwner, seen); });
+    });
+  }
+  At(kInterval, [this, aOwner] { ListEvacuations(aOwner); });
+}
+
+// The owner may not know of the request for a part of the limit, in which a
+// start that it sent may also be on its way.
+void
+SimulatedFleet::CheckEvacuation(const SimulatedTarget& aTarget,
+                                const StartRun& aStart)
+{
+  const auto asked = evacuations_.find(aTarget.dataCentre_);
+  if (asked != evacuations_.end() && now_ > asked->second + kEvacuationLimit) {
+    ReportViolation("item started in an evacuated data centre: " +
+                    FormatItem(aStart.item_));
+  }
+}
+
 } // namespace cuminbridge
--- a/packages/jobs/include/cuminbridge/jobs.h
+++ b/packages/jobs/include/cuminbridge/jobs.h
@@ -254,6 +254,7 @@
   std::string name_;
   std::string pool_;
   std::string target_; // id of its target; empty if it has none
+  std::string dataCentre_;
   std::string rack_;
   VmState state_ = VmState::Down;
   Resources capacity_;
