Waiting jobs start in the order of what waiting costs their callers

Cause: in a pool with too little room, jobs went by their work alone, and counted as late by their expected run time alone. Large jobs waited although small ones had time left, and jobs whose estimate was high were put behind.

Change: in pools that reject overload, jobs that can still be in time go by the room that they take for what they are worth, and by the time that they can still wait (scarcity/job_cost). The order of the waiting steps is a function of its own (scarcity/waiting_order), for the backlog that entries get too. rank_by_cost in our settings turns it off.

--- a/packages/daemon/src/tuning.cpp
+++ b/packages/daemon/src/tuning.cpp
@@ -20,6 +20,13 @@
   const char* help_;
 };
 
+struct FleetSwitch
+{
+  const char* key_;
+  bool FleetOptions::*member_;
+  const char* help_;
+};
+
 struct LogSetting
 {
   const char* key_;
@@ -72,6 +79,13 @@
     "time between two adjustments of the pacing of fillers" },
 } };
 
+constexpr std::array<FleetSwitch, 1> kFleetSwitches = { {
+  { "rank_by_cost",
+    &FleetOptions::ranksByCost_,
+    "in pools that reject overload, jobs that can be in time start by what "
+    "waiting costs their callers; if false, by their work" },
+} };
+
 constexpr std::array<LogSetting, 2> kLogSettings = { {
   { "lines_per_second",
     &LogLimits::perSecond_,
@@ -109,6 +123,10 @@
       value = Millis(fleet->ReadInteger(
         setting.key_, setting.min_, setting.max_, value.count()));
     }
+    for (const auto& setting : kFleetSwitches) {
+      auto& value = tuning.fleet_.*setting.member_;
+      value = fleet->ReadBool(setting.key_, value);
+    }
     fleet->ReportUnknownKeys();
   }
   if (auto log = table->ReadTable("log")) {
@@ -135,6 +153,13 @@
                         std::to_string(after.count()));
     }
   }
+  for (const auto& setting : kFleetSwitches) {
+    const bool after = aNew.fleet_.*setting.member_;
+    if (aOld.fleet_.*setting.member_ != after) {
+      changes.push_back(std::string("fleet.") + setting.key_ +
+                        (after ? " false -> true" : " true -> false"));
+    }
+  }
   for (const auto& setting : kLogSettings) {
     const auto before = aOld.log_.*setting.member_;
     const auto after = aNew.log_.*setting.member_;
@@ -160,6 +185,11 @@
         << setting.key_ << " = " << (tuning.fleet_.*setting.member_).count()
         << "\n";
   }
+  for (const auto& setting : kFleetSwitches) {
+    out << "# " << setting.help_ << "\n"
+        << setting.key_ << " = "
+        << (tuning.fleet_.*setting.member_ ? "true" : "false") << "\n";
+  }
   out << "\n[log]\n";
   for (const auto& setting : kLogSettings) {
     out << "# " << setting.help_ << "; " << setting.min_ << " to "
--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -108,6 +108,9 @@
   Millis paceInterval_{ 300 };
   // Ended jobs can be queried for this long. Comes from the settings.
   Millis keepEnded_{ 120000 };
+  // In pools that reject overload, jobs that can still be in time start in the
+  // order of what waiting costs their callers, not of their work.
+  bool ranksByCost_ = true;
   // Cells of the fleet. Jobs are divided evenly, so a cell gets one job of this
   // many of each account.
   int cells_ = 1;
--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -10,6 +10,7 @@
 #include "jobs.h"
 #include "placing.h"
 #include "runs.h"
+#include "scarcity/waiting_order.h"
 #include "targets.h"
 #include "transfers.h"
 #include "waiting_work.h"
@@ -18,24 +19,12 @@
 
 namespace {
 
-// A job that takes longer than this many times its objective is worth nothing
-// to its caller.
-constexpr int kHopelessFactor = 3;
 // Targets in one request for advice.
 constexpr std::size_t kMaxTargetsAsked = 30;
 // Least time between two dispatches of one pool, so that changes that come
 // close together are handled together.
 constexpr Millis kDispatchInterval(4);
 
-// A step of one occurrence whose items wait and may start.
-struct WaitingStep
-{
-  JobEntry* job_ = nullptr;
-  int occurrence_ = 0;
-  std::size_t step_ = 0;
-  SchedulingKey key_;
-};
-
 std::string
 StepName(const WaitingStep& aWaiting)
 {
@@ -43,56 +32,6 @@
          '.' + std::to_string(aWaiting.step_);
 }
 
-SchedulingKey
-MakeSchedulingKey(const FleetState& aState,
-                  const JobEntry& aJob,
-                  const Occurrence& aOccurrence,
-                  const Step& aStep)
-{
-  SchedulingKey key;
-  key.priority_ = aJob.job_.priority_;
-  key.isLongRunning_ = aStep.isLongRunning_;
-  key.isBeyondShare_ = aJob.isBeyondShare_;
-  key.arrived_ = aJob.arrived_;
-  if (aStep.isLongRunning_) {
-    return key;
-  }
-  key.work_ = RemainingWork(aState, aJob, &aOccurrence);
-  if (aJob.job_.repeats_ == 0) {
-    const auto objective = CompletionObjective(aState, aJob);
-    const auto end = aState.now_ - aJob.arrived_ +
-                     RemainingCriticalPath(aState, aJob, &aOccurrence);
-    key.lateness_ = end <= objective                     ? Lateness::InTime
-                    : end <= kHopelessFactor * objective ? Lateness::Late
-                                                         : Lateness::Hopeless;
-  }
-  return key;
-}
-
-std::vector<WaitingStep>
-CollectWaiting(const FleetState& aState, const std::string& aPool)
-{
-  std::vector<WaitingStep> waiting;
-  ForEachWaitingStep(
-    aState,
-    [&](const JobEntry& aJob) { return PoolOf(aState, aJob) == aPool; },
-    [&](JobEntry& aJob, int aNumber, std::size_t aStep) {
-      waiting.push_back({ &aJob,
-                          aNumber,
-                          aStep,
-                          MakeSchedulingKey(aState,
-                                            aJob,
-                                            aJob.occurrences_.at(aNumber),
-                                            aJob.job_.steps_[aStep]) });
-    });
-  std::sort(waiting.begin(),
-            waiting.end(),
-            [](const WaitingStep& aLeft, const WaitingStep& aRight) {
-              return IsScheduledBefore(aLeft.key_, aRight.key_);
-            });
-  return waiting;
-}
-
 bool
 NeedsAdvice(const FleetState& aState, const JobEntry& aJob)
 {
@@ -374,7 +313,7 @@
   }
   auto base = MakeCandidates(aState, targets);
   std::set<const JobEntry*> transferred; // no longer exist
-  for (const auto& waiting : CollectWaiting(aState, aPool)) {
+  for (const auto& waiting : OrderWaitingSteps(aState, aPool)) {
     if (transferred.count(waiting.job_) != 0 ||
         MayRunUnreported(aState, *waiting.job_)) {
       continue;
--- a/packages/fleet/src/placing.cpp
+++ b/packages/fleet/src/placing.cpp
@@ -86,6 +86,7 @@
                            aKey.lateness_ == Lateness::Hopeless,
                            aKey.isBeyondShare_,
                            aKey.lateness_,
+                           aKey.rank_,
                            aKey.work_,
                            aKey.arrived_);
   };
--- a/packages/fleet/src/placing.h
+++ b/packages/fleet/src/placing.h
@@ -6,6 +6,7 @@
 #ifndef cuminbridge_fleet_placing_h
 #define cuminbridge_fleet_placing_h
 
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -59,13 +60,15 @@
   bool isLongRunning_ = false;
   bool isBeyondShare_ = false; // its job exceeds its client account's share
   Lateness lateness_ = Lateness::InTime;
+  // RankOf() its job, where jobs are ranked by what waiting costs them.
+  std::optional<double> rank_;
   double work_ = 0; // left of its job, in core-milliseconds
   Instant arrived_; // when its job was accepted
 };
 
 // Whether aLeft goes before aRight. The order is by:
 //   priority; long-running work first; hopeless work last; work within its
-//   client account's share first; lateness; least work left; arrival.
+//   client account's share first; lateness; rank; least work left; arrival.
 // Least work first is for a queue that asks for five times its mean, where
 // short jobs would wait behind long ones. The shares are for an account that
 // asks for five times its usual load, where the jobs of others would wait.
