Busy VMs that a pool can spare are released, and waves slow down, when room lacks

Cause: after its peak a pool had more room than its work needed, but a little of that work on each VM, so that none was idle while jobs of the next pool waited. Waves took VMs away at the same pace meanwhile.

Change: when pools lack more than idle VMs can give, pools that can spare room hold back new work from the VMs that are empty first (scarcity/lending), anew with each plan. Waves then begin maintenance at a pace over 0.75 of their duration, not 0.4 (idle VMs) and 0.5. release_vms in our settings turns both off.

--- a/packages/daemon/src/tuning.cpp
+++ b/packages/daemon/src/tuning.cpp
@@ -79,11 +79,15 @@
     "time between two adjustments of the pacing of fillers" },
 } };
 
-constexpr std::array<FleetSwitch, 1> kFleetSwitches = { {
+constexpr std::array<FleetSwitch, 2> kFleetSwitches = { {
   { "rank_by_cost",
     &FleetOptions::ranksByCost_,
     "in pools that reject overload, jobs that can be in time start by what "
     "waiting costs their callers; if false, by their work" },
+  { "release_vms",
+    &FleetOptions::releasesVms_,
+    "busy VMs that their pool can spare take no more work while others lack "
+    "room" },
 } };
 
 constexpr std::array<LogSetting, 2> kLogSettings = { {
--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -111,6 +111,9 @@
   // In pools that reject overload, jobs that can still be in time start in the
   // order of what waiting costs their callers, not of their work.
   bool ranksByCost_ = true;
+  // Busy VMs that their pool can spare take no more work while others lack
+  // room.
+  bool releasesVms_ = true;
   // Cells of the fleet. Jobs are divided evenly, so a cell gets one job of this
   // many of each account.
   int cells_ = 1;
--- a/packages/fleet/src/candidates.cpp
+++ b/packages/fleet/src/candidates.cpp
@@ -43,7 +43,9 @@
 {
   Targets targets;
   for (auto* target : aState.byPool_[aPool]) {
-    if (target->IsUsable(aState.now_) && IsCapacityKnown(aState, *target)) {
+    if (target->IsUsable(aState.now_) &&
+        target->releasedUntil_ <= aState.now_ &&
+        IsCapacityKnown(aState, *target)) {
       targets.push_back(target);
     }
   }
--- a/packages/fleet/src/fleet_waves.cpp
+++ b/packages/fleet/src/fleet_waves.cpp
@@ -62,6 +62,7 @@
   view.maxDown_ = aWave.wave_.maxDown_;
   view.age_ = aState.now_ - aWave.seenAt_;
   view.duration_ = aWave.wave_.duration_;
+  view.isRoomScarce_ = aState.isRoomScarce_;
   view.down_ = static_cast<int>(aWave.down_.size());
   for (const auto& name : aWave.wave_.vms_) {
     // The previous owner may have sent an order for the VM that was not
--- a/packages/fleet/src/moves.h
+++ b/packages/fleet/src/moves.h
@@ -20,6 +20,17 @@
   bool operator==(const IdleVm&) const = default;
 };
 
+// A VM whose runs all end by themselves.
+struct BusyVm
+{
+  std::string name_;
+  Millis untilEmpty_{ 0 };   // expected, if nothing more starts there
+  std::int64_t cpu_ = 0;     // its capacity, thousandths of a core
+  std::int64_t usedCpu_ = 0; // that its runs reserve
+
+  bool operator==(const BusyVm&) const = default;
+};
+
 // One pool. All cpu values are in thousandths of a core.
 struct PoolView
 {
@@ -33,6 +44,8 @@
   int lackingVms_ = 0;      // for items that may not share a VM with each other
   bool isPastPeak_ = false; // had a demand peak, and expects none soon
   std::vector<IdleVm> idle_; // VMs that may be moved
+  std::int64_t usedCpu_ = 0; // that runs reserve
+  std::vector<BusyVm> busy_; // VMs that may be moved once they are empty
 
   bool operator==(const PoolView&) const = default;
 };
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -194,9 +194,10 @@
   std::int64_t lastListedEnd_ = 0;
   Instant endsListedAt_; // when that list arrived
 
-  Instant avoidUntil_;   // no starts until then, after a rejected one
-  Instant idleSince_;    // nothing has run there since
-  Instant leavingUntil_; // no starts until then: its VM was ordered away
+  Instant avoidUntil_;    // no starts until then, after a rejected one
+  Instant idleSince_;     // nothing has run there since
+  Instant leavingUntil_;  // no starts until then: its VM was ordered away
+  Instant releasedUntil_; // no starts until then: other pools lack its VM
   bool awaitsMaintenance_ = false; // its VM does, by an open wave
   bool isCordoned_ = false;        // gets no work: a wave needs it empty now
   Instant cordonedAt_;             // when it was cordoned
@@ -358,6 +359,7 @@
   std::vector<StoredOrder> newOrders_; // for the next batch
   bool mustStoreOrders_ = false;
   Instant nextPlan_;
+  bool isRoomScarce_ = false; // at the last plan; see LackingCpu()
 
   std::set<std::string> dirtyJobs_;
   std::uint64_t batch_ = 0; // that is being stored; 0 if there is none
--- a/packages/fleet/src/vms.cpp
+++ b/packages/fleet/src/vms.cpp
@@ -9,6 +9,7 @@
 #include "fleet_waves.h"
 #include "jobs.h"
 #include "moves.h"
+#include "scarcity/lending.h"
 #include "vm_orders.h"
 #include "waiting_work.h"
 
@@ -31,6 +32,30 @@
          MayOrder(aState, aVm) && !IsDownForOpenWave(aState, aVm);
 }
 
+// Adds the VM of a target with runs to the snapshot of its pool, if it can move
+// once they have ended.
+void
+AddBusyVm(FleetState& aState, const Target& aTarget, PoolView& aView)
+{
+  const auto& vm = aTarget.report_.vm_;
+  BusyVm busy{
+    vm, Millis(0), aTarget.report_.capacity_.cpu_, aTarget.used_.cpu_
+  };
+  for (const auto& run : aTarget.runs_) {
+    const auto item = FindItem(aState, run.item_);
+    if (run.isLongRunning_ || !item.job_) {
+      return;
+    }
+    const auto left = ExpectedRunTime(aState, *item.job_, *item.spec_) -
+                      (aState.now_ - run.sentAt_);
+    busy.untilEmpty_ =
+      std::max(busy.untilEmpty_, std::chrono::duration_cast<Millis>(left));
+  }
+  if (IsMovable(aState, vm)) {
+    aView.busy_.push_back(std::move(busy));
+  }
+}
+
 // The mean of the loads that all cells are offered, if all have reported
 // recently. Jobs are divided evenly, so it tells better than the cell's own
 // load what comes next.
@@ -122,10 +147,18 @@
     view->second.capacityCpu_ += target.report_.capacity_.cpu_;
     auto& largest = largestTarget[target.report_.pool_];
     largest = std::max(largest, target.report_.capacity_.cpu_);
-    if (target.runs_.empty() && IsMovable(aState, target.report_.vm_)) {
-      view->second.idle_.push_back({ target.report_.vm_,
-                                     aState.now_ - target.idleSince_,
-                                     target.report_.capacity_.cpu_ });
+    view->second.usedCpu_ += target.used_.cpu_;
+    if (!target.runs_.empty()) {
+      AddBusyVm(aState, target, view->second);
+    } else if (IsMovable(aState, target.report_.vm_)) {
+      // A released one has been held empty for this.
+      const auto idle = target.releasedUntil_ > aState.now_
+                          ? MoveOptions().moveAfterIdle_
+                          : Millis(0);
+      view->second.idle_.push_back(
+        { target.report_.vm_,
+          std::max<Millis>(idle, aState.now_ - target.idleSince_),
+          target.report_.capacity_.cpu_ });
     }
   }
   for (const auto& [name, vm] : aState.vms_) {
@@ -162,12 +195,43 @@
   return rows;
 }
 
+// Holds back new work from VMs that other pools lack. Each plan renews this, so
+// that a pool whose own load rises uses them again.
+void
+ReleaseVms(FleetState& aState,
+           const std::vector<PoolView>& aPools,
+           const MoveOptions& aOptions)
+{
+  const auto until = aState.now_ + 2 * aState.options_.planInterval_;
+  for (const auto& vm : PlanReleases(aPools, aOptions)) {
+    auto* target = TargetOfVm(aState, vm);
+    if (target && target->releasedUntil_ <= aState.now_) {
+      aState.Log("vm_released",
+                 "",
+                 "",
+                 target->report_.id_,
+                 "pool " + target->report_.pool_ +
+                   " can spare it and others lack room; it takes no more work "
+                   "until it moves or its pool needs it");
+    }
+    if (target) {
+      target->releasedUntil_ = until;
+    }
+  }
+}
+
 void
 PlanAllMoves(FleetState& aState)
 {
   MoveOptions options;
   options.maxMoves_ = aState.options_.maxMovesPerPlan_;
-  for (const auto& move : PlanMoves(MakePoolViews(aState), options)) {
+  const auto pools = MakePoolViews(aState);
+  aState.isRoomScarce_ =
+    aState.options_.releasesVms_ && LackingCpu(pools, options) > 0;
+  if (aState.options_.releasesVms_) {
+    ReleaseVms(aState, pools, options);
+  }
+  for (const auto& move : PlanMoves(pools, options)) {
     VmOrder order;
     order.pool_ = move.pool_;
     PlanOrder(aState, move.vm_, std::move(order));
--- a/packages/fleet/src/waves.cpp
+++ b/packages/fleet/src/waves.cpp
@@ -16,6 +16,9 @@
 // Idle VMs go down at a faster pace, but not all together, as the next demand
 // peak needs them.
 constexpr double kIdleFraction = 0.4;
+// Either pace while room is scarce. It leaves the last VMs time to become
+// empty.
+constexpr double kScarceFraction = 0.75;
 // The pace for idle VMs is ahead by this time, so that a wave begins at once.
 constexpr Millis kIdleAhead(500);
 
@@ -40,9 +43,13 @@
   if (aWave.maxDown_ <= 0) {
     return plan;
   }
+  const double idleFraction =
+    aWave.isRoomScarce_ ? kScarceFraction : kIdleFraction;
+  const double busyFraction =
+    aWave.isRoomScarce_ ? kScarceFraction : kBusyFraction;
   const int begun = aWave.total_ - static_cast<int>(aWave.waiting_.size());
   const int idleDue =
-    CountDue(aWave, aWave.age_ + kIdleAhead, kIdleFraction) - begun;
+    CountDue(aWave, aWave.age_ + kIdleAhead, idleFraction) - begun;
   int quota = std::min(aWave.maxDown_ - aWave.down_, idleDue);
   int cordoned = 0;
   std::vector<const WaveVm*> busy;
@@ -63,7 +70,7 @@
       return std::make_pair(aLeft->longRunningRuns_, aLeft->runs_) <
              std::make_pair(aRight->longRunningRuns_, aRight->runs_);
     });
-  const int behind = CountDue(aWave, aWave.age_, kBusyFraction) + 1 - begun;
+  const int behind = CountDue(aWave, aWave.age_, busyFraction) + 1 - begun;
   // Cordons one VM more than can go down now, as it takes a while to become
   // empty.
   int wanted =
--- a/packages/fleet/src/waves.h
+++ b/packages/fleet/src/waves.h
@@ -31,6 +31,7 @@
   int maxDown_ = 1;
   Millis age_{ 0 };      // since an owner first saw the wave
   Millis duration_{ 0 }; // in which all VMs must have had their maintenance
+  bool isRoomScarce_ = false; // some pool lacks room
 
   bool operator==(const WaveView&) const = default;
 };
@@ -45,6 +46,7 @@
 
 // Takes down idle VMs, ahead of an even pace over the duration. Cordons as many
 // busy VMs as it takes to keep that pace, and no more than can go down next.
+// While room is scarce, the pace is as slow as the duration allows.
 // Designed for waves over half the fleet during demand peaks.
 WavePlan PlanWave(const WaveView& aWave);
 
--- a/packages/fleet/tests/decisions_test.cpp
+++ b/packages/fleet/tests/decisions_test.cpp
@@ -357,6 +357,56 @@
   CHECK(PlanWave(wave).cordon_.size() == 51);
 }
 
+TEST_CASE("a wave takes fewer VMs at once while room is scarce, and is in time")
+{
+  // 150 VMs in 26 s, 60 at once, all busy for 2 s after they are cordoned.
+  // Maintenance takes 2 s. Steps of 1 s.
+  const auto play = [](bool aIsScarce) {
+    WaveView wave;
+    wave.total_ = 150;
+    wave.maxDown_ = 60;
+    wave.duration_ = Millis(26000);
+    wave.isRoomScarce_ = aIsScarce;
+    for (int number = 0; number < wave.total_; ++number) {
+      WaveVm vm;
+      vm.name_ = std::to_string(number);
+      vm.isUp_ = true;
+      vm.runs_ = 2;
+      wave.waiting_.push_back(vm);
+    }
+    std::vector<int> begun;
+    int mostAway = 0; // cordoned or down
+    while (!wave.waiting_.empty() && begun.size() < 60) {
+      const auto count = begun.size();
+      wave.age_ = Millis(1000 * static_cast<int>(count));
+      wave.down_ =
+        (count > 0 ? begun[count - 1] : 0) + (count > 1 ? begun[count - 2] : 0);
+      const auto plan = PlanWave(wave);
+      std::erase_if(wave.waiting_, [&](const WaveVm& aVm) {
+        return std::count(plan.maintenance_.begin(),
+                          plan.maintenance_.end(),
+                          aVm.name_) != 0;
+      });
+      int cordoned = 0;
+      for (auto& vm : wave.waiting_) {
+        vm.isCordoned_ =
+          vm.isCordoned_ ||
+          std::count(plan.cordon_.begin(), plan.cordon_.end(), vm.name_) != 0;
+        vm.runs_ -= vm.isCordoned_ && vm.runs_ > 0 ? 1 : 0;
+        cordoned += vm.isCordoned_ ? 1 : 0;
+      }
+      begun.push_back(static_cast<int>(plan.maintenance_.size()));
+      mostAway = std::max(mostAway, cordoned + wave.down_ + begun.back());
+    }
+    return std::make_pair(mostAway, begun.size());
+  };
+  const auto [usual, usualSeconds] = play(false);
+  const auto [scarce, scarceSeconds] = play(true);
+  CHECK(scarce < usual);
+  CHECK(usualSeconds < 26);
+  CHECK(scarceSeconds < 26 - 2);
+}
+
 TEST_CASE("a wave never has more VMs down than it may")
 {
   WaveView wave;
