--- a/packages/fleet/src/candidates.cpp
+++ b/packages/fleet/src/candidates.cpp
@@ -45,6 +45,7 @@
   Targets targets;
   for (auto* target : aState.byPool_[aPool]) {
     if (target->IsSound(aState.now_) && !IsClosed(*target, aState.now_) &&
+        target->releasedUntil_ <= aState.now_ &&
         IsCapacityKnown(aState, *target)) {
       targets.push_back(target);
     }
