A long run no longer makes its target slow

Cause: the speed of a target was taken over its runs as if these were independent.

Change: owners learn how far run times exceed what was expected, against the estimate and against completed runs of the same step. A target is slow only if one of usual speed would hardly be as slow with what it runs and has just completed; the runs of a job count as one.

--- a/packages/fleet/src/relocate.cpp
+++ b/packages/fleet/src/relocate.cpp
@@ -7,6 +7,7 @@
 #include "jobs.h"
 #include "run_speed.h"
 #include "runs.h"
+#include "target_record/deliveries.h"
 #include "targets.h"
 
 namespace cuminbridge {
@@ -106,27 +107,6 @@
   return false;
 }
 
-// How far a run is. Nothing if it does not run, or if its speed depends on more
-// than its target.
-std::optional<RunProgress>
-ProgressOf(FleetState& aState, const Target& aTarget, const Run& aRun)
-{
-  const auto ref = FindItem(aState, aRun.item_);
-  if (!ref.item_ || !aRun.progressBaseAt_ || aRun.isLongRunning_ ||
-      aRun.isFiller_ || aRun.phase_ != RunPhase::Running ||
-      ref.spec_->isGang_ || ref.spec_->prefersSameRack_) {
-    return std::nullopt;
-  }
-  const bool isRemote = !ref.spec_->dataRack_.empty() &&
-                        ref.spec_->dataRack_ != aTarget.report_.rack_;
-  const double factor = isRemote ? aState.options_.remoteFactor_ : 1;
-  const auto expected = ExpectedRunTime(aState, *ref.job_, *ref.spec_);
-  return RunProgress{ aState.now_ - *aRun.progressBaseAt_,
-                      std::chrono::duration_cast<Millis>(factor * expected),
-                      aRun.basePercent_,
-                      aRun.percent_ };
-}
-
 } // namespace
 
 void
@@ -167,6 +147,10 @@
   if (!speed || *speed >= kSlowSpeed) {
     return;
   }
+  const auto chance = ChanceOfUsualSpeed(aState, aTarget);
+  if (chance && *chance >= kSlowChance) {
+    return; // long runs, not a slow target
+  }
   if (aTarget.slowUntil_ <= aState.now_) {
     aState.Log("target_slow",
                "",
@@ -174,7 +158,10 @@
                aTarget.report_.id_,
                "works at " + std::to_string(*speed) +
                  " of the expected speed, judged by " +
-                 std::to_string(listed.size()) + " runs");
+                 std::to_string(listed.size()) + " runs; " +
+                 (chance
+                    ? "chance of that at usual speed " + std::to_string(*chance)
+                    : "usual run times are not learned yet"));
   }
   aTarget.slowUntil_ = aState.now_ + kSlowPeriod;
   for (auto& run : aTarget.runs_) {
--- a/packages/fleet/src/run_lists.cpp
+++ b/packages/fleet/src/run_lists.cpp
@@ -7,6 +7,7 @@
 #include "crashes.h"
 #include "jobs.h"
 #include "runs.h"
+#include "target_record/deliveries.h"
 #include "targets.h"
 
 namespace cuminbridge {
@@ -151,6 +152,7 @@
     // Runs of earlier owners teach nothing: their start time is not known.
     if (aEnd.kind_ == EndKind::Done && ref.item_ &&
         run->isStartedByThisOwner_) {
+      NoteDelivery(aState, aTarget, *run, ref);
       aState.runTimes_[ref.job_->job_.queue_].Learn(ref.spec_->estimate_,
                                                     aState.now_ - run->sentAt_);
     }
--- a/packages/fleet/src/run_speed.cpp
+++ b/packages/fleet/src/run_speed.cpp
@@ -21,13 +21,19 @@
 
 } // namespace
 
+bool
+IsOldEnoughToJudge(const RunProgress& aRun)
+{
+  return aRun.age_ >= kMinAge;
+}
+
 std::optional<double>
 SpeedOf(const std::vector<RunProgress>& aRuns)
 {
   double expected = 0;
   double done = 0;
   for (const auto& run : aRuns) {
-    if (run.age_ < kMinAge) {
+    if (!IsOldEnoughToJudge(run)) {
       continue;
     }
     expected += std::min(
@@ -43,7 +49,7 @@
 bool
 IsWorthReplacing(const RunProgress& aRun)
 {
-  if (aRun.age_ < kMinAge) {
+  if (!IsOldEnoughToJudge(aRun)) {
     return false;
   }
   const double restarted =
--- a/packages/fleet/src/run_speed.h
+++ b/packages/fleet/src/run_speed.h
@@ -21,6 +21,9 @@
   bool operator==(const RunProgress&) const = default;
 };
 
+// Whether the progress of the run shows anything yet.
+bool IsOldEnoughToJudge(const RunProgress& aRun);
+
 // How fast a target works, as a fraction of the expected speed: 0 if nothing
 // there makes progress. Nothing while the work that its runs should have done
 // by now is less than one whole run: a single run that takes long does not show
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -10,6 +10,8 @@
 #include "demand_peaks.h"
 #include "run_times.h"
 #include "shares.h"
+#include "target_record/run_tail.h"
+#include "target_record/target_record.h"
 
 namespace cuminbridge {
 
@@ -63,6 +65,9 @@
   // A suspect has lived through its start since the last crash.
   bool hasPassedTrial_ = false;
   Instant nextAdviceAt_; // no question before this
+  // Completed runs of this owner, and the time that they took in all.
+  int runsTimed_ = 0;
+  Millis timeOfRuns_{ 0 };
 };
 
 struct Occurrence
@@ -201,6 +206,7 @@
   bool isCordoned_ = false;        // gets no work: a wave needs it empty now
   Instant cordonedAt_;             // when it was cordoned
   Instant slowUntil_;              // was found slow: used last until then
+  TargetRecord record_;            // what it has completed lately
   int consecutiveFailures_ = 0;    // failed runs since the last success there
 
   // Whether its report is that of its current process. After a restart, the
@@ -336,10 +342,12 @@
   std::set<std::string> watchedTargets_;
   // Only for the log. By target, also of those that are not listed any more.
   std::map<std::string, TargetLoss> losses_;
-  std::map<std::string, Resources> running_;    // in use, by account
-  std::map<std::string, int> limitParts_;       // as LimitsGranted::parts_
-  std::map<std::string, ShareBucket> shares_;   // by account
-  std::map<std::string, RunTimes> runTimes_;    // by queue
+  std::map<std::string, Resources> running_;  // in use, by account
+  std::map<std::string, int> limitParts_;     // as LimitsGranted::parts_
+  std::map<std::string, ShareBucket> shares_; // by account
+  std::map<std::string, RunTimes> runTimes_;  // by queue
+  std::map<std::string, RunTails> runTails_;  // by queue
+  RunTail commonRunTail_; // beyond the estimate, of all queues
   std::map<std::string, PoolPeak> demandPeaks_; // by pool
   bool mustStoreDemandPeaks_ = false;
   std::map<std::string, OfferedLoad> offeredLoads_; // by pool
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -306,6 +306,7 @@
   aTarget.idleSince_ = aState.now_;
   aTarget.consecutiveFailures_ = 0;
   aTarget.slowUntil_ = aState.now_;
+  aTarget.record_ = {};
   for (auto& run : aTarget.runs_) {
     // A confirmed run is lost unless the new process lists it. A start without
     // an answer may still reach the new process.
