cuminbridgectl config check: a configuration is checked before it is sent

Cause: the operator learns of a queue that never matches, of a key that an earlier account has, or of a pool without targets only from its callers.

No entry is asked: the version in force is given as a file.

--- a/packages/ctl/src/control.cpp
+++ b/packages/ctl/src/control.cpp
@@ -8,6 +8,7 @@
 
 #include <tclap/CmdLine.h>
 
+#include "config_check/config_check.h"
 #include "explain.h"
 #include "job_commands.h"
 #include "tickets.h"
@@ -26,6 +27,8 @@
   "  fleet queues|pools|accounts|waves|owner\n"
   "                              show this part of the fleet's state\n"
   "  explain JOB FILE...         show a job's history, from the entries' logs\n"
+  "  config check FILE [IN-FORCE-FILE]\n"
+  "                              check a configuration before it is sent\n"
   "Commands of the forwarder, through its operators' address:\n"
   "  ticket check|file FILE, ticket show N, in-force, pools, accounts, waves\n"
   "Exit codes: 0 done, 1 refused, 2 usage, 3 unreachable or unknown.\n\n"
@@ -60,11 +63,14 @@
 int
 RunControl(int aCount, char** aArguments)
 {
-  // "explain" only reads files: unlike the other commands, it takes no entry
-  // and no credential.
+  // These only read files: unlike the other commands, they take no entry and no
+  // credential.
   if (aCount >= 2 && std::string_view(aArguments[1]) == "explain") {
     return RunExplain({ aArguments + 2, aArguments + aCount });
   }
+  if (aCount >= 2 && std::string_view(aArguments[1]) == "config") {
+    return RunConfigCheck({ aArguments + 2, aArguments + aCount });
+  }
   try {
     TCLAP::CmdLine command(kHelp, ' ', CUMINBRIDGE_VERSION);
     TCLAP::MultiArg<std::string> entries(
