Web: limits of a server against clients that don't behave

Cause: a server read each body to its length with a buffer that doubled, up to 2,000 at once, each read with the whole time anew, and then accepted nobody.

A table of connections bounds their number and the bytes that all of them hold together; when a limit is met, the one that has gone without a whole request for longest is closed, so that callers who send whole requests go last. A parser of its own builds the request: its body grows as bytes come, its head has a size and a count of fields. A request has a time as a whole, an answer a time to be read. A refusal (413, 431, 503) is made before the handler is called. HttpCall bounds its reply.

--- a/packages/web/include/cuminbridge/web.h
+++ b/packages/web/include/cuminbridge/web.h
@@ -21,6 +21,7 @@
 #ifndef cuminbridge_web_h
 #define cuminbridge_web_h
 
+#include <array>
 #include <chrono>
 #include <cstdint>
 #include <deque>
@@ -68,6 +69,8 @@
   // use, but opens one more.
   bool isUrgent_ = false;
   MaySend maySend_; // if it is set and returns false, the call is not sent
+  // A call with a larger response ends as lost.
+  std::uint64_t maxReplyBytes_ = 64ULL * 1024 * 1024;
   const char* kind_ = "other"; // under which HttpClient counts it; a literal
 };
 
@@ -172,15 +175,47 @@
   std::string contentType_ = "application/json";
 };
 
+// Limits of one server. They bound what clients that don't behave can take from
+// the process: memory, descriptors and time.
 struct HttpServerOptions
 {
   std::uint64_t maxBodyBytes_ = 1024 * 1024; // larger requests get status 413
-  // A connection is closed when waiting for and reading a request, or writing a
-  // response, takes longer.
-  std::chrono::seconds idleTimeout_{ 60 };
-  std::size_t maxConnections_ = 2000; // further ones are not accepted yet
+  std::uint32_t maxHeadBytes_ = 8192;        // larger heads get status 431
+  std::size_t maxHeadFields_ = 100;          // as do those with more fields
+  // Of all connections, in requests being read or answered and in unread
+  // answers. Beyond it the connection that has gone without a whole request for
+  // longest is closed; if that makes no room, the request gets status 503.
+  std::size_t maxBytesInFlight_ = 64UL * 1024 * 1024;
+  std::chrono::seconds idleTimeout_{ 60 }; // between two requests
+  // From the first byte of a request to its last one, and for each
+  // minBytesPerSecond_ of its body one second more.
+  std::chrono::seconds requestTime_{ 10 };
+  std::size_t minBytesPerSecond_ = 16UL * 1024;
+  std::chrono::seconds answerTime_{ 20 }; // for the peer to read an answer
+  // For a newer connection, the one that has gone without a whole request for
+  // longest is closed.
+  std::size_t maxConnections_ = 2000;
+  std::size_t maxConnectionsPerPeer_ =
+    0;                         // further ones are closed; 0: no limit
+  int receiveBufferBytes_ = 0; // of each socket; 0: the system's default
 };
 
+// Why a server refused a request or closed a connection.
+enum class LimitCause
+{
+  Connections,     // for a newer connection
+  PeerConnections, // too many of one address
+  Memory,          // too many bytes in flight
+  HeadSize,
+  BodySize,
+  SlowRequest,
+  UnreadAnswer,
+};
+
+inline constexpr std::size_t kLimitCauses = 7;
+using LimitCounts = std::array<std::uint64_t, kLimitCauses>; // by LimitCause
+const char* NameOf(LimitCause aCause); // as "unread_answer"
+
 class HttpServer
 {
 public:
@@ -204,6 +239,10 @@
   // True while no request is being answered.
   bool IsIdle() const;
 
+  // Connections that are open keep their receive buffers.
+  void SetOptions(const HttpServerOptions& aOptions);
+  const LimitCounts& Limits() const; // since the server was created
+
 private:
   struct State;
 
--- a/packages/web/src/client.cpp
+++ b/packages/web/src/client.cpp
@@ -23,7 +23,6 @@
 
 constexpr auto kAsTuple = asio::as_tuple(asio::use_awaitable);
 constexpr int kHttp11 = 11;
-constexpr std::uint64_t kMaxResponseBytes = 64ULL * 1024 * 1024;
 
 // False if the peer has closed the connection, or has sent bytes that belong to
 // no request: then it can't be used for another one.
@@ -304,7 +303,7 @@
   }
   boost::beast::flat_buffer buffer;
   http::response_parser<http::string_body> parser;
-  parser.body_limit(kMaxResponseBytes);
+  parser.body_limit(aCall.maxReplyBytes_);
   parser.eager(true);
   timer.ExpireAt(deadline);
   while (!parser.is_done()) {
