Daemon, adapter: the door's limits from the memory and descriptors of the VM

The servers' limits follow limits.memory_mb and limits.max_fds of the platform's settings: an eighth of the memory for callers' bytes in flight, a sixteenth for peers', and shares of the sockets; the readiness probe and the metrics have servers with small limits of their own. [door] of the tuning file changes them, SIGHUP applies that. cuminbridge_door_limits_total counts by server and cause; limit_met reports each cause once in 10 s at most.

--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -40,7 +40,6 @@
 constexpr Millis kCloseIdleAfter(2500);
 constexpr Millis kKillMargin(800); // the process ends this long before SIGKILL
 constexpr const char* kMetricsPath = "/metrics";
-constexpr std::uint64_t kMaxBody = 256 * 1024; // bytes of a request
 
 std::string
 ReadFile(const std::string& aPath, Findings& aFindings)
@@ -114,6 +113,8 @@
   bool HandlePeerNotification(const HttpRequest& aRequest);
   Awaitable<HttpResponse> AnswerPeer(const HttpRequest& aRequest);
   bool IsReady() const;
+  ServerCounts CountLimits() const;
+  void ReportLimits();
   void Log(const char* aEvent, std::string aDetail);
 
   SystemClocks clocks_;
@@ -134,6 +135,7 @@
   HttpServer peerServer_;
   HttpServer metricsServer_;
   DaemonMetrics metrics_;
+  LimitReports limitReports_;
   Instant storeAnsweredAt_;
   std::int64_t configRevision_ = 0;
   bool isStopping_ = false;
@@ -146,14 +148,6 @@
   return aSettings.ip_ + ':' + std::to_string(aSettings.firstInternalPort_ + 1);
 }
 
-HttpServerOptions
-MakeServerOptions()
-{
-  HttpServerOptions options;
-  options.maxBodyBytes_ = kMaxBody;
-  return options;
-}
-
 Daemon::Daemon(PlatformSettings aSettings,
                std::string aTuningPath,
                const Tuning& aTuning)
@@ -162,19 +156,19 @@
   , tuning_(aTuning)
   , callerServer_(
       io_,
-      MakeServerOptions(),
+      CallerLimits(settings_, tuning_.door_),
       [this](const HttpRequest& aRequest) { return AnswerCaller(aRequest); })
   , readinessServer_(
       io_,
-      MakeServerOptions(),
+      ProbeLimits(settings_, tuning_.door_),
       [this](const HttpRequest& aRequest) { return AnswerReadiness(aRequest); })
   , peerServer_(
       io_,
-      MakeServerOptions(),
+      PeerLimits(settings_, tuning_.door_),
       [this](const HttpRequest& aRequest) { return AnswerPeer(aRequest); })
   , metricsServer_(
       io_,
-      MakeServerOptions(),
+      ProbeLimits(settings_, tuning_.door_),
       [this](const HttpRequest& aRequest) { return AnswerMetrics(aRequest); })
 {
 }
@@ -232,10 +226,28 @@
                                store_.Calls(),
                                http_.GetTraffic(),
                                election_.CurrentOwners(),
-                               clocks_.Now() - storeAnsweredAt_);
+                               clocks_.Now() - storeAnsweredAt_,
+                               CountLimits());
   co_return answer;
 }
 
+ServerCounts
+Daemon::CountLimits() const
+{
+  return { { "callers", callerServer_.Limits() },
+           { "readiness", readinessServer_.Limits() },
+           { "peers", peerServer_.Limits() },
+           { "metrics", metricsServer_.Limits() } };
+}
+
+void
+Daemon::ReportLimits()
+{
+  for (auto& report : limitReports_.Collect(CountLimits(), clocks_.Now())) {
+    Log("limit_met", std::move(report));
+  }
+}
+
 // The owner in this process of the cell that a path names as "/job/K", or of
 // the job's own cell if it names none. Null if another owner may have taken
 // over: it reads jobs and cancellations from the store.
@@ -362,6 +374,7 @@
     if (isNowReached) {
       storeAnsweredAt_ = clocks_.Now();
     }
+    ReportLimits();
     for (const auto& item : reply.items_) {
       if (item.key_ == kConfigKey) {
         ApplyConfig(item);
@@ -418,6 +431,10 @@
   }
   tuning_ = tuning;
   SetLogLimits(tuning_.log_);
+  callerServer_.SetOptions(CallerLimits(settings_, tuning_.door_));
+  readinessServer_.SetOptions(ProbeLimits(settings_, tuning_.door_));
+  peerServer_.SetOptions(PeerLimits(settings_, tuning_.door_));
+  metricsServer_.SetOptions(ProbeLimits(settings_, tuning_.door_));
   for (auto* owner : election_.CurrentOwners()) {
     owner->ApplyTuning();
   }
--- a/packages/daemon/src/daemon_metrics.cpp
+++ b/packages/daemon/src/daemon_metrics.cpp
@@ -122,6 +122,21 @@
   }
 }
 
+void
+AddLimits(std::ostream& aOut, const ServerCounts& aServers)
+{
+  aOut << "# HELP cuminbridge_door_limits_total requests refused and "
+          "connections closed at a limit\n"
+          "# TYPE cuminbridge_door_limits_total counter\n";
+  for (const auto& [server, counts] : aServers) {
+    for (std::size_t cause = 0; cause < counts.size(); ++cause) {
+      aOut << "cuminbridge_door_limits_total{server=\"" << server
+           << "\",cause=\"" << NameOf(static_cast<LimitCause>(cause)) << "\"} "
+           << counts[cause] << '\n';
+    }
+  }
+}
+
 } // namespace
 
 Quantiles::Quantiles()
@@ -195,7 +210,8 @@
               const StoreCallCounts& aStore,
               const Traffic& aTraffic,
               const std::vector<Owner*>& aOwners,
-              Millis aStoreAge)
+              Millis aStoreAge,
+              const ServerCounts& aServers)
 {
   std::ostringstream out;
   out << FormatBuildInfo();
@@ -219,6 +235,7 @@
     AddUp(traffic, owner->TrafficToTargets());
   }
   AddTraffic(out, traffic);
+  AddLimits(out, aServers);
   AddCounter(out,
              "log_lines_left_out_total",
              "lines beyond the log's limit",
--- a/packages/daemon/src/daemon_metrics.h
+++ b/packages/daemon/src/daemon_metrics.h
@@ -69,7 +69,8 @@
                           const StoreCallCounts& aStore,
                           const Traffic& aTraffic,
                           const std::vector<Owner*>& aOwners,
-                          Millis aStoreAge);
+                          Millis aStoreAge,
+                          const ServerCounts& aServers = {});
 
 } // namespace cuminbridge
 
--- a/packages/daemon/src/tuning.cpp
+++ b/packages/daemon/src/tuning.cpp
@@ -85,6 +85,63 @@
     "lines that may exceed the rate limit at once" },
 } };
 
+struct DoorSetting
+{
+  const char* key_;
+  std::int64_t DoorSettings::*member_;
+  std::int64_t min_;
+  std::int64_t max_;
+  const char* help_;
+};
+
+constexpr std::array<DoorSetting, 9> kDoorSettings = { {
+  { "bytes_in_flight_mb",
+    &DoorSettings::bytesInFlightMb_,
+    0,
+    65536,
+    "in requests and answers of callers; 0: an eighth of the VM's memory" },
+  { "connections",
+    &DoorSettings::connections_,
+    0,
+    100000,
+    "of callers; 0: by the VM's memory and descriptors, 2000 at most" },
+  { "connections_per_peer",
+    &DoorSettings::connectionsPerPeer_,
+    0,
+    100000,
+    "of callers with one address; 0: no limit, as behind a balancer" },
+  { "head_bytes",
+    &DoorSettings::headBytes_,
+    1024,
+    65536,
+    "largest head of a request" },
+  { "head_fields",
+    &DoorSettings::headFields_,
+    16,
+    1000,
+    "most fields in a head" },
+  { "request_seconds",
+    &DoorSettings::requestSeconds_,
+    4,
+    600,
+    "for a whole request, more for a large body: see body_bytes_per_second" },
+  { "body_bytes_per_second",
+    &DoorSettings::bodyBytesPerSecond_,
+    1024,
+    1000000000,
+    "each of so many bytes of a body gives its request one second more" },
+  { "answer_seconds",
+    &DoorSettings::answerSeconds_,
+    4,
+    600,
+    "for a caller to read its answer" },
+  { "idle_seconds",
+    &DoorSettings::idleSeconds_,
+    4,
+    3600,
+    "a connection without a request is closed after this time" },
+} };
+
 std::string
 FormatNumber(double aValue)
 {
@@ -118,6 +175,14 @@
     }
     log->ReportUnknownKeys();
   }
+  if (auto door = table->ReadTable("door")) {
+    for (const auto& setting : kDoorSettings) {
+      auto& value = tuning.door_.*setting.member_;
+      value =
+        door->ReadInteger(setting.key_, setting.min_, setting.max_, value);
+    }
+    door->ReportUnknownKeys();
+  }
   table->ReportUnknownKeys();
   return tuning;
 }
@@ -143,6 +208,15 @@
                         FormatNumber(before) + " -> " + FormatNumber(after));
     }
   }
+  for (const auto& setting : kDoorSettings) {
+    const auto before = aOld.door_.*setting.member_;
+    const auto after = aNew.door_.*setting.member_;
+    if (before != after) {
+      changes.push_back(std::string("door.") + setting.key_ + ' ' +
+                        std::to_string(before) + " -> " +
+                        std::to_string(after));
+    }
+  }
   return changes;
 }
 
@@ -167,6 +241,12 @@
         << setting.key_ << " = " << FormatNumber(tuning.log_.*setting.member_)
         << "\n";
   }
+  out << "\n[door]\n";
+  for (const auto& setting : kDoorSettings) {
+    out << "# " << setting.help_ << "; " << setting.min_ << " to "
+        << setting.max_ << "\n"
+        << setting.key_ << " = " << tuning.door_.*setting.member_ << "\n";
+  }
   return out.str();
 }
 
--- a/packages/daemon/src/tuning.h
+++ b/packages/daemon/src/tuning.h
@@ -13,6 +13,7 @@
 #include "cuminbridge/fleet.h"
 
 #include "daemon_log.h"
+#include "door/door.h"
 
 namespace cuminbridge {
 
@@ -20,6 +21,7 @@
 {
   FleetOptions fleet_;
   LogLimits log_;
+  DoorSettings door_;
 };
 
 // Adds a finding for each value that is out of its range or of the wrong type,
