--- a/packages/daemon/src/cell_peers.cpp
+++ b/packages/daemon/src/cell_peers.cpp
@@ -80,6 +80,7 @@
   }
   call.body_ = std::move(aBody);
   call.limit_ = kNotifyTimeout;
+  call.maxReplyBytes_ = kMaxPeerReply;
   asio::co_spawn(io_, Send(address, std::move(call)), asio::detached);
 }
 
--- a/packages/daemon/src/cell_peers.h
+++ b/packages/daemon/src/cell_peers.h
@@ -11,6 +11,9 @@
 
 namespace cuminbridge {
 
+// Bytes of the answer of another entry to a question or a notification.
+inline constexpr std::uint64_t kMaxPeerReply = 4096;
+
 class CellPeers
 {
 public:
--- a/packages/daemon/src/election.cpp
+++ b/packages/daemon/src/election.cpp
@@ -438,6 +438,7 @@
     call.method_ = "GET";
     call.path_ = kStandbyPath;
     call.limit_ = kStandbyTimeout;
+    call.maxReplyBytes_ = kMaxPeerReply;
     const auto answer =
       co_await context_.http_.Call(entry.address_, std::move(call));
     if (answer.IsAnswered() && answer.body_ == kStandbyReady) {
--- a/packages/daemon/src/owner_reads.cpp
+++ b/packages/daemon/src/owner_reads.cpp
@@ -117,6 +117,7 @@
   call.kind_ = "peer_ask";
   call.path_ = OwnerPath(ownership_.cell_.number_);
   call.limit_ = kTimeout;
+  call.maxReplyBytes_ = kMaxPeerReply;
   co_return ReadPreviousOwner(
     previous, co_await context_.http_.Call(previous.address_, std::move(call)));
 }
