--- a/testing/soak/processes.h
+++ b/testing/soak/processes.h
@@ -25,7 +25,7 @@
   void Signal(int aSignal);
   void Kill(); // sends SIGKILL and waits for the exit
   bool IsRunning();
-  pid_t Id() const { return id_; } // 0 while it does not run
+  pid_t Id() const { return id_; }           // 0 while it does not run
   int ExitCode() const { return exitCode_; } // of the last exit; -1: by signal
 
 private:
