Retry-After: every 503 names its cause and when to return

Cause: each 503 said Retry-After: 1, whatever the cause and however long it lasted, so callers of an outage came back together and too early.

Change: refusals are made in one place, by cause. The body and the log line name the cause; refusals_total{cause,pool} counts them.

--- a/packages/daemon/src/caller_api.cpp
+++ b/packages/daemon/src/caller_api.cpp
@@ -18,7 +18,6 @@
 constexpr int kNotFound = 404;
 constexpr int kNotAllowed = 405;
 constexpr int kGone = 410;
-constexpr int kUnavailable = 503;
 constexpr int kTimeout = 504;
 
 constexpr std::size_t kIdSize = 16;
@@ -36,9 +35,6 @@
   HttpResponse answer;
   answer.status_ = aStatus;
   answer.body_ = FormatError(aMessage);
-  if (aStatus == kUnavailable) {
-    answer.headers_.emplace_back("Retry-After", "1");
-  }
   return answer;
 }
 
@@ -71,6 +67,7 @@
 
 CallerApi::CallerApi(DaemonContext aContext)
   : context_(aContext)
+  , startedAt_(aContext.clocks_.Now())
 {
 }
 
@@ -103,11 +100,25 @@
     CellOf(aId, static_cast<int>(cells_.size())))];
 }
 
+HttpResponse
+CallerApi::RefuseForStore()
+{
+  const auto now = context_.clocks_.Now();
+  const auto lostSince = std::max(startedAt_, context_.store_.AnsweredAt());
+  return refusals_.Refuse(context_.store_.IsUnreachable()
+                            ? RefusalCause::StoreLost
+                            : RefusalCause::StoreCallFailed,
+                          now - lostSince,
+                          now);
+}
+
 Awaitable<HttpResponse>
 CallerApi::Answer(const HttpRequest& aRequest)
 {
   if (config_.version_ == 0 || cells_.empty()) {
-    co_return Problem(kUnavailable, "no configuration yet");
+    co_return refusals_.Refuse(RefusalCause::NoConfiguration,
+                               context_.clocks_.Now() - startedAt_,
+                               context_.clocks_.Now());
   }
   const auto path =
     std::string_view(aRequest.path_).substr(0, aRequest.path_.find('?'));
@@ -207,22 +218,28 @@
     }
     co_await Sleep(context_.io_, kRetryPause);
   }
-  WriteLine({ mayBeStored ? "job_unknown" : "job_refused",
-              job.id_,
-              "",
-              "",
-              mayBeStored
-                ? "a write to the store got no answer; the job may be "
-                  "stored (answered 504)"
-                : "the store is unreachable or refused the write; "
-                  "the job is not stored (answered 503)" },
-            context_.clocks_.Now());
   if (mayBeStored) {
     ++counts_.unknown_;
+    WriteLine({ "job_unknown",
+                job.id_,
+                "",
+                "",
+                "a write to the store got no answer; the job may be stored "
+                "(answered 504)" },
+              context_.clocks_.Now());
     co_return Problem(kTimeout, "it may have been accepted: ask again");
   }
   ++counts_.refused_;
-  co_return Problem(kUnavailable, "the store can't be reached from here");
+  auto answer = RefuseForStore();
+  WriteLine({ "job_refused",
+              job.id_,
+              "",
+              "",
+              "the store is unreachable or refused the write; the job is not "
+              "stored (answered 503, Retry-After " +
+                RetryAfterOf(answer) + "): " + answer.body_ },
+            context_.clocks_.Now());
+  co_return answer;
 }
 
 CallerApi::CellState*
@@ -278,7 +295,7 @@
       co_return answer;
     }
   }
-  co_return Problem(kUnavailable, "the store can't be reached from here");
+  co_return RefuseForStore();
 }
 
 Awaitable<HttpResponse>
@@ -328,7 +345,7 @@
     co_await Sleep(context_.io_, kRetryPause);
   }
   if (!mayBeStored) {
-    co_return Problem(kUnavailable, "the store can't be reached from here");
+    co_return RefuseForStore();
   }
   co_return Problem(kTimeout, "it may have been cancelled: ask again");
 }
@@ -375,10 +392,14 @@
   }
   if (context_.clocks_.Now() - waitingReadAt_ > kWaitingMaxAge &&
       !co_await ReadWaitingCounts()) {
-    co_return Problem(kUnavailable, "the store can't be reached from here");
+    co_return RefuseForStore();
   }
   if (context_.clocks_.TimeOfDay() - waitingCountedAt_ > kWaitingLimit) {
-    co_return Problem(kUnavailable, "no recent count is known");
+    co_return refusals_.Refuse(
+      RefusalCause::CountTooOld,
+      std::chrono::duration_cast<Millis>(context_.clocks_.TimeOfDay() -
+                                         waitingCountedAt_),
+      context_.clocks_.Now());
   }
   HttpResponse answer;
   answer.body_ = FormatWaitingCount(waiting_[aQueue]);
--- a/packages/daemon/src/caller_api.h
+++ b/packages/daemon/src/caller_api.h
@@ -3,6 +3,7 @@
 #ifndef cuminbridge_daemon_caller_api_h
 #define cuminbridge_daemon_caller_api_h
 
+#include "admission/refusal.h"
 #include "owner.h"
 
 namespace cuminbridge {
@@ -35,6 +36,7 @@
   Awaitable<HttpResponse> Answer(const HttpRequest& aRequest);
 
   const CallerApiCounts& Counts() const { return counts_; }
+  const RefusalCounts& CountRefusals() const { return refusals_.Counts(); }
 
 private:
   Awaitable<HttpResponse> Submit(const HttpRequest& aRequest,
@@ -57,14 +59,17 @@
   // it was not.
   CellState* MovedTo(const StoreItem& aJobRecord);
   Awaitable<bool> ReadWaitingCounts();
+  HttpResponse RefuseForStore(); // the store did not carry a call out
 
   DaemonContext context_;
+  Instant startedAt_;
   FleetConfig config_;
   std::vector<CellState> cells_;       // empty until their number is known
   std::map<std::string, int> waiting_; // jobs by queue, in all cells
   WallTime waitingCountedAt_;          // the oldest of the counts
   Instant waitingReadAt_;
   CallerApiCounts counts_;
+  Refusals refusals_;
 };
 
 } // namespace cuminbridge
--- a/packages/daemon/src/daemon_metrics.cpp
+++ b/packages/daemon/src/daemon_metrics.cpp
@@ -122,6 +122,17 @@
   }
 }
 
+void
+AddRefusals(std::ostream& aOut, const RefusalCounts& aCounts)
+{
+  aOut << "# HELP cuminbridge_refusals_total requests answered 503\n"
+          "# TYPE cuminbridge_refusals_total counter\n";
+  for (const auto& [key, count] : aCounts) {
+    aOut << "cuminbridge_refusals_total{cause=\"" << NameOf(key.first)
+         << "\",pool=\"" << key.second << "\"} " << count << '\n';
+  }
+}
+
 } // namespace
 
 Quantiles::Quantiles()
@@ -202,6 +213,7 @@
   const auto& counts = aCallerApi.Counts();
   AddCounter(out, "jobs_accepted_total", "jobs stored", counts.accepted_);
   AddCounter(out, "jobs_refused_total", "answered 503", counts.refused_);
+  AddRefusals(out, aCallerApi.CountRefusals());
   AddCounter(out, "jobs_unknown_total", "answered 504", counts.unknown_);
   AddCounter(
     out, "requests_unauthorized_total", "answered 401", counts.unauthorized_);
