Backlog of a pool, and what it means for a new job

Cause: nobody could tell, before a job is stored, when its pool would run it.

Change: the owner counts a PoolBacklog for each pool: cores, room, work left of runs, waiting work, and the work that goes before a new job of each priority, share and size, by the order that starts are really made in. Pure functions; nothing uses them yet.

--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -33,7 +33,7 @@
 #include <variant>
 #include <vector>
 
-#include "cuminbridge/jobs.h"
+#include "cuminbridge/admission.h"
 
 namespace cuminbridge {
 
@@ -604,6 +604,9 @@
   std::optional<JobState> StoredState(const std::string& aJob) const;
   std::vector<QueueLoad> Loads() const;
   std::vector<PoolSummary> Pools() const;
+  // Of all pools that are not on standby; or only of those that are short.
+  std::vector<PoolBacklog> Backlogs() const;
+  std::vector<PoolBacklog> ShortBacklogs() const;
   std::vector<AccountSummary> Accounts() const;
   std::vector<WaveSummary> Waves() const;
   // As in PeerCapacitySeen, for the other cells.
--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -483,4 +483,18 @@
   }
 }
 
+void
+VisitWaiting(const FleetState& aState,
+             const std::string& aPool,
+             const WaitingVisitor& aVisit)
+{
+  for (const auto& waiting : CollectWaiting(aState, aPool)) {
+    const auto& occurrence = waiting.job_->occurrences_.at(waiting.occurrence_);
+    aVisit(*waiting.job_,
+           occurrence.steps_[waiting.step_],
+           waiting.job_->job_.steps_[waiting.step_],
+           waiting.key_);
+  }
+}
+
 } // namespace cuminbridge
--- a/packages/fleet/src/run_times.cpp
+++ b/packages/fleet/src/run_times.cpp
@@ -58,4 +58,14 @@
     std::max<std::int64_t>(1, static_cast<std::int64_t>(std::exp(likely))));
 }
 
+RunTimeModel
+RunTimes::Model() const
+{
+  return { taken_.count_,
+           taken_.mean_,
+           taken_.Variance(),
+           error_.mean_,
+           error_.Variance() };
+}
+
 } // namespace cuminbridge
--- a/packages/fleet/src/run_times.h
+++ b/packages/fleet/src/run_times.h
@@ -3,7 +3,7 @@
 #ifndef cuminbridge_fleet_run_times_h
 #define cuminbridge_fleet_run_times_h
 
-#include "cuminbridge/jobs.h"
+#include "cuminbridge/admission.h"
 
 namespace cuminbridge {
 
@@ -21,6 +21,7 @@
   // The likely run time of an item with this estimate. The estimate itself
   // until enough runs have been seen; from then on 0 stands for no estimate.
   Millis Expect(Millis aEstimate) const;
+  RunTimeModel Model() const;
 
 private:
   // Mean and variance, updated value by value.
--- a/packages/fleet/src/summaries.cpp
+++ b/packages/fleet/src/summaries.cpp
@@ -3,6 +3,7 @@
 #include "cuminbridge/fleet.h"
 
 #include "account_limits.h"
+#include "admission/backlog.h"
 #include "jobs.h"
 #include "state.h"
 #include "targets.h"
@@ -39,6 +40,33 @@
   return rows;
 }
 
+std::vector<PoolBacklog>
+Fleet::Backlogs() const
+{
+  std::vector<PoolBacklog> rows;
+  for (const auto& pool : state_->config_.pools_) {
+    if (!pool.isStandby_) {
+      rows.push_back(CountBacklog(*state_, pool.name_));
+    }
+  }
+  return rows;
+}
+
+std::vector<PoolBacklog>
+Fleet::ShortBacklogs() const
+{
+  std::vector<PoolBacklog> rows;
+  for (const auto& [pool, work] : WaitingWorkByPool(*state_)) {
+    if (work.items_ > 0) {
+      rows.push_back(CountBacklog(*state_, pool));
+      if (!rows.back().IsShort()) {
+        rows.pop_back();
+      }
+    }
+  }
+  return rows;
+}
+
 std::map<std::string, std::int64_t>
 Fleet::FreeCpu() const
 {
--- a/packages/fleet/tests/simulated_fleet.cpp
+++ b/packages/fleet/tests/simulated_fleet.cpp
@@ -174,6 +174,12 @@
   return owner_->fleet_.State().runTimes_.size();
 }
 
+std::vector<PoolBacklog>
+SimulatedFleet::ShortBacklogs() const
+{
+  return owner_->fleet_.ShortBacklogs();
+}
+
 void
 SimulatedFleet::SlowTarget(const std::string& aTarget, double aSpeed)
 {
--- a/packages/fleet/tests/simulated_fleet.h
+++ b/packages/fleet/tests/simulated_fleet.h
@@ -99,6 +99,7 @@
   bool IsRunning(const ItemName& aItem) const;
   // Queues for which the current owner has learned run times.
   std::size_t LearnedQueues() const;
+  std::vector<PoolBacklog> ShortBacklogs() const; // of the current owner
   // Gang members that ended because the others did not arrive in time.
   int GangTimeouts() const { return gangTimeouts_; }
 
