Entries without the store have a peer answer; admission control, off by default

And nobody could see or decide at the door what a short pool means for a new job.

Change, relay: a request that the store surely did not carry out goes as it came to the owner of the job's cell, else to another owner. A lost answer is 504, not a refusal; requests_relayed_total counts them. Change, admission: entries learn the backlogs of short pools from the answers to their notifications, ask again while a pool is short, and decide by them. A refusal is recorded, and a job is stored only while its record is the one that the attempt knew, so a refusal is true; who returns when told is admitted. Setting admission.mode, off by default; fleet load shows backlogs, refusals and accounts.

--- a/packages/ctl/src/control.cpp
+++ b/packages/ctl/src/control.cpp
@@ -23,7 +23,7 @@
   "  job read QUEUE ID           show its state\n"
   "  job cancel QUEUE ID         cancel it\n"
   "  job list QUEUE              show how many jobs wait\n"
-  "  fleet queues|pools|accounts|waves|owner\n"
+  "  fleet queues|pools|load|accounts|waves|owner\n"
   "                              show this part of the fleet's state\n"
   "  explain JOB FILE...         show a job's history, from the entries' logs\n"
   "Commands of the forwarder, through its operators' address:\n"
--- a/packages/ctl/src/job_commands.cpp
+++ b/packages/ctl/src/job_commands.cpp
@@ -220,6 +220,10 @@
       continue;
     }
     for (const auto& [name, value] : aRow.items()) {
+      if (value.is_number() && name.rfind("longest_", 0) == 0) {
+        row[name] = std::max(row[name].get<double>(), value.get<double>());
+        continue;
+      }
       // Limits are those of the whole fleet in every cell.
       if (value.is_number_integer() && name.rfind("limit_", 0) != 0) {
         row[name] = row[name].get<std::int64_t>() + value.get<std::int64_t>();
@@ -275,8 +279,13 @@
 MergeViews(const std::vector<json>& aParts)
 {
   json merged = aParts.front();
-  for (std::size_t index = 1; index < aParts.size(); ++index) {
-    for (const auto& [name, rows] : aParts[index].items()) {
+  for (auto& [name, rows] : merged.items()) {
+    if (rows.is_array()) {
+      rows = json::array();
+    }
+  }
+  for (const auto& part : aParts) {
+    for (const auto& [name, rows] : part.items()) {
       if (!rows.is_array() || !merged[name].is_array()) {
         continue;
       }
--- a/packages/ctl/tests/job_file_test.cpp
+++ b/packages/ctl/tests/job_file_test.cpp
@@ -74,6 +74,13 @@
   const auto accounts = MergeViews({ limited, limited }).at("accounts");
   CHECK(accounts[0].at("running_cpu") == 8);
   CHECK(accounts[0].at("limit_cpu") == 9);
+  // An entry that owns two cells shows a row for each.
+  const json load = { { "pools",
+                        { { { "pool", "a" }, { "longest_wait_s", 2.5 } },
+                          { { "pool", "a" }, { "longest_wait_s", 0.5 } } } } };
+  const auto waits = MergeViews({ load }).at("pools");
+  REQUIRE(waits.size() == 1);
+  CHECK(waits[0].at("longest_wait_s") == 2.5);
   const json waves = { { "waves", { { { "wave", 1 }, { "cell", 0 } } } } };
   CHECK(MergeViews({ waves, waves }).at("waves").size() == 2);
 }
--- a/packages/daemon/src/admission/refusal.cpp
+++ b/packages/daemon/src/admission/refusal.cpp
@@ -10,9 +10,8 @@
 
 constexpr int kUnavailable = 503;
 constexpr Millis kSecond(1000);
-// Callers give up after 3 s without an answer, and an entry answers them after
-// at most 2.2 s.
 constexpr Millis kShortestDelay(1000);
+// Machines that are out of touch for longer are expected to be lost for good.
 constexpr Millis kLongestDelay(4000);
 // After an outage, one entry takes this many returning callers a second. Slow
 // entries have an eighth of a core.
--- a/packages/daemon/src/caller_api.cpp
+++ b/packages/daemon/src/caller_api.cpp
@@ -38,6 +38,13 @@
   return answer;
 }
 
+std::string_view
+LastPart(std::string_view aPath)
+{
+  const auto path = aPath.substr(0, aPath.find('?'));
+  return path.substr(path.rfind('/') + 1);
+}
+
 bool
 IsJobId(std::string_view aText)
 {
@@ -63,11 +70,28 @@
     });
 }
 
+StoreWrite
+WriteOfJob(const SubmissionAttempt& aAttempt,
+           const std::string& aValue,
+           const RefusalState& aRefusal)
+{
+  StoreWrite write;
+  write.conditions_.push_back({ aAttempt.jobKey_, 0 });
+  write.conditions_.push_back({ aAttempt.refusalKey_, aRefusal.revision_ });
+  write.puts_.push_back({ aAttempt.jobKey_, aValue, 0 });
+  if (aRefusal.revision_ != 0) {
+    write.removes_.push_back(aAttempt.refusalKey_);
+  }
+  return write;
+}
+
 } // namespace
 
 CallerApi::CallerApi(DaemonContext aContext)
   : context_(aContext)
   , startedAt_(aContext.clocks_.Now())
+  , admission_(aContext, refusals_)
+  , relay_(aContext)
 {
 }
 
@@ -114,6 +138,36 @@
 
 Awaitable<HttpResponse>
 CallerApi::Answer(const HttpRequest& aRequest)
+{
+  const auto startedAt = context_.clocks_.Now();
+  auto outcome = co_await AnswerFromStore(aRequest);
+  const std::string id(LastPart(aRequest.path_));
+  if (!outcome) {
+    auto relayed = aRequest;
+    const auto left = kAnswerTimeout - (context_.clocks_.Now() - startedAt);
+    outcome =
+      co_await relay_.Ask(std::move(relayed), CellOfJob(id).number_, left);
+  }
+  if (outcome) {
+    co_return std::move(*outcome);
+  }
+  auto refusal = RefuseForStore();
+  if (aRequest.method_ == "POST") {
+    ++counts_.refused_;
+    WriteLine({ "job_refused",
+                id,
+                "",
+                "",
+                "the store is unreachable or refused the write, and no peer "
+                "helped; the job is not stored (answered 503, Retry-After " +
+                  RetryAfterOf(refusal) + "): " + refusal.body_ },
+              context_.clocks_.Now());
+  }
+  co_return refusal;
+}
+
+Awaitable<CallerApi::Outcome>
+CallerApi::AnswerFromStore(const HttpRequest& aRequest)
 {
   if (config_.version_ == 0 || cells_.empty()) {
     co_return refusals_.Refuse(RefusalCause::NoConfiguration,
@@ -157,7 +211,26 @@
   co_return Problem(kNotAllowed, "POST, GET or DELETE");
 }
 
-Awaitable<HttpResponse>
+// Tells the owner of a job that was stored, and learns from its answer which
+// pools are short.
+void
+CallerApi::NotifyOwner(const CellState& aCell, Job aJob, std::string aValue)
+{
+  if (aCell.owner_ && aCell.owner_->IsLeaseValid()) {
+    aCell.owner_->HandleSubmittedJob(std::move(aJob));
+    return;
+  }
+  context_.peers_.Notify(
+    aCell.number_,
+    kNotifyJobPath,
+    std::move(aValue),
+    [this, cell = aCell.number_, askedAt = context_.clocks_.Now()](
+      const std::string& aBody) {
+      admission_.NoteAnswer(cell, aBody, askedAt);
+    });
+}
+
+Awaitable<CallerApi::Outcome>
 CallerApi::Submit(const HttpRequest& aRequest,
                   const Queue& aQueue,
                   std::string aAccount,
@@ -179,17 +252,29 @@
   job.allowance_ = aQueue.allowance_;
   job.accepted_ = context_.clocks_.TimeOfDay();
   const auto& cell = CellOfJob(job.id_);
-  StoreWrite write;
-  const auto key = cell.keys_.Of(kJobPrefix) + job.id_;
-  write.conditions_.push_back({ key, 0 });
-  write.puts_.push_back({ key, EncodeJob(job), 0 });
+  const SubmissionAttempt attempt{ job,
+                                   cell.number_,
+                                   cell.owner_,
+                                   cell.keys_.Of(kJobPrefix) + job.id_,
+                                   cell.keys_.Of(kRefusalPrefix) + job.id_,
+                                   job.accepted_ };
+  RefusalState refusal; // as far as this attempt knows
+  if (auto refused = co_await admission_.Refuse(attempt, refusal)) {
+    ++counts_.refused_;
+    co_return std::move(*refused);
+  }
+  const auto value = EncodeJob(job);
   bool mayBeStored = false;
   // While the store is lost, no first write is sent: the job is then surely not
   // stored, and the caller can submit it elsewhere at once.
   while (mayBeStored || !context_.store_.IsUnreachable()) {
-    const auto reply = co_await context_.store_.Write(write);
-    // Conflict: an earlier submission of this id is stored already.
-    if (reply.IsDone() || reply.status_ == StoreStatus::Conflict) {
+    const auto reply =
+      co_await context_.store_.Write(WriteOfJob(attempt, value, refusal));
+    const auto shown = RefusalShownBy(reply, attempt.refusalKey_);
+    const bool isConflict = reply.status_ == StoreStatus::Conflict;
+    const bool isStoredBefore =
+      isConflict && (!shown || ShowsKey(reply, attempt.jobKey_));
+    if (reply.IsDone() || isStoredBefore) {
       ++counts_.accepted_;
       WriteLine(
         { "job_accepted",
@@ -201,14 +286,21 @@
                ? ", stored at revision " + std::to_string(reply.revision_)
                : ", already stored by an earlier submission") },
         context_.clocks_.Now());
-      if (reply.IsDone() && cell.owner_ && cell.owner_->IsLeaseValid()) {
-        cell.owner_->HandleSubmittedJob(std::move(job));
-      } else if (reply.IsDone()) {
-        context_.peers_.Notify(
-          cell.number_, kNotifyJobPath, std::move(write.puts_.front().value_));
+      if (reply.IsDone()) {
+        NotifyOwner(cell, std::move(job), value);
       }
       co_return HttpResponse{};
     }
+    if (isConflict && shown->revision_ != refusal.revision_) {
+      mayBeStored = false; // what this attempt has written has no effect
+      refusal = *shown;
+      auto refused = co_await admission_.RefuseAgain(attempt, refusal);
+      if (refused) {
+        ++counts_.refused_;
+        co_return std::move(*refused);
+      }
+      continue;
+    }
     mayBeStored = mayBeStored || reply.status_ == StoreStatus::Unknown;
     const bool isLate = context_.clocks_.Now() - startedAt > kAnswerTimeout;
     // A write that was surely refused is not retried: the job never runs here,
@@ -229,17 +321,7 @@
               context_.clocks_.Now());
     co_return Problem(kTimeout, "it may have been accepted: ask again");
   }
-  ++counts_.refused_;
-  auto answer = RefuseForStore();
-  WriteLine({ "job_refused",
-              job.id_,
-              "",
-              "",
-              "the store is unreachable or refused the write; the job is not "
-              "stored (answered 503, Retry-After " +
-                RetryAfterOf(answer) + "): " + answer.body_ },
-            context_.clocks_.Now());
-  co_return answer;
+  co_return std::nullopt;
 }
 
 CallerApi::CellState*
@@ -252,7 +334,7 @@
   return &cells_[static_cast<std::size_t>(*cell)];
 }
 
-Awaitable<HttpResponse>
+Awaitable<CallerApi::Outcome>
 CallerApi::Read(std::string aId)
 {
   ++counts_.reads_;
@@ -295,10 +377,10 @@
       co_return answer;
     }
   }
-  co_return RefuseForStore();
+  co_return std::nullopt;
 }
 
-Awaitable<HttpResponse>
+Awaitable<CallerApi::Outcome>
 CallerApi::Cancel(std::string aId)
 {
   const auto startedAt = context_.clocks_.Now();
@@ -345,7 +427,7 @@
     co_await Sleep(context_.io_, kRetryPause);
   }
   if (!mayBeStored) {
-    co_return RefuseForStore();
+    co_return std::nullopt;
   }
   co_return Problem(kTimeout, "it may have been cancelled: ask again");
 }
@@ -378,7 +460,7 @@
   co_return true;
 }
 
-Awaitable<HttpResponse>
+Awaitable<CallerApi::Outcome>
 CallerApi::AnswerWaiting(std::string aQueue)
 {
   if (cells_.size() == 1 && cells_.front().owner_ &&
@@ -392,7 +474,7 @@
   }
   if (context_.clocks_.Now() - waitingReadAt_ > kWaitingMaxAge &&
       !co_await ReadWaitingCounts()) {
-    co_return RefuseForStore();
+    co_return std::nullopt;
   }
   if (context_.clocks_.TimeOfDay() - waitingCountedAt_ > kWaitingLimit) {
     co_return refusals_.Refuse(
--- a/packages/daemon/src/caller_api.h
+++ b/packages/daemon/src/caller_api.h
@@ -3,8 +3,8 @@
 #ifndef cuminbridge_daemon_caller_api_h
 #define cuminbridge_daemon_caller_api_h
 
-#include "admission/refusal.h"
-#include "owner.h"
+#include "admission/admission_control.h"
+#include "admission/relay.h"
 
 namespace cuminbridge {
 
@@ -33,19 +33,27 @@
   // The owner of a cell in this process, or null.
   void SetOwner(int aCell, std::shared_ptr<Owner> aOwner);
 
+  // Answers a caller, if need be with the help of a peer that reaches the
+  // store.
   Awaitable<HttpResponse> Answer(const HttpRequest& aRequest);
+  // Nothing if the store did not carry the request out; then nothing is done.
+  using Outcome = std::optional<HttpResponse>;
+  Awaitable<Outcome> AnswerFromStore(const HttpRequest& aRequest);
+  // Answers a peer that has relayed a request, as EncodeRelayed() writes it.
+  Awaitable<HttpResponse> AnswerRelayed(std::string aText);
 
   const CallerApiCounts& Counts() const { return counts_; }
   const RefusalCounts& CountRefusals() const { return refusals_.Counts(); }
+  std::uint64_t CountRelayed() const { return relay_.Answered(); }
 
 private:
-  Awaitable<HttpResponse> Submit(const HttpRequest& aRequest,
-                                 const Queue& aQueue,
-                                 std::string aAccount,
-                                 std::string aId);
-  Awaitable<HttpResponse> Read(std::string aId);
-  Awaitable<HttpResponse> Cancel(std::string aId);
-  Awaitable<HttpResponse> AnswerWaiting(std::string aQueue);
+  Awaitable<Outcome> Submit(const HttpRequest& aRequest,
+                            const Queue& aQueue,
+                            std::string aAccount,
+                            std::string aId);
+  Awaitable<Outcome> Read(std::string aId);
+  Awaitable<Outcome> Cancel(std::string aId);
+  Awaitable<Outcome> AnswerWaiting(std::string aQueue);
 
   struct CellState
   {
@@ -54,6 +62,7 @@
     std::shared_ptr<Owner> owner_; // in this process, or null
   };
 
+  void NotifyOwner(const CellState& aCell, Job aJob, std::string aValue);
   CellState& CellOfJob(const std::string& aId);
   // The cell to which a job was transferred, by the record in its own; null if
   // it was not.
@@ -70,6 +79,8 @@
   Instant waitingReadAt_;
   CallerApiCounts counts_;
   Refusals refusals_;
+  AdmissionControl admission_;
+  Relay relay_;
 };
 
 } // namespace cuminbridge
--- a/packages/daemon/src/cell_peers.cpp
+++ b/packages/daemon/src/cell_peers.cpp
@@ -64,8 +64,17 @@
     std::count(addresses_.begin(), addresses_.end(), aAddress));
 }
 
+std::string
+CellPeers::PathFor(int aCell, const char* aPath) const
+{
+  return Count() > 1 ? std::string(aPath) + '/' + std::to_string(aCell) : aPath;
+}
+
 void
-CellPeers::Notify(int aCell, const char* aPath, std::string aBody)
+CellPeers::Notify(int aCell,
+                  const char* aPath,
+                  std::string aBody,
+                  OnAnswer aOnAnswer)
 {
   const auto& address = AddressOf(aCell);
   if (address.empty()) {
@@ -74,19 +83,38 @@
   HttpCall call;
   call.kind_ = "peer_notify";
   call.method_ = "POST";
-  call.path_ = aPath;
-  if (Count() > 1) {
-    call.path_ += '/' + std::to_string(aCell);
-  }
+  call.path_ = PathFor(aCell, aPath);
   call.body_ = std::move(aBody);
   call.limit_ = kNotifyTimeout;
-  asio::co_spawn(io_, Send(address, std::move(call)), asio::detached);
+  asio::co_spawn(
+    io_, Send(address, std::move(call), std::move(aOnAnswer)), asio::detached);
 }
 
 Awaitable<void>
-CellPeers::Send(std::string aAddress, HttpCall aCall)
+CellPeers::Send(std::string aAddress, HttpCall aCall, OnAnswer aOnAnswer)
 {
-  co_await http_.Call(aAddress, std::move(aCall));
+  const auto reply = co_await http_.Call(aAddress, std::move(aCall));
+  if (aOnAnswer && reply.IsAnswered()) {
+    aOnAnswer(reply.body_);
+  }
+}
+
+Awaitable<std::optional<std::string>>
+CellPeers::Ask(int aCell, const char* aPath, std::chrono::milliseconds aLimit)
+{
+  std::optional<std::string> body;
+  const std::string address = AddressOf(aCell);
+  if (!address.empty()) {
+    HttpCall call;
+    call.kind_ = "peer_ask";
+    call.path_ = PathFor(aCell, aPath);
+    call.limit_ = aLimit;
+    auto reply = co_await http_.Call(address, std::move(call));
+    if (reply.IsAnswered()) {
+      body = std::move(reply.body_);
+    }
+  }
+  co_return body;
 }
 
 } // namespace cuminbridge
--- a/packages/daemon/src/cell_peers.h
+++ b/packages/daemon/src/cell_peers.h
@@ -4,6 +4,8 @@
 #ifndef cuminbridge_daemon_cell_peers_h
 #define cuminbridge_daemon_cell_peers_h
 
+#include <functional>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -25,12 +27,25 @@
   std::string AnyAddress() const; // of some owner; empty if none is known
   int CountCellsOf(const std::string& aAddress) const; // that the address owns
 
+  // Gets the body of an answer.
+  using OnAnswer = std::function<void(const std::string&)>;
+
   // Sends a message to the owner of a cell, if one is known. Does not wait for
   // an answer and does not retry: owners also watch the store.
-  void Notify(int aCell, const char* aPath, std::string aBody);
+  void Notify(int aCell,
+              const char* aPath,
+              std::string aBody,
+              OnAnswer aOnAnswer = {});
+  // Asks the owner of a cell. Nothing without an answer within aLimit.
+  Awaitable<std::optional<std::string>> Ask(int aCell,
+                                            const char* aPath,
+                                            std::chrono::milliseconds aLimit);
 
 private:
-  Awaitable<void> Send(std::string aAddress, HttpCall aCall);
+  std::string PathFor(int aCell, const char* aPath) const;
+  Awaitable<void> Send(std::string aAddress,
+                       HttpCall aCall,
+                       OnAnswer aOnAnswer);
 
   boost::asio::io_context& io_;
   HttpClient& http_;
--- a/packages/daemon/src/daemon.cpp
+++ b/packages/daemon/src/daemon.cpp
@@ -72,26 +72,6 @@
   return !aFindings.empty();
 }
 
-const char*
-DescribeStatus(StoreStatus aStatus)
-{
-  switch (aStatus) {
-    case StoreStatus::Done:
-      return "done";
-    case StoreStatus::Missing:
-      return "no such key";
-    case StoreStatus::Conflict:
-      return "conflict";
-    case StoreStatus::Expired:
-      return "revision expired";
-    case StoreStatus::Refused:
-      return "refused";
-    case StoreStatus::Unknown:
-      return "no answer";
-  }
-  return "";
-}
-
 class Daemon
 {
 public:
@@ -111,7 +91,8 @@
   Awaitable<HttpResponse> AnswerCaller(const HttpRequest& aRequest);
   Awaitable<HttpResponse> AnswerMetrics(const HttpRequest& aRequest);
   Owner* FindOwner(const std::string& aPath, const std::string& aJob) const;
-  bool HandlePeerNotification(const HttpRequest& aRequest);
+  bool HandlePeerNotification(const HttpRequest& aRequest,
+                              HttpResponse& aAnswer);
   Awaitable<HttpResponse> AnswerPeer(const HttpRequest& aRequest);
   bool IsReady() const;
   void Log(const char* aEvent, std::string aDetail);
@@ -250,10 +231,12 @@
   return owner && owner->IsLeaseValid() ? owner : nullptr;
 }
 
-// Passes on a job, a cancellation or a report. False if the path is none of
+// Passes on a job, a cancellation or a report, and answers with the backlogs
+// where they are asked for. False if the path is none of
 // these.
 bool
-Daemon::HandlePeerNotification(const HttpRequest& aRequest)
+Daemon::HandlePeerNotification(const HttpRequest& aRequest,
+                               HttpResponse& aAnswer)
 {
   const auto path = aRequest.path_.substr(0, aRequest.path_.find('/', 1));
   if (path == kNotifyCancelPath) {
@@ -266,6 +249,17 @@
       Log("record_unreadable", "job in a notification from another entry");
     } else if (auto* owner = FindOwner(aRequest.path_, job->id_)) {
       owner->HandleSubmittedJob(std::move(*job));
+      if (tuning_.admission_ != AdmissionMode::Off) {
+        aAnswer.body_ = owner->ShortBacklogsText();
+      }
+    }
+  } else if (path == kBacklogPath) {
+    if (auto* owner = FindOwner(aRequest.path_, "")) {
+      aAnswer.body_ = owner->ShortBacklogsText();
+    }
+  } else if (path == kNotifyRefusalPath) {
+    if (auto* owner = FindOwner(aRequest.path_, "")) {
+      owner->NoteRefusal(aRequest.body_);
     }
   } else if (path == kCapacityPath) {
     const auto report = DecodeCapacity(aRequest.body_);
@@ -287,9 +281,12 @@
   constexpr int kNotFound = 404;
   HttpResponse answer;
   answer.contentType_ = "text/plain";
-  if (HandlePeerNotification(aRequest)) {
+  if (HandlePeerNotification(aRequest, answer)) {
     co_return answer;
   }
+  if (aRequest.path_ == kRelayPath) {
+    co_return co_await callerApi_.AnswerRelayed(aRequest.body_);
+  }
   if (aRequest.path_ == kStandbyPath) {
     answer.body_ = IsReady() ? kStandbyReady : "no";
     co_return answer;
--- a/packages/daemon/src/daemon_context.cpp
+++ b/packages/daemon/src/daemon_context.cpp
@@ -29,4 +29,24 @@
                     : std::string(kOwnerPath) + '/' + std::to_string(aCell);
 }
 
+const char*
+DescribeStatus(StoreStatus aStatus)
+{
+  switch (aStatus) {
+    case StoreStatus::Done:
+      return "done";
+    case StoreStatus::Missing:
+      return "no such key";
+    case StoreStatus::Conflict:
+      return "conflict";
+    case StoreStatus::Expired:
+      return "revision expired";
+    case StoreStatus::Refused:
+      return "refused";
+    case StoreStatus::Unknown:
+      return "no answer";
+  }
+  return "";
+}
+
 } // namespace cuminbridge
--- a/packages/daemon/src/daemon_context.h
+++ b/packages/daemon/src/daemon_context.h
@@ -23,6 +23,8 @@
 
 Awaitable<void> Sleep(boost::asio::io_context& aIo, Millis aTime);
 
+const char* DescribeStatus(StoreStatus aStatus); // for the log
+
 // Where a daemon answers its peers, the other entries.
 std::string PeerAddress(const PlatformSettings& aSettings);
 // Answers with the term in which the process owns the cell, or 0: "/owner" for
@@ -38,6 +40,12 @@
 // "/K" behind the path names the cell; without it, it is that of the job's id.
 inline constexpr const char* kNotifyJobPath = "/job";
 inline constexpr const char* kNotifyCancelPath = "/cancel";
+// The answer to kNotifyJobPath, and to kBacklogPath, holds the backlogs of the
+// pools that are short; it is empty if none is.
+inline constexpr const char* kBacklogPath = "/backlog";
+// An entry notifies the owner of each job that it has refused, with the name of
+// its pool, for operators.
+inline constexpr const char* kNotifyRefusalPath = "/refused";
 // An owner reports to the owner of cell K what its own cell has free.
 inline constexpr const char* kCapacityPath = "/capacity";
 
--- a/packages/daemon/src/daemon_metrics.cpp
+++ b/packages/daemon/src/daemon_metrics.cpp
@@ -214,6 +214,10 @@
   AddCounter(out, "jobs_accepted_total", "jobs stored", counts.accepted_);
   AddCounter(out, "jobs_refused_total", "answered 503", counts.refused_);
   AddRefusals(out, aCallerApi.CountRefusals());
+  AddCounter(out,
+             "requests_relayed_total",
+             "answered by a peer, as the store was lost here",
+             aCallerApi.CountRelayed());
   AddCounter(out, "jobs_unknown_total", "answered 504", counts.unknown_);
   AddCounter(
     out, "requests_unauthorized_total", "answered 401", counts.unauthorized_);
--- a/packages/daemon/src/owner.h
+++ b/packages/daemon/src/owner.h
@@ -11,6 +11,7 @@
 #include <boost/asio/steady_timer.hpp>
 
 #include "account_grants.h"
+#include "admission/backlogs.h"
 #include "cells.h"
 #include "fenced_writer.h"
 #include "records.h"
@@ -60,6 +61,12 @@
   void HandleSubmittedJob(Job aJob);
   void HandleCancel(const std::string& aJob);
   LoadRecord CountWaiting() const;
+  // The pools that are short, counted at most kBacklogInterval ago.
+  const BacklogReport& ShortBacklogs();
+  std::string ShortBacklogsText(); // empty if no pool is short
+  // Jobs that entries have refused in this term, by pool.
+  void NoteRefusal(const std::string& aPool) { ++refusals_[aPool]; }
+  const std::map<std::string, int>& CountRefusals() const { return refusals_; }
   void ApplyTuning(); // call it after the tuning has changed
   const Fleet& GetFleet() const { return fleet_; }
   const Traffic& TrafficToTargets() const { return targetHttp_.GetTraffic(); }
@@ -131,6 +138,9 @@
   std::set<std::string> pendingTransfers_; // of movedJobs_: not stored yet
   int orderSlot_ = 0;                      // of kVmOrdersPrefix, written last
   Instant submissionsReadUpTo_;            // as SubmissionsRead
+  BacklogReport backlogs_;
+  Instant backlogsCountedAt_;
+  std::map<std::string, int> refusals_; // by pool
   bool hasEnded_ = false;
   bool isVmServiceReachable_ = false;
   bool isVmListRequested_ = false;
--- a/packages/daemon/src/owner_writes.cpp
+++ b/packages/daemon/src/owner_writes.cpp
@@ -106,6 +106,26 @@
   }
 }
 
+const BacklogReport&
+Owner::ShortBacklogs()
+{
+  const auto now = context_.clocks_.Now();
+  if (now - backlogsCountedAt_ >= kBacklogInterval) {
+    backlogsCountedAt_ = now;
+    backlogs_.term_ = ownership_.term_;
+    ++backlogs_.version_;
+    backlogs_.pools_ = fleet_.ShortBacklogs();
+  }
+  return backlogs_;
+}
+
+std::string
+Owner::ShortBacklogsText()
+{
+  const auto& report = ShortBacklogs();
+  return report.pools_.empty() ? "" : EncodeBacklogReport(report);
+}
+
 LoadRecord
 Owner::CountWaiting() const
 {
--- a/packages/daemon/src/records.h
+++ b/packages/daemon/src/records.h
@@ -37,6 +37,9 @@
 inline constexpr const char* kSubmissionPrefix = "in/";
 inline constexpr const char* kJobPrefix = "in/job/";
 inline constexpr const char* kCancelPrefix = "in/cancel/";
+// Jobs that entries refused because their pool was full: "refused/ID". They are
+// removed with the lease of the entry (admission/refusal_record.h).
+inline constexpr const char* kRefusalPrefix = "refused/";
 // Progress of a job, as the owner recorded it: "progress/ID".
 inline constexpr const char* kProgressPrefix = "progress/";
 // VMs of wave N whose maintenance has begun: "upkeep/N" of cell 0, "upkeep/N/K"
--- a/packages/daemon/src/tuning.cpp
+++ b/packages/daemon/src/tuning.cpp
@@ -85,6 +85,30 @@
     "lines that may exceed the rate limit at once" },
 } };
 
+constexpr std::array<std::pair<const char*, AdmissionMode>, 3>
+  kAdmissionModes = { { { "off", AdmissionMode::Off },
+                        { "log", AdmissionMode::Log },
+                        { "on", AdmissionMode::On } } };
+
+const char*
+NameOf(AdmissionMode aMode)
+{
+  return kAdmissionModes.at(static_cast<std::size_t>(aMode)).first;
+}
+
+void
+ReadAdmission(TomlTable& aTable, AdmissionMode& aMode)
+{
+  const auto name = aTable.ReadString("mode", NameOf(aMode));
+  for (const auto& [text, mode] : kAdmissionModes) {
+    if (name == text) {
+      aMode = mode;
+      return;
+    }
+  }
+  aTable.Report("mode", "must be \"off\", \"log\" or \"on\"");
+}
+
 std::string
 FormatNumber(double aValue)
 {
@@ -111,6 +135,10 @@
     }
     fleet->ReportUnknownKeys();
   }
+  if (auto admission = table->ReadTable("admission")) {
+    ReadAdmission(*admission, tuning.admission_);
+    admission->ReportUnknownKeys();
+  }
   if (auto log = table->ReadTable("log")) {
     for (const auto& setting : kLogSettings) {
       auto& value = tuning.log_.*setting.member_;
@@ -135,6 +163,10 @@
                         std::to_string(after.count()));
     }
   }
+  if (aOld.admission_ != aNew.admission_) {
+    changes.push_back(std::string("admission.mode ") + NameOf(aOld.admission_) +
+                      " -> " + NameOf(aNew.admission_));
+  }
   for (const auto& setting : kLogSettings) {
     const auto before = aOld.log_.*setting.member_;
     const auto after = aNew.log_.*setting.member_;
@@ -160,6 +192,9 @@
         << setting.key_ << " = " << (tuning.fleet_.*setting.member_).count()
         << "\n";
   }
+  out << "\n[admission]\n# whether jobs that surely end too late are refused: "
+         "off, log or on\nmode = \""
+      << NameOf(tuning.admission_) << "\"\n";
   out << "\n[log]\n";
   for (const auto& setting : kLogSettings) {
     out << "# " << setting.help_ << "; " << setting.min_ << " to "
--- a/packages/daemon/src/tuning.h
+++ b/packages/daemon/src/tuning.h
@@ -16,9 +16,17 @@
 
 namespace cuminbridge {
 
+enum class AdmissionMode
+{
+  Off,
+  Log, // decides and logs, but refuses no job
+  On,
+};
+
 struct Tuning
 {
   FleetOptions fleet_;
+  AdmissionMode admission_ = AdmissionMode::Off;
   LogLimits log_;
 };
 
--- a/packages/daemon/src/views.cpp
+++ b/packages/daemon/src/views.cpp
@@ -98,6 +98,50 @@
   return { { "waves", std::move(rows) } };
 }
 
+// Work in core-seconds and capacity in cores. The longest wait is that of work
+// that comes now and goes last.
+json
+ShowLoad(const std::vector<Owner*>& aOwners)
+{
+  constexpr double kMillis = 1000;
+  json pools = json::array();
+  json accounts = json::array();
+  for (const auto* owner : aOwners) {
+    std::set<std::string> beyondShare;
+    for (const auto& pool : owner->GetFleet().Backlogs()) {
+      const auto cores =
+        static_cast<double>(pool.usableCpu_ + pool.incomingCpu_) /
+        kThousandthsPerCore;
+      const auto work = (pool.runningWork_ + pool.waitingWork_) / kMillis;
+      const auto refused = owner->CountRefusals().find(pool.pool_);
+      pools.push_back(
+        { { "pool", pool.pool_ },
+          { "usable_cores",
+            static_cast<double>(pool.usableCpu_) / kThousandthsPerCore },
+          { "incoming_cores",
+            static_cast<double>(pool.incomingCpu_) / kThousandthsPerCore },
+          { "running_core_s", pool.runningWork_ / kMillis },
+          { "waiting_core_s", pool.waitingWork_ / kMillis },
+          { "waiting_items", pool.waitingItems_ },
+          { "longest_wait_s",
+            pool.IsShort() && cores > 0 ? work / cores : 0.0 },
+          { "refused",
+            refused == owner->CountRefusals().end() ? 0 : refused->second } });
+      beyondShare.insert(pool.beyondShare_.begin(), pool.beyondShare_.end());
+    }
+    for (const auto& account : owner->GetFleet().Accounts()) {
+      accounts.push_back(
+        { { "account", account.account_ },
+          { "running_cpu", account.running_.cpu_ },
+          { "waiting_cpu", account.waiting_.cpu_ },
+          { "limit_cpu", account.limit_.cpu_ },
+          { "cells_beyond_share",
+            static_cast<int>(beyondShare.count(account.account_)) } });
+    }
+  }
+  return { { "pools", std::move(pools) }, { "accounts", std::move(accounts) } };
+}
+
 json
 ShowOwner(const std::vector<Owner*>& aOwners, const PlatformSettings& aSettings)
 {
@@ -141,7 +185,7 @@
   } else if (aView == "owners") {
     answer.body_ = ShowOwners(aPeers).dump();
   } else if (aView != "pools" && aView != "accounts" && aView != "waves" &&
-             aView != "owner") {
+             aView != "load" && aView != "owner") {
     answer.status_ = kNotFound;
   } else if (aOwners.empty()) {
     answer.status_ = kMisdirectedRequest;
@@ -151,6 +195,7 @@
   } else {
     answer.body_ = (aView == "pools"      ? ShowPools(aOwners)
                     : aView == "accounts" ? ShowAccounts(aOwners)
+                    : aView == "load"     ? ShowLoad(aOwners)
                                           : ShowWaves(aOwners))
                      .dump();
   }
--- a/packages/daemon/tests/tuning_test.cpp
+++ b/packages/daemon/tests/tuning_test.cpp
@@ -43,3 +43,17 @@
   CHECK(text.find("fleet.target_lease_ms") != std::string::npos);
   CHECK(text.find("lgo") != std::string::npos);
 }
+
+TEST_CASE("the mode of admission control is a setting")
+{
+  Findings findings;
+  const auto tuning = ReadTuning("[admission]\nmode = 'on'\n", findings);
+  CHECK(findings.empty());
+  CHECK(tuning.admission_ == AdmissionMode::On);
+  Tuning off;
+  off.admission_ = AdmissionMode::Off;
+  CHECK(CompareTuning(off, tuning) ==
+        std::vector<std::string>{ "admission.mode off -> on" });
+  ReadTuning("[admission]\nmode = 'maybe'\n", findings);
+  CHECK(findings.size() == 1);
+}
