Known fault: a forecast is no bound while work ahead turns late

Cause: the test of forecasts in virtual time failed for two reasons. Its jobs had no time of acceptance and so counted as hopeless: the test was wrong. With the time set, it shows a fault: the work ahead turns late before a job that came 200 ms after it, which then passes (earliest start 13 s, played 0.55 s).

Change: the jobs of the test carry their time; its bounds are as they were.

--- a/packages/daemon/src/admission/refusal.h
+++ b/packages/daemon/src/admission/refusal.h
@@ -12,7 +12,7 @@
 {
   NoConfiguration, // this entry has read none yet
   StoreLost,       // the store does not answer this entry
-  StoreCallFailed,    // the store answers, but did not carry this call out
+  StoreCallFailed, // the store answers, but did not carry this call out
   CountTooOld,     // no recent count of waiting jobs is known
   PoolFull,        // the job's pool can't run it in a useful time
 };
--- a/packages/fleet/tests/open_faults_test.cpp
+++ b/packages/fleet/tests/open_faults_test.cpp
@@ -67,3 +67,57 @@
   }
   CHECK(fixture.clockMs_ >= heldUntil);
 }
+
+namespace {
+
+// Time until the first item of a job starts, in steps of 50 ms.
+Millis
+TimeToStart(SimulatedFleet& aFleet, const std::string& aJob)
+{
+  Millis time(0);
+  while (aFleet.Starts(aJob) == 0 && time < Millis(60000)) {
+    aFleet.RunFor(Millis(50));
+    time += Millis(50);
+  }
+  return time;
+}
+
+} // namespace
+
+TEST_CASE("forecasts from the backlog of a peak hold in virtual time")
+{
+  // 60 jobs come at once to two targets, and then one that is larger than all.
+  // Jobs are accepted when they come: without a time, they would count as
+  // hopeless.
+  const auto make = [](int aNumber, int aItems, Millis aElapsed) {
+    auto job = MakeJob(MakeJobId(aNumber), "a", { aItems });
+    job.accepted_ = WallTime(Millis(1000000)) + aElapsed;
+    return job;
+  };
+  for (unsigned seed = 1; seed <= 10; ++seed) {
+    CAPTURE(seed);
+    SimulatedFleet fleet(seed);
+    fleet.AddTargets("a", 2);
+    fleet.StartOwner();
+    fleet.Submit(make(1, 16, Millis(0))); // run times are learned
+    fleet.RunFor(Millis(10000));
+    CHECK(fleet.ShortBacklogs().empty());
+    for (int number = 2; number <= 61; ++number) {
+      fleet.Submit(make(number, 8, Millis(10000)));
+    }
+    fleet.RunFor(Millis(200));
+    const auto backlogs = fleet.ShortBacklogs();
+    REQUIRE(backlogs.size() == 1);
+    CHECK(backlogs.front().waitingItems_ > 100);
+    const auto job = make(99, 16, Millis(10200));
+    const auto forecast = ForecastJob(backlogs.front(), job, {});
+    REQUIRE(forecast);
+    fleet.Submit(job);
+    const auto start = TimeToStart(fleet, job.id_);
+    CHECK(start > forecast->earliestStart_);
+    CHECK(start > forecast->start_ / 2);
+    CHECK(start < forecast->start_ * 2);
+    fleet.RunFor(Millis(60000));
+    CHECK(fleet.ShortBacklogs().empty());
+  }
+}
