--- a/packages/ctl/src/control.cpp
+++ b/packages/ctl/src/control.cpp
@@ -24,7 +24,7 @@
   "  job read QUEUE ID           show its state\n"
   "  job cancel QUEUE ID         cancel it\n"
   "  job list QUEUE              show how many jobs wait\n"
-  "  fleet queues|pools|accounts|waves|evacuations|owner\n"
+  "  fleet queues|pools|load|accounts|waves|evacuations|owner\n"
   "                              show this part of the fleet's state\n"
   "  explain JOB FILE...         show a job's history, from the entries' logs\n"
   "  config check FILE [IN-FORCE-FILE]\n"
--- a/packages/daemon/src/caller_api.h
+++ b/packages/daemon/src/caller_api.h
@@ -3,7 +3,8 @@
 #ifndef cuminbridge_daemon_caller_api_h
 #define cuminbridge_daemon_caller_api_h
 
-#include "owner.h"
+#include "admission/admission_control.h"
+#include "admission/relay.h"
 
 namespace cuminbridge {
 
@@ -32,18 +33,27 @@
   // The owner of a cell in this process, or null.
   void SetOwner(int aCell, std::shared_ptr<Owner> aOwner);
 
+  // Answers a caller, if need be with the help of a peer that reaches the
+  // store.
   Awaitable<HttpResponse> Answer(const HttpRequest& aRequest);
+  // Nothing if the store did not carry the request out; then nothing is done.
+  using Outcome = std::optional<HttpResponse>;
+  Awaitable<Outcome> AnswerFromStore(const HttpRequest& aRequest);
+  // Answers a peer that has relayed a request, as EncodeRelayed() writes it.
+  Awaitable<HttpResponse> AnswerRelayed(std::string aText);
 
   const CallerApiCounts& Counts() const { return counts_; }
+  const RefusalCounts& CountRefusals() const { return refusals_.Counts(); }
+  std::uint64_t CountRelayed() const { return relay_.Answered(); }
 
 private:
-  Awaitable<HttpResponse> Submit(const HttpRequest& aRequest,
-                                 const Queue& aQueue,
-                                 std::string aAccount,
-                                 std::string aId);
-  Awaitable<HttpResponse> Read(std::string aId);
-  Awaitable<HttpResponse> Cancel(std::string aId);
-  Awaitable<HttpResponse> AnswerWaiting(std::string aQueue);
+  Awaitable<Outcome> Submit(const HttpRequest& aRequest,
+                            const Queue& aQueue,
+                            std::string aAccount,
+                            std::string aId);
+  Awaitable<Outcome> Read(std::string aId);
+  Awaitable<Outcome> Cancel(std::string aId);
+  Awaitable<Outcome> AnswerWaiting(std::string aQueue);
 
   struct CellState
   {
@@ -52,19 +62,25 @@
     std::shared_ptr<Owner> owner_; // in this process, or null
   };
 
+  void NotifyOwner(const CellState& aCell, Job aJob, std::string aValue);
   CellState& CellOfJob(const std::string& aId);
   // The cell to which a job was transferred, by the record in its own; null if
   // it was not.
   CellState* MovedTo(const StoreItem& aJobRecord);
   Awaitable<bool> ReadWaitingCounts();
+  HttpResponse RefuseForStore(); // the store did not carry a call out
 
   DaemonContext context_;
+  Instant startedAt_;
   FleetConfig config_;
   std::vector<CellState> cells_;       // empty until their number is known
   std::map<std::string, int> waiting_; // jobs by queue, in all cells
   WallTime waitingCountedAt_;          // the oldest of the counts
   Instant waitingReadAt_;
   CallerApiCounts counts_;
+  Refusals refusals_;
+  AdmissionControl admission_;
+  Relay relay_;
 };
 
 } // namespace cuminbridge
--- a/packages/daemon/src/daemon_metrics.cpp
+++ b/packages/daemon/src/daemon_metrics.cpp
@@ -150,6 +150,17 @@
   }
 }
 
+void
+AddRefusals(std::ostream& aOut, const RefusalCounts& aCounts)
+{
+  aOut << "# HELP cuminbridge_refusals_total requests answered 503\n"
+          "# TYPE cuminbridge_refusals_total counter\n";
+  for (const auto& [key, count] : aCounts) {
+    aOut << "cuminbridge_refusals_total{cause=\"" << NameOf(key.first)
+         << "\",pool=\"" << key.second << "\"} " << count << '\n';
+  }
+}
+
 } // namespace
 
 Quantiles::Quantiles()
@@ -231,6 +242,11 @@
   const auto& counts = aCallerApi.Counts();
   AddCounter(out, "jobs_accepted_total", "jobs stored", counts.accepted_);
   AddCounter(out, "jobs_refused_total", "answered 503", counts.refused_);
+  AddRefusals(out, aCallerApi.CountRefusals());
+  AddCounter(out,
+             "requests_relayed_total",
+             "answered by a peer, as the store was lost here",
+             aCallerApi.CountRelayed());
   AddCounter(out, "jobs_unknown_total", "answered 504", counts.unknown_);
   AddCounter(
     out, "requests_unauthorized_total", "answered 401", counts.unauthorized_);
