--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -439,7 +439,7 @@
              const std::string& aPool,
              const WaitingVisitor& aVisit)
 {
-  for (const auto& waiting : CollectWaiting(aState, aPool)) {
+  for (const auto& waiting : OrderWaitingSteps(aState, aPool)) {
     const auto& occurrence = waiting.job_->occurrences_.at(waiting.occurrence_);
     aVisit(*waiting.job_,
            occurrence.steps_[waiting.step_],
