--- a/packages/fleet/tests/scarcity_test.cpp
+++ b/packages/fleet/tests/scarcity_test.cpp
@@ -61,8 +61,8 @@
 DrawJob(std::mt19937& aRandom, const PlayedLoad& aLoad)
 {
   PlayedJob job;
-  const int steps =
-    std::max(1, static_cast<int>(Draw(aRandom, aLoad.steps_, 0.4, 2.5) + 0.5));
+  const int steps = std::max(
+    1, static_cast<int>(std::lround(Draw(aRandom, aLoad.steps_, 0.4, 2.5))));
   double chain = 0;
   double expectedChain = 0;
   for (int number = 0; number < steps; ++number) {
@@ -70,7 +70,7 @@
     step.cores_ = Draw(aRandom, aLoad.cores_, 0.45, 3);
     const double time = Draw(aRandom, aLoad.time_, 0.5, 2.5);
     const int items =
-      std::max(1, static_cast<int>(Draw(aRandom, 8, 0.6, 4) + 0.5));
+      std::max(1, static_cast<int>(std::lround(Draw(aRandom, 8, 0.6, 4))));
     for (int item = 0; item < items; ++item) {
       step.times_.push_back(time * Draw(aRandom, 1, 0.3, 7));
       job.work_ += step.cores_ * step.times_.back();
