--- a/packages/fleet/src/admission/backlog.cpp
+++ b/packages/fleet/src/admission/backlog.cpp
@@ -113,6 +113,7 @@
   // Jobs without work, and those as large as some of the waiting ones.
   constexpr std::size_t kParts = 4;
   std::vector<double> sizes;
+  sizes.reserve(aQueued.size());
   for (const auto& queued : aQueued) {
     sizes.push_back(queued.key_.work_);
   }
