--- a/packages/ctl/tests/config_check_test.cpp
+++ b/packages/ctl/tests/config_check_test.cpp
@@ -71,12 +71,14 @@
   config.queues_[2].prefix_ = "/q/long/";
   config.accounts_.push_back({ "south", { "k2" }, 1, {} });
   config.accounts_.push_back({ "west", {}, 1, {} });
+  const std::string same =
+    "queue quotes before it has the same host and prefix";
+  const std::string taken =
+    "one of its keys belongs to account north before it";
   CHECK(Problems(config) ==
-        Lines{ "never matches: queue again: queue quotes before it has the "
-               "same host and prefix",
+        Lines{ "never matches: queue again: " + same,
                "never matches: account west: it has no API key",
-               "never matches: account south: one of its keys belongs to "
-               "account north before it" });
+               "never matches: account south: " + taken });
 }
 
 TEST_CASE("values that contradict each other are found")
@@ -98,13 +100,13 @@
   config.pools_.push_back({ "planning", true, false });
   config.accounts_[0].keys_ = { "k2", "secret" };
   config.accounts_[0].limit_.cpu_ = 4000;
+  const std::string limits = "cpu 0 memory 0 gpu 0 -> cpu 4000 memory 0 gpu 0";
   CHECK(CompareConfigs(inForce, config) ==
         Lines{ "configuration: version 7 -> 9",
                "queue quotes: allowance 0 ms -> 600 ms",
                "pool planning: added",
                "account north: API keys: 1 added, 1 removed",
-               "account north: limit cpu 0 memory 0 gpu 0 -> cpu 4000 memory 0 "
-               "gpu 0" });
+               "account north: limit " + limits });
   CHECK(CompareConfigs(inForce, inForce).empty());
 }
 
