Operators see each queue again where several have one pool

Cause: rows of one entry are now merged too, so that an owner of two cells shows each pool once; queues of the same pool became one row.

Change: queues are not merged by their pool.

--- a/packages/ctl/src/job_commands.cpp
+++ b/packages/ctl/src/job_commands.cpp
@@ -212,7 +212,9 @@
 void
 MergeRow(json& aRows, const json& aRow)
 {
-  const char* key = aRow.contains("pool")      ? "pool"
+  // Several queues may have the same pool.
+  const char* key = aRow.contains("queue")     ? nullptr
+                    : aRow.contains("pool")    ? "pool"
                     : aRow.contains("account") ? "account"
                                                : nullptr;
   for (auto& row : aRows) {
--- a/packages/ctl/tests/job_file_test.cpp
+++ b/packages/ctl/tests/job_file_test.cpp
@@ -81,6 +81,10 @@
   const auto waits = MergeViews({ load }).at("pools");
   REQUIRE(waits.size() == 1);
   CHECK(waits[0].at("longest_wait_s") == 2.5);
+  const json queues = { { "queues",
+                          { { { "queue", "q" }, { "pool", "a" } },
+                            { { "queue", "r" }, { "pool", "a" } } } } };
+  CHECK(MergeViews({ queues }).at("queues").size() == 2);
   const json waves = { { "waves", { { { "wave", 1 }, { "cell", 0 } } } } };
   CHECK(MergeViews({ waves, waves }).at("waves").size() == 2);
 }
