--- a/review/standin-2/fleet.sh
+++ b/review/standin-2/fleet.sh
@@ -14,7 +14,7 @@
 NET=127.62.$((RANDOM % 250 + 2))
 MEMORY_MB=260
 DAEMON=target/packages/daemon/cuminbridge
-STANDIN=build/review-2/platform_2
+STANDIN=${STANDIN:-build/review-2/platform_2}
 declare -A PIDS=()
 : >"$RECORD"
 
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -9,6 +9,11 @@
 // with a larger value is answered 400, and nothing of it is done. Targets list
 // 500 ends at a time. GET /ends of the VM service tells how many ends the
 // targets have listed, and how many of them were acknowledged.
+//
+// A job whose spec contains "gang" has one step, which is a gang that saves a
+// checkpoint once a second of its work. Targets list these checkpoints, and log
+// those that a start carries. POST /break of the VM service with a "machine"
+// crashes its process for "ms"; the runs of the other members end as broken.
 
 #include <iostream>
 
@@ -123,6 +128,99 @@
   return false;
 }
 
+// Gangs. A member saves a checkpoint at its own time in each second.
+class Gangs
+{
+public:
+  Gangs(standin::Context& aContext, standin::Fleet& aFleet)
+    : context_(aContext)
+    , fleet_(aFleet)
+  {
+  }
+
+  // Notes whether the start is that of a member, and logs its checkpoint.
+  void NoteStart(const standin::Vm& aVm, const HttpRequest& aRequest)
+  {
+    const auto body = json::parse(aRequest.body_);
+    const auto item = body.at("task").get<std::string>();
+    if (body.at("spec").get<std::string>().find("gang") == std::string::npos) {
+      return;
+    }
+    members_.insert(item);
+    std::cout << "gang start " << item << " run " << body.at("run") << " on "
+              << aVm.name_ << " checkpoint '"
+              << body.value("last_checkpoint", "") << "'" << std::endl;
+  }
+
+  // Adds the checkpoints to the runs that a target lists.
+  HttpResponse AddCheckpoints(const standin::Vm& aVm, HttpResponse aAnswer)
+  {
+    auto body = json::parse(aAnswer.body_, nullptr, false);
+    if (!body.is_object() || !body.contains("running")) {
+      return aAnswer;
+    }
+    for (auto& row : body["running"]) {
+      const auto item = row.at(0).get<std::string>();
+      if (members_.count(item) != 0) {
+        row[2] = CheckpointOf(item, aVm.runs_.at(item));
+      }
+    }
+    aAnswer.body_ = body.dump();
+    return aAnswer;
+  }
+
+  // Ends the runs of all members but those on aCrashed.
+  void Break(const standin::Vm& aCrashed)
+  {
+    for (auto& vm : fleet_.Vms()) {
+      const auto runs = vm->runs_;
+      for (const auto& [item, run] : runs) {
+        if (vm->name_ == aCrashed.name_ || members_.count(item) == 0) {
+          continue;
+        }
+        const auto saved = CheckpointOf(item, run);
+        vm->runs_.erase(item);
+        vm->endedRun_[item] = run.run_;
+        vm->ended_.push_back(
+          { ++vm->endedCount_, item, run.run_, "broken", saved });
+        std::cout << "gang broken " << item << " run " << run.run_ << " on "
+                  << vm->name_ << " saved '" << saved << "'" << std::endl;
+      }
+    }
+  }
+
+private:
+  std::string CheckpointOf(const std::string& aItem,
+                           const standin::Run& aRun) const
+  {
+    // All members are there from the last start on. Their times lie apart.
+    constexpr std::int64_t kIntervalMs = 1000;
+    constexpr std::int64_t kApartMs = 150;
+    std::int64_t begun = aRun.startedMs_;
+    for (const auto& vm : fleet_.Vms()) {
+      for (const auto& [item, run] : vm->runs_) {
+        if (members_.count(item) != 0 && run.run_ == aRun.run_) {
+          begun = std::max(begun, run.startedMs_);
+        }
+      }
+    }
+    const auto index = std::stoll(aItem.substr(aItem.rfind('.') + 1));
+    const auto count =
+      (context_.NowMs() - begun - index * kApartMs) / kIntervalMs;
+    if (count < 1) {
+      return {};
+    }
+    const auto text =
+      std::to_string(aRun.run_ * 1000000 + count * 1000 + index);
+    constexpr std::size_t kSize = 16;
+    return std::string(kSize - text.size(), '0') + text;
+  }
+
+  standin::Context& context_;
+  standin::Fleet& fleet_;
+  std::set<std::string> members_; // work items
+};
+
 // Leaves the first 500 ends in the answer to a renewal.
 HttpResponse
 LimitEnds(HttpResponse aAnswer)
@@ -165,6 +263,7 @@
   standin::Context context{ io, {} };
   standin::Store store(context);
   standin::Fleet fleet(context, store, 1);
+  Gangs gangs(context, fleet);
   AddVms(fleet, network);
   store.Put("op/config", MakeConfig());
 
@@ -194,17 +293,34 @@
           if (standin::PathOf(aRequest) == "/ends") {
             co_return standin::Answer(200, CountEnds(fleet));
           }
+          if (standin::PathOf(aRequest) == "/break") {
+            auto fault = json::parse(aRequest.body_);
+            for (const auto& vm : fleet.Vms()) {
+              if (vm->name_ == fault.at("machine")) {
+                gangs.Break(*vm);
+              }
+            }
+            fault["fault"] = "replace";
+            HttpRequest crash = aRequest;
+            crash.path_ = "/operator/target";
+            crash.body_ = fault.dump();
+            co_return co_await fleet.ServeVms(crash);
+          }
           co_return co_await fleet.ServeVms(aRequest);
         });
   serve(network + ".3:7400", [&](const HttpRequest& aRequest) {
     return fleet.ServeAdvice(aRequest);
   });
   for (auto& vm : fleet.Vms()) {
-    serve(
-      vm->address_,
-      [&fleet, &vm](const HttpRequest& aRequest) -> Awaitable<HttpResponse> {
-        co_return LimitEnds(co_await fleet.ServeTarget(*vm, aRequest));
-      });
+    serve(vm->address_,
+          [&fleet, &gangs, &vm](
+            const HttpRequest& aRequest) -> Awaitable<HttpResponse> {
+            auto answer = co_await fleet.ServeTarget(*vm, aRequest);
+            if (aRequest.path_ == "/run-start" && answer.status_ == 200) {
+              gangs.NoteStart(*vm, aRequest);
+            }
+            co_return gangs.AddCheckpoints(*vm, LimitEnds(std::move(answer)));
+          });
   }
   boost::asio::co_spawn(io, fleet.Simulate(), boost::asio::detached);
   boost::asio::signal_set signals(io, SIGTERM, SIGINT);
