--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,53 +1,47 @@
 #!/usr/bin/env bash
-# A caller hands in one large job: five steps of 10,000 work items of 0.2 s. Once
-# they are done, another account hands in ten ordinary jobs. Exits with 1 if,
-# after 20 s of calm, more than a fifth of the ends that the workers have listed
-# are not acknowledged. With TROUBLE=0 the steps have 100 work items.
+# A work item of 20 s. The worker under it crashes three times, one at a time;
+# each is gone for 1.5 s. No run ends as failed, and the queue grants three
+# attempts. Exits with 1 if the job is shown as failed.
 cd "$(dirname "$0")/../.." || exit 2
 CASE=review/9
 . review/standin-2/fleet.sh
-CALM_S=20
-LARGE=00000000000000c1
-COUNT=10000
-[ "${TROUBLE:-1}" = 0 ] && COUNT=100
-STEP='{"count":'$COUNT',"cpu":20,"estimate_ms":200}'
-LARGE_JOB='{"spec":"takes=200","steps":['$STEP,$STEP,$STEP,$STEP,$STEP']}'
-ORDINARY='{"spec":"takes=200","steps":[{"count":4,"cpu":1000,"estimate_ms":200},{"count":4,"cpu":1000,"estimate_ms":200,"after":[0]}]}'
+ID=00000000000000e1
+ITEM=$ID.0.0.0
+JOB='{"spec":"takes=20000","steps":[{"count":1,"cpu":1000,"estimate_ms":20000}]}'
 
-done_of() { grep -c " done $1" "$WORK/standin.log"; } # JOB
-
-# Prints "LISTED ACKNOWLEDGED".
-ends() {
-  call GET "$NET.2:7400" /ends none |
-    sed 's/.*"acknowledged":\([0-9]*\),"listed":\([0-9]*\).*/\2 \1/'
-}
+# Prints "MACHINE RUN" of the last start of the item.
+last_start() { sed -n "s/^[0-9]* \([^ ]*\) [^ ]* start $ITEM run \([0-9]*\)$/\1 \2/p" "$WORK/standin.log" | tail -n 1; }
 
 start_fleet
-[ "$(submit 1 rounds $LARGE depots-key "$LARGE_JOB")" = 200 ] ||
-  cannot_run "the large job is not accepted"
-refused=0
-for _ in $(seq 55); do
-  [ "$(done_of $LARGE)" -ge $((5 * COUNT)) ] && break
-  grep -q 'store refuses' "$WORK/standin.log" && refused=$((refused + 1))
-  [ "$refused" -ge 6 ] && break
-  sleep 1
-done
-note "work items of the large job that are done: $(done_of $LARGE) of $((5 * COUNT))"
-note "the large job is $(wait_state 5 2 rounds $LARGE depots-key completed)"
-for number in 0 1 2 3 4 5 6 7 8 9; do
-  submit $((number % 3 + 1)) quotes 00000000000000a$number lodges-key \
-    "$ORDINARY" >/dev/null
-done
-sleep "$CALM_S"
-for number in 0 1 2 3 4 5 6 7 8 9; do
-  note "ordinary job a$number: $(done_of 00000000000000a$number) of 8 work items are done, it is $(state 2 quotes 00000000000000a$number lodges-key)"
+[ "$(submit 1 rounds $ID depots-key "$JOB")" = 200 ] || cannot_run "not accepted"
+seen_run=0
+for crash in 1 2 3; do
+  for _ in $(seq 100); do
+    read -r machine run <<<"$(last_start)"
+    [ "${run:-0}" -gt "$seen_run" ] && break
+    sleep 0.1
+  done
+  [ "${run:-0}" -gt "$seen_run" ] || break
+  seen_run=$run
+  note "work item $ITEM, run $run, begins on $machine"
+  sleep 3
+  if [ "${TROUBLE:-1}" != 0 ]; then
+    call POST "$NET.2:7400" /operator/target none \
+      "{\"machine\":\"$machine\",\"fault\":\"replace\",\"ms\":1500}" >/dev/null
+    note "the worker on $machine crashes ($crash of 3)"
+    sleep 2
+    note "the job is $(state 2 rounds $ID depots-key)"
+  fi
 done
-note "the large job is $(state 2 rounds $LARGE depots-key)"
-read -r listed acknowledged <<<"$(ends)"
-note "ends listed: $listed, acknowledged: $acknowledged"
-note "writes that the store refused: $(grep -c 'store refuses' "$WORK/standin.log")"
-grep 'store refuses' "$WORK/standin.log" | head -n 2 >>"$RECORD"
-grep -h '"owner_' "$WORK"/entry-*.log | cut -c1-200 >>"$RECORD"
-[ "${listed:-0}" -gt 0 ] || cannot_run "no ends"
-[ $((5 * (listed - acknowledged))) -gt "$listed" ] && finish 1
-finish 0
+result=$(wait_state 40 2 rounds $ID depots-key completed failed cancelled)
+note "at the end the job is $result"
+sleep 0.5
+grep -E "$ITEM|replace|down" "$WORK/standin.log" >>"$RECORD"
+failed=$(grep -c "failed $ITEM" "$WORK/standin.log")
+note "ends of the item that its workers listed as failed: $failed"
+grep -h '"job":"'$ID'"' "$WORK"/entry-*.log | grep -E 'run_crashed|crash_limit|job_ended' | cut -c1-400 >>"$RECORD"
+case $result in
+  completed) finish 0 ;;
+  failed) [ "$failed" -lt 3 ] && finish 1 ;;
+esac
+cannot_run "the job is $result"
--- a/review/standin-2/main.cpp
+++ b/review/standin-2/main.cpp
@@ -14,6 +14,11 @@
 // checkpoint once a second of its work. Targets list these checkpoints, and log
 // those that a start carries. POST /break of the VM service with a "machine"
 // crashes its process for "ms"; the runs of the other members end as broken.
+//
+// POST /trouble of the VM service puts the store in trouble for "ms": each
+// answer comes "slow_ms" later, and the share "lost" of the writes is done and
+// not answered. If "forgets" is set, watches hear nothing for a second, and
+// then the history is dropped.
 
 #include <iostream>
 
@@ -128,6 +133,89 @@
   return false;
 }
 
+// Passes calls to the store, and brings trouble about.
+class TroubledStore
+{
+public:
+  TroubledStore(standin::Context& aContext, standin::Store& aStore)
+    : context_(aContext)
+    , store_(aStore)
+  {
+  }
+
+  Awaitable<HttpResponse> Serve(const HttpRequest& aRequest)
+  {
+    if (IsTooLarge(aRequest)) {
+      co_return standin::Answer(kBadRequest);
+    }
+    const auto path = standin::PathOf(aRequest);
+    if (path == "/kv-watch") {
+      co_return co_await Watch(aRequest);
+    }
+    auto answer = co_await store_.Serve(aRequest);
+    if (context_.NowMs() >= untilMs_) {
+      co_return answer;
+    }
+    if (path == "/kv-txn" && share_(random_) < lost_) {
+      std::cout << "store loses an answer" << std::endl;
+      co_await standin::Pause(context_, kLostAnswer);
+    }
+    co_await standin::Pause(context_, slow_);
+    co_return answer;
+  }
+
+  void Begin(const json& aTrouble)
+  {
+    constexpr std::int64_t kSilenceMs = 1000; // of watches
+    const auto now = context_.NowMs();
+    untilMs_ = now + aTrouble.at("ms").get<std::int64_t>();
+    slow_ = Millis(aTrouble.at("slow_ms").get<std::int64_t>());
+    lost_ = aTrouble.at("lost").get<double>();
+    forgetsAtMs_ = aTrouble.at("forgets").get<bool>() ? now + kSilenceMs : 0;
+  }
+
+private:
+  static constexpr Millis kLostAnswer{ 5000 }; // callers have given up by then
+
+  Awaitable<HttpResponse> Watch(const HttpRequest& aRequest)
+  {
+    constexpr int kExpired = 410;
+    if (forgetsAtMs_ != 0) {
+      while (context_.NowMs() < forgetsAtMs_) {
+        co_await standin::Pause(context_, Millis(3));
+      }
+      if (forgetsAtMs_ != 0) {
+        oldest_ = co_await Revision();
+        forgetsAtMs_ = 0;
+        std::cout << "store forgets its history up to " << oldest_ << std::endl;
+      }
+    }
+    if (std::atoll(standin::QueryOf(aRequest, "after").c_str()) < oldest_) {
+      co_return standin::Answer(kExpired);
+    }
+    co_return co_await store_.Serve(aRequest);
+  }
+
+  Awaitable<std::int64_t> Revision()
+  {
+    HttpRequest request;
+    request.method_ = "GET";
+    request.path_ = "/kv-key?key=op/config";
+    const auto answer = co_await store_.Serve(request);
+    co_return json::parse(answer.body_).at("current_rev").get<std::int64_t>();
+  }
+
+  standin::Context& context_;
+  standin::Store& store_;
+  std::int64_t untilMs_ = 0;
+  std::int64_t forgetsAtMs_ = 0; // 0: not asked for, or done
+  std::int64_t oldest_ = 0;      // watches after an older revision get 410
+  Millis slow_{ 0 };
+  double lost_ = 0;
+  std::mt19937 random_{ 1 };
+  std::uniform_real_distribution<> share_{ 0, 1 };
+};
+
 // Gangs. A member saves a checkpoint at its own time in each second.
 class Gangs
 {
@@ -263,6 +351,7 @@
   standin::Context context{ io, {} };
   standin::Store store(context);
   standin::Fleet fleet(context, store, 1);
+  TroubledStore troubled(context, store);
   Gangs gangs(context, fleet);
   AddVms(fleet, network);
   store.Put("op/config", MakeConfig());
@@ -282,17 +371,16 @@
     }
   };
   serve(network + ".1:7400",
-        [&](const HttpRequest& aRequest) -> Awaitable<HttpResponse> {
-          if (IsTooLarge(aRequest)) {
-            co_return standin::Answer(kBadRequest);
-          }
-          co_return co_await store.Serve(aRequest);
-        });
+        [&](const HttpRequest& aRequest) { return troubled.Serve(aRequest); });
   serve(network + ".2:7400",
         [&](const HttpRequest& aRequest) -> Awaitable<HttpResponse> {
           if (standin::PathOf(aRequest) == "/ends") {
             co_return standin::Answer(200, CountEnds(fleet));
           }
+          if (standin::PathOf(aRequest) == "/trouble") {
+            troubled.Begin(json::parse(aRequest.body_));
+            co_return standin::Answer(200);
+          }
           if (standin::PathOf(aRequest) == "/break") {
             auto fault = json::parse(aRequest.body_);
             for (const auto& vm : fleet.Vms()) {
