--- a/review/10/run.sh
+++ b/review/10/run.sh
@@ -36,7 +36,7 @@
 sleep 0.3
 [ "${TROUBLE:-1}" = 0 ] || door "$other" busy
 regressed=0
-for _ in $(seq 15); do
+for _ in $(seq 12); do
   sleep 0.3
   status=$(count $other)
   [ "$status" = 404 ] && regressed=$((regressed + 1))
