--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,15 +1,24 @@
 #!/usr/bin/env bash
-# Builds the stand-in of cases 11 to 14 into target/review-3. Run the build of
-# the deploy file first: the cases start its program.
+# Builds the stand-in of cases 11 to 15 into target/review-3. Run the build of
+# the deploy file before the cases: they start its program. A case builds the
+# stand-in itself if it is missing.
 set -euo pipefail
 cd "$(dirname "$0")/.."
-mkdir -p target/review-3
-c++ -std=c++20 -O1 \
-  -I platform/standin -I packages/web/include -I packages/web/src \
-  -I packages/jobs/include \
-  review/standin-3/main.cc platform/standin/standin_store.cpp \
+out=target/review-3
+mkdir -p $out
+objects=()
+jobs=()
+for source in review/standin-3/main.cc platform/standin/standin_store.cpp \
   packages/web/src/client.cpp packages/web/src/server.cpp \
   packages/web/src/limits/connection_table.cpp \
   packages/web/src/limits/request_parser.cpp \
-  packages/jobs/src/values.cpp packages/jobs/src/records.cpp \
-  -o target/review-3/standin_3 -lcrypto -lpthread
+  packages/jobs/src/values.cpp packages/jobs/src/records.cpp; do
+  object=$out/$(basename "$source").o
+  objects+=("$object")
+  c++ -std=c++20 -O1 -Iplatform/standin -Ipackages/web/include \
+    -Ipackages/web/src -Ipackages/jobs/include -c "$source" -o "$object" &
+  jobs+=("$!")
+done
+for job in "${jobs[@]}"; do wait "$job"; done
+c++ "${objects[@]}" -o $out/standin_3 -lcrypto -lpthread
+echo "built $out/standin_3"
