review: case 11, work runs twice after a worker's restart, a kill and a cut (TWICE)

A worker starts again under its id, and a repeated renewal with a deadline of its former life gives it a lease of 10 s. After the owner was killed and the worker cut off, the next owner starts the worker's items elsewhere while they run. It does not allow for such leases when it gets the list of targets before its records.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,46 +1,60 @@
 #!/usr/bin/env bash
-# Case 11: two workers have a label, one in each cell of the fleet. One of them
-# is drained and taken away. Eight jobs that require the label are submitted
-# later; nothing else runs, and the other worker has room for all of them. Exits
-# with 1 if LOST was broken, 0 if it held, 2 if it could not run. TROUBLE=0 takes
-# no worker away; CELLS=1 does all on a fleet of one cell.
+# Case 11: a worker crashes and starts again under its id. The owner's repeated
+# renewal reaches the new process. Later the owner is killed and the worker cut
+# off. The next owner starts the worker's work items elsewhere while they run.
+# Exits with 1 if TWICE was broken, 0 if it held, 2 if it could not run.
+# TROUBLE=0 does the same without the crash, the kill and the cut.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
 CASE=review/11
-NET=127.0.91
+NET=127.0.81
 ENTRIES=3
-CELLS=${CELLS:-2}
-link=10 # Mbit/s, as the small entry machines have
-[ "$CELLS" = 1 ] && link=200
 SETTINGS="bounds.stop_timeout_ms=200
-limits.cpu_share=0.12
-limits.memory_mb=160
+limits.cpu_share=0.25
+limits.memory_mb=260
 limits.max_fds=4100
-limits.link_mbps=$link"
+limits.link_mbps=1000.0"
 rm -f $CASE/record.txt
 . review/standin-3/fleet.sh
 
-# The workers with the numbers 4 and 5 have the kind "b", one in each cell. The
-# tenant has no limit, and a worker has room for 16 work items.
-start_fleet "$CELLS" 130 200 2000 0 4 5
-sleep 2
-if [ "${TROUBLE:-1}" != 0 ]; then
-  operate /operator/leave '{"machine":"machine-1005"}'
-fi
-sleep 10
-ids='01 02 03 04 05 06 07 08'
-for id in $ids; do
-  [ "$(ask 1 POST "/rounds/00000000000000$id" \
+# 8 workers of 16 cores, two of which have the label "b"; the tenant has no
+# limit.
+start_fleet 1 8 200 2000 0 0 1
+submit_b() { # ID ; a job of 8 work items that require the label
+  [ "$(ask $client POST "/rounds/$1" -H 'Content-Type: application/json' -d \
+    '{"spec":"lasts","steps":[{"count":8,"cpu":1000,"mem_mb":1,"estimate_ms":500,"requires":"b","long_running":true}]}')" = 200 ] ||
+    could_not_run "job $1 was not accepted"
+}
+owner=$(owners)
+client=$((owner % ENTRIES + 1))
+submit_b 00000000000000a1
+wait_for 100 is_running 8000 || could_not_run "the first job does not run"
+worker=$(grep -oE 'on machine-[0-9]+' "$RECORD" | head -n 1 | cut -d ' ' -f 2)
+# 80 more jobs, with a spec of 3,900 bytes, as a fleet at work has.
+spec=$(printf '%03900d' 0)
+for number in $(seq 10 89); do
+  [ "$(ask $client POST "/rounds/00000000000001$number" \
     -H 'Content-Type: application/json' -d \
-    '{"spec":"lasts","steps":[{"count":1,"cpu":1000,"mem_mb":1,"estimate_ms":500,"requires":"b","long_running":true}]}')" = 200 ] ||
-    could_not_run "job $id was not accepted"
-done
-sleep 30
-for id in $ids; do
-  ask 2 GET "/rounds/00000000000000$id" >/dev/null
-  grep -q "start 00000000000000$id\." "$RECORD" || echo "BROKEN LOST:" \
-    "job $id has had nothing running for 30 s; machine-1004 has room for it" \
-    >>"$WORK/judged"
+    "{\"spec\":\"$spec\",\"steps\":[{\"count\":1,\"cpu\":1000,\"mem_mb\":1,\"estimate_ms\":500,\"requires\":\"a\",\"long_running\":true}]}")" = 200 ] ||
+    could_not_run "job $number was not accepted"
 done
-cat "$WORK/judged" >>"$RECORD" 2>/dev/null
-finish LOST
+wait_for 100 is_running 88000 || could_not_run "the other jobs do not run"
+sleep 1
+trouble=${TROUBLE:-1}
+[ "$trouble" != 0 ] &&
+  operate /operator/crash "{\"machine\":\"$worker\",\"ms\":200}"
+sleep 2
+is_running 88000 || could_not_run "the first job does not run again"
+submit_b 00000000000000a2
+submit_b 00000000000000a3
+wait_for 20 is_running 104000 || could_not_run "the later jobs do not run"
+sleep 0.3
+if [ "$trouble" != 0 ]; then
+  kill -KILL "${PIDS[entry-$owner]}"
+  echo "$(date +%T.%3N) operator: SIGKILL to entry $owner" >>"$WORK/client"
+  sleep 0.2
+  start_entry "$owner"
+  operate /operator/cut "{\"machine\":\"$worker\",\"ms\":5500}"
+fi
+sleep 9
+finish TWICE
--- a/review/standin-3/main.cc
+++ b/review/standin-3/main.cc
@@ -1,7 +1,8 @@
 // A stand-in of the users' platform for cases of the review. It serves the
 // project's stand-in of the store, and a list of machines and workers of its
-// own, whose stops and upkeeps take time. It judges QUOTA and LIMIT by what it
-// sees on its sockets, and writes each event to a record.
+// own, whose stops and upkeeps take time. It judges TWICE (two runs at once),
+// QUOTA and LIMIT by what it sees on its sockets, and writes each event to a
+// record.
 //
 //   standin_3 NETWORK RECORD WORKERS STOP_MS UPKEEP_MS MAX_CPU [SPECIAL...]
 //
@@ -15,7 +16,10 @@
 //
 // Operator calls at the store's address: POST /operator {"key","value"} writes
 // a key, POST /operator/limit {"version","cpu"} sets the tenant's limit, POST
-// /operator/leave {"machine"} has a machine drained and taken away.
+// /operator/leave {"machine"} has a machine drained and taken away, POST
+// /operator/crash {"machine","ms"} ends its worker, which is silent for that
+// time and starts again under its id, and POST /operator/cut {"machine","ms"}
+// cuts the worker off silently, and it runs on.
 
 #include <fstream>
 #include <iostream>
@@ -85,6 +89,8 @@
   std::int64_t wave_ = 0;       // of its upkeep
   std::int64_t leavesAtMs_ = 0; // 0: it was not told to drain
   bool isGone_ = false;
+  std::int64_t darkUntilMs_ = 0; // crashed: it starts again then, under its id
+  std::int64_t cutUntilMs_ = 0;
   int lives_ = 0;
   std::map<std::string, Run> runs_;
   std::map<std::string, std::int64_t> highestEnded_;
@@ -197,7 +203,11 @@
 
   void Boot(Worker& aWorker)
   {
-    aWorker.id_ = aWorker.machine_ + '-' + std::to_string(++aWorker.lives_);
+    ++aWorker.lives_;
+    if (aWorker.id_.empty()) {
+      aWorker.id_ = aWorker.machine_ + '-' + std::to_string(aWorker.lives_);
+    }
+    aWorker.darkUntilMs_ = 0;
     aWorker.bornUnixMs_ =
       context_.clocks_.TimeOfDay().time_since_epoch().count();
     aWorker.bornMs_ = context_.NowMs();
@@ -215,6 +225,29 @@
     return std::max<std::int64_t>(0, aWorker.leavesAtMs_ - context_.NowMs());
   }
 
+  bool IsCut(const Worker& aWorker) const
+  {
+    return context_.NowMs() < aWorker.cutUntilMs_;
+  }
+
+  HttpResponse Break(const json& aBody, bool aIsCut)
+  {
+    const auto time = aBody.at("ms").get<std::int64_t>();
+    for (auto& worker : workers_) {
+      if (aBody.at("machine") != worker.machine_) {
+        continue;
+      }
+      Record((aIsCut ? "cut off: " : "crashed: ") + worker.id_ + " for " +
+             std::to_string(time) + " ms");
+      (aIsCut ? worker.cutUntilMs_ : worker.darkUntilMs_) =
+        context_.NowMs() + time;
+      if (!aIsCut) {
+        worker.runs_.clear();
+      }
+    }
+    return Answer(kOk);
+  }
+
   // Has a machine drained: it reports that at once, and leaves later.
   HttpResponse Leave(const std::string& aMachine)
   {
@@ -294,7 +327,13 @@
           Boot(worker);
           Record("upkeep ended of " + worker.machine_);
         }
-        if (worker.upAgainMs_ != 0 || worker.isGone_) {
+        if (worker.darkUntilMs_ != 0 &&
+            context_.NowMs() >= worker.darkUntilMs_) {
+          Boot(worker);
+          Record("started again: " + worker.id_);
+        }
+        if (worker.upAgainMs_ != 0 || worker.isGone_ ||
+            worker.darkUntilMs_ != 0) {
           continue;
         }
         if (worker.leavesAtMs_ != 0 && context_.NowMs() >= worker.leavesAtMs_) {
@@ -305,8 +344,9 @@
           continue;
         }
         EndDueRuns(worker);
-        if (worker.sequence_ == 0 ||
-            context_.NowMs() - worker.reportedMs_ >= kHeartbeatMs) {
+        if (!IsCut(worker) &&
+            (worker.sequence_ == 0 ||
+             context_.NowMs() - worker.reportedMs_ >= kHeartbeatMs)) {
           Report(worker);
         }
       }
@@ -325,6 +365,11 @@
       Record("manifest: max_count " + std::to_string(maxCpu_));
       co_return Answer(kOk);
     }
+    if (aRequest.path_ == "/operator/crash" ||
+        aRequest.path_ == "/operator/cut") {
+      co_return Break(json::parse(aRequest.body_),
+                      aRequest.path_ == "/operator/cut");
+    }
     if (aRequest.path_ == "/operator/leave") {
       co_return Leave(json::parse(aRequest.body_).at("machine"));
     }
@@ -453,6 +498,13 @@
     if (options_.guards_ && here > kWorkerCpu) {
       return Reject(aWorker, "room");
     }
+    for (auto& other : workers_) {
+      EndDueRuns(other);
+      if (&other != &aWorker && other.runs_.count(item) != 0) {
+        Record("BROKEN TWICE: " + item + " runs on " + other.id_ +
+               " and starts on " + aWorker.id_);
+      }
+    }
     aWorker.runs_[item] = { run, context_.NowMs(), 0 };
     const auto running = RunningCpu();
     Record("start " + item + " run " + std::to_string(run) + " on " +
@@ -503,12 +555,22 @@
                     { "ended", aWorker.ended_ } });
   }
 
+  // Answers long after the caller has given up.
+  Awaitable<HttpResponse> Lose()
+  {
+    co_await Pause(context_, Millis(20000));
+    co_return Answer(kMissing);
+  }
+
   Awaitable<HttpResponse> ServeWorker(Worker& aWorker,
                                       const HttpRequest& aRequest)
   {
     while (aWorker.upAgainMs_ != 0 || aWorker.isGone_) {
       co_await Pause(context_, kStep); // the machine is down
     }
+    if (aWorker.darkUntilMs_ != 0 || IsCut(aWorker)) {
+      co_return co_await Lose(); // what comes meanwhile does not arrive
+    }
     if (aRequest.Header("Expect-Instance") != aWorker.id_) {
       co_return Answer(kOtherIncarnation, { { "clock_ms", ClockMs(aWorker) } });
     }
@@ -542,12 +604,18 @@
       context_.NowMs() + body.value("wait_ms", std::int64_t(0));
     while (aWorker.ended_.empty() && context_.NowMs() < until) {
       co_await Pause(context_, kStep);
+      if (aWorker.darkUntilMs_ != 0 || IsCut(aWorker)) {
+        co_return co_await Lose();
+      }
       if (aWorker.lives_ != life || aWorker.upAgainMs_ != 0) {
         co_return Answer(kOtherIncarnation,
                          { { "clock_ms", ClockMs(aWorker) } });
       }
       EndDueRuns(aWorker);
     }
+    if (aWorker.darkUntilMs_ != 0 || IsCut(aWorker)) {
+      co_return co_await Lose();
+    }
     co_return List(aWorker);
   }
 
