--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -30,24 +30,25 @@
 submit_b 00000000000000a1
 wait_for 100 is_running 8000 || could_not_run "the first job does not run"
 worker=$(grep -oE 'on machine-[0-9]+' "$RECORD" | head -n 1 | cut -d ' ' -f 2)
-# 80 more jobs, with a spec of 3,900 bytes, as a fleet at work has.
-spec=$(printf '%03900d' 0)
-for number in $(seq 10 89); do
-  [ "$(ask $client POST "/rounds/00000000000001$number" \
+# 600 more jobs, with a spec of 1,000 bytes, as a fleet at work has; 96 of them
+# fit.
+spec=$(printf '%01000d' 0)
+for number in $(seq 1000 1599); do
+  [ "$(ask $client POST "/rounds/000000000000$number" \
     -H 'Content-Type: application/json' -d \
     "{\"spec\":\"$spec\",\"steps\":[{\"count\":1,\"cpu\":1000,\"mem_mb\":1,\"estimate_ms\":500,\"requires\":\"a\",\"long_running\":true}]}")" = 200 ] ||
     could_not_run "job $number was not accepted"
 done
-wait_for 100 is_running 88000 || could_not_run "the other jobs do not run"
+wait_for 100 is_running 104000 || could_not_run "the other jobs do not run"
 sleep 1
 trouble=${TROUBLE:-1}
 [ "$trouble" != 0 ] &&
   operate /operator/crash "{\"machine\":\"$worker\",\"ms\":200}"
 sleep 2
-is_running 88000 || could_not_run "the first job does not run again"
+is_running 104000 || could_not_run "the first job does not run again"
 submit_b 00000000000000a2
 submit_b 00000000000000a3
-wait_for 20 is_running 104000 || could_not_run "the later jobs do not run"
+wait_for 20 is_running 120000 || could_not_run "the later jobs do not run"
 sleep 0.3
 if [ "$trouble" != 0 ]; then
   kill -KILL "${PIDS[entry-$owner]}"
