--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-in of cases 11 to 15 into target/review-3. Run the build of
+# Builds the stand-in of findings 11 to 15 into target/review-3. Run the build of
 # the deploy file before the cases: they start its program. A case builds the
 # stand-in itself if it is missing.
 set -euo pipefail
--- a/review/14/run.sh
+++ b/review/open-handover-limit/run.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Case 14: the owner shuts down just after a job was cancelled. While the work
+# Finding 14: the owner shuts down just after a job was cancelled. While the work
 # items of that job are being stopped, the next owner starts the tenant's next
 # job on the same workers. These don't guard their capacity. Exits with 1 if
 # LIMIT or QUOTA was broken, 0 if they held, 2 if it could not run. TROUBLE=0
@@ -7,7 +7,7 @@
 # tenant whose limit is a third of it (QUOTA only).
 set -uo pipefail
 cd "$(dirname "$0")/../.."
-CASE=review/14
+CASE=review/open-handover-limit
 NET=127.0.84
 ENTRIES=3
 SETTINGS="bounds.stop_timeout_ms=900
--- a/review/12/run.sh
+++ b/review/open-label-lost/run.sh
@@ -1,12 +1,12 @@
 #!/usr/bin/env bash
-# Case 12: two workers have a label, one in each cell of the fleet. One of them
+# Finding 12: two workers have a label, one in each cell of the fleet. One of them
 # is drained and taken away. Eight jobs that require the label are submitted
 # later; nothing else runs, and the other worker has room for all of them. Exits
 # with 1 if LOST was broken, 0 if it held, 2 if it could not run. TROUBLE=0 takes
 # no worker away; CELLS=1 does all on a fleet of one cell.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
-CASE=review/12
+CASE=review/open-label-lost
 NET=127.0.82
 ENTRIES=3
 CELLS=${CELLS:-2}
--- a/review/11/run.sh
+++ b/review/open-restart-twice/run.sh
@@ -1,12 +1,12 @@
 #!/usr/bin/env bash
-# Case 11: a worker crashes and starts again under its id. The owner's repeated
+# Finding 11: a worker crashes and starts again under its id. The owner's repeated
 # renewal reaches the new process. Later the owner is killed and the worker cut
 # off. The next owner starts the worker's work items elsewhere while they run.
 # Exits with 1 if TWICE was broken, 0 if it held, 2 if it could not run.
 # TROUBLE=0 does the same without the crash, the kill and the cut.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
-CASE=review/11
+CASE=review/open-restart-twice
 NET=127.0.81
 ENTRIES=3
 SETTINGS="bounds.stop_timeout_ms=200
--- a/review/15/run.sh
+++ b/review/open-wave-limit/run.sh
@@ -1,10 +1,10 @@
 #!/usr/bin/env bash
-# Case 15: a wave with max_count 1 over machines of two cells. Exits with 1 if
+# Finding 15: a wave with max_count 1 over machines of two cells. Exits with 1 if
 # LIMIT was broken, 0 if it held, 2 if it could not run. TROUBLE=0 does the same
 # without a wave; CELLS=1 plays the wave on machines of one cell.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
-CASE=review/15
+CASE=review/open-wave-limit
 NET=127.0.85
 ENTRIES=3
 CELLS=${CELLS:-2}
--- a/review/13/run.sh
+++ b/review/open-whole-limit-lost/run.sh
@@ -1,12 +1,12 @@
 #!/usr/bin/env bash
-# Case 13: a manifest lowers a tenant's max_count to 10 cores, and the tenant
+# Finding 13: a manifest lowers a tenant's max_count to 10 cores, and the tenant
 # submits a job of one work item that needs 10 cores. The fleet has two cells;
 # nothing else runs. Exits with 1 if LOST was broken, 0 if it held, 2 if it
 # could not run. TROUBLE=0 leaves the manifest as it is, with 100 cores; CELLS=1
 # does the same on a fleet of one cell.
 set -uo pipefail
 cd "$(dirname "$0")/../.."
-CASE=review/13
+CASE=review/open-whole-limit-lost
 NET=127.0.83
 ENTRIES=3
 CELLS=${CELLS:-2}
--- a/review/standin-3/fleet.sh
+++ b/review/standin-3/fleet.sh
@@ -1,4 +1,4 @@
-# Functions of the cases 11 to 15: entries as separate processes on loopback,
+# Functions of the findings 11 to 15: entries as separate processes on loopback,
 # against the stand-in in this folder. Source it in the folder of the project
 # with NET (three parts of a loopback address), CASE (folder of the case),
 # ENTRIES, and SETTINGS (further lines of each settings file) set.
