--- a/packages/daemon/src/records.cpp
+++ b/packages/daemon/src/records.cpp
@@ -418,7 +418,10 @@
 std::int64_t
 NextWatchRevision(std::int64_t aAfter, const StoreReply& aReply, bool aIsList)
 {
-  auto next = aIsList ? std::max(aAfter, aReply.revision_) : aAfter;
+  if (aIsList) {
+    return std::max(aAfter, aReply.revision_);
+  }
+  auto next = aAfter;
   for (const auto& item : aReply.items_) {
     next = std::max(next, item.revision_);
   }
--- a/packages/daemon/src/records.h
+++ b/packages/daemon/src/records.h
@@ -195,9 +195,11 @@
                              std::vector<std::string>& aUnreadable);
 
 // The revision after which to watch next, once a list or a watch from aAfter
-// has given aReply. A list has read all changes up to the store's revision. A
-// watch has only read those that it reported: the store's revision can be past
-// changes that the watch did not report, which would be skipped for good.
+// has given aReply. A list has read all changes up to the store's revision at
+// its first page. Its pages are not a snapshot: an item of a later page can be
+// newer than a change behind an earlier one. A watch has only read the changes
+// that it reported: the store's revision can be past others, which would be
+// skipped for good.
 std::int64_t NextWatchRevision(std::int64_t aAfter,
                                const StoreReply& aReply,
                                bool aIsList);
--- a/packages/daemon/tests/owner_test.cpp
+++ b/packages/daemon/tests/owner_test.cpp
@@ -42,6 +42,9 @@
   reply.status_ = StoreStatus::Done;
   reply.revision_ = 900;
   CHECK(NextWatchRevision(500, reply, true) == 900);
+  // An item of a later page is newer than changes behind the first page.
+  reply.items_.push_back({ "in/job/z", "", 950, 950, false });
+  CHECK(NextWatchRevision(500, reply, true) == 900);
 }
 
 TEST_CASE("the owner record, before and after a hand-over")
