--- a/packages/fleet/src/crashes.cpp
+++ b/packages/fleet/src/crashes.cpp
@@ -156,7 +156,8 @@
 CountCrash(FleetState& aState, const Target& aTarget, const Run& aRun)
 {
   const auto ref = FindItem(aState, aRun.item_);
-  if (!aRun.processEndedBy_ || !ref.item_ || ref.job_->HasEnded() ||
+  if (!aRun.processEndedBy_ || aRun.MayBeUnbegun() || !ref.item_ ||
+      ref.job_->HasEnded() ||
       (aRun.stoppedAt_ && *aRun.stoppedAt_ < *aRun.processEndedBy_) ||
       ref.item_->phase_ == ItemPhase::Done) {
     return std::nullopt;
@@ -221,7 +222,9 @@
       givenUp.insert(std::move(*job));
     }
   }
-  ReleaseAll(aState, aTarget, aGround);
+  // Another process has answered, and may answer the starts on their way too:
+  // that shows that these have not begun.
+  ReleaseAll(aState, aTarget, aGround, UnbegunRuns::Keep);
   for (const auto& job : givenUp) {
     GiveUp(aState, job);
   }
--- a/packages/fleet/src/crashes.h
+++ b/packages/fleet/src/crashes.h
@@ -26,7 +26,8 @@
 bool IsCrash(const FleetState& aState, const Target& aTarget);
 
 // The target's process has ended. Counts a crash against the items that ran
-// there if it is one, releases all runs, and gives up items beyond the limit.
+// there if it is one, releases their runs, and gives up items beyond the limit.
+// A run whose start has not been answered is kept until it is.
 void ReleaseEnded(FleetState& aState, Target& aTarget, const Ground& aGround);
 
 // The target's process has crashed: notes that for the runs there, of which a
--- a/packages/fleet/src/ended_targets.cpp
+++ b/packages/fleet/src/ended_targets.cpp
@@ -65,10 +65,9 @@
 bool
 HasUnansweredStart(const Target& aTarget)
 {
-  return std::any_of(
-    aTarget.runs_.begin(), aTarget.runs_.end(), [](const Run& aRun) {
-      return aRun.phase_ == RunPhase::Starting;
-    });
+  return std::any_of(aTarget.runs_.begin(),
+                     aTarget.runs_.end(),
+                     [](const Run& aRun) { return aRun.MayBeUnbegun(); });
 }
 
 } // namespace
--- a/packages/fleet/src/runs.cpp
+++ b/packages/fleet/src/runs.cpp
@@ -163,6 +163,7 @@
   run.run_ = std::max(aRun, LastRunOfEarlierTerms(aState) + 1);
   run.sentAt_ = aState.now_;
   run.isStartedByThisOwner_ = true;
+  run.isStartPending_ = true;
   run.progressBaseAt_ = aState.now_;
   StartRun effect;
   effect.target_ = aTarget.report_.id_;
@@ -223,17 +224,24 @@
 }
 
 void
-ReleaseAll(FleetState& aState, Target& aTarget, const Ground& aGround)
+ReleaseAll(FleetState& aState,
+           Target& aTarget,
+           const Ground& aGround,
+           UnbegunRuns aUnbegun)
 {
-  if (aTarget.runs_.empty()) {
-    return;
+  std::vector<Run> lost;
+  for (const auto& run : aTarget.runs_) {
+    if (aUnbegun == UnbegunRuns::Release || !run.MayBeUnbegun()) {
+      lost.push_back(run);
+    }
+  }
+  for (auto run = lost.rbegin(); run != lost.rend(); ++run) {
+    NoteLoss(aState, aTarget, *run, aGround);
+    ReleaseRun(aState, aTarget, run->item_, run->run_);
   }
-  while (!aTarget.runs_.empty()) {
-    const Run run = aTarget.runs_.back();
-    NoteLoss(aState, aTarget, run, aGround);
-    ReleaseRun(aState, aTarget, run.item_, run.run_);
+  if (!lost.empty()) {
+    NoteGivenUp(aState, aTarget);
   }
-  NoteGivenUp(aState, aTarget);
 }
 
 void
@@ -308,6 +316,7 @@
   if (!run) {
     return;
   }
+  run->isStartPending_ = false;
   if (aAnswer.outcome_ == StartOutcome::Started) {
     run->processEndedBy_.reset(); // the new process has started it
     run->isExplained_ = false;
--- a/packages/fleet/src/runs.h
+++ b/packages/fleet/src/runs.h
@@ -46,7 +46,15 @@
                 const ItemName& aItem,
                 std::int64_t aRun);
 // Removes all runs of a target and counts them as lost.
-void ReleaseAll(FleetState& aState, Target& aTarget, const Ground& aGround);
+enum class UnbegunRuns // see Run::MayBeUnbegun()
+{
+  Release,
+  Keep,
+};
+void ReleaseAll(FleetState& aState,
+                Target& aTarget,
+                const Ground& aGround,
+                UnbegunRuns aUnbegun = UnbegunRuns::Release);
 
 // Sends a stop. The run stays until the target no longer lists it.
 void Stop(FleetState& aState,
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -117,6 +117,7 @@
   // incarnation of the target: the target has yet to list it.
   bool isUnconfirmed_ = false;
   bool isStartedByThisOwner_ = false;
+  bool isStartPending_ = false; // the call that starts it has not returned
   bool isTrial_ = false;        // its item was a suspect when it was added
   bool hasPassedStart_ = false; // listed when kTrialTime old or older
   // Its target has been unresponsive since it last listed the run.
@@ -142,6 +143,9 @@
   std::int64_t usage_ = 0; // as RunningRun::usage_
   int pace_ = 100;         // last pacing sent, in percent
   Instant pacedAt_;        // when it was sent
+
+  // Whether the answer to its start may still show that it never began.
+  bool MayBeUnbegun() const { return isStartPending_ && !confirmedAt_; }
 };
 
 enum class Contact
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -175,7 +175,7 @@
   // listed.
   const bool isRecent = isLost && aOutcome == RenewalOutcome::Refused;
   for (auto& run : aTarget.runs_) {
-    run.mayHaveEnded_ = run.mayHaveEnded_ || !isRecent;
+    run.mayHaveEnded_ = run.mayHaveEnded_ || (!isRecent && !run.MayBeUnbegun());
   }
   aTarget.nextRenewal_ = aState.now_ + kUnresponsiveRetry;
   const bool mayHaveUnknownRuns =
