Fleet: keep the state of a bounded part of a repeating job (Fault)

What callers saw: after one request for 525,600 occurrences that were all due, owner after owner ran out of memory, and jobs of others hardly started.

Cause: each occurrence that was due was opened at once, with the state of all its items, and kept until the job ended.

Change: a folder for occurrences. They are opened as far as there is room (64 with waiting items, 50,000 items and steps) and closed once their items are done; closed ones are a set of ranges and share one state, so that what comes late of them starts nothing. An item that is done can't use up attempts any more: four late failures of one failed its job.

--- a/packages/fleet/src/jobs.cpp
+++ b/packages/fleet/src/jobs.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 
 #include "crashes.h"
+#include "occurrences/occurrences.h"
 #include "runs.h"
 #include "vm_orders.h"
 
@@ -13,60 +14,6 @@
 
 namespace {
 
-int
-OccurrencesOf(const Job& aJob)
-{
-  return std::max(1, aJob.repeats_);
-}
-
-void
-CountStepDone(JobEntry& aJob, Occurrence& aOccurrence)
-{
-  ++aOccurrence.stepsDone_;
-  if (aOccurrence.stepsDone_ == aOccurrence.steps_.size()) {
-    ++aJob.occurrencesDone_;
-  }
-}
-
-Occurrence&
-OpenOccurrence(JobEntry& aJob, int aNumber)
-{
-  auto& occurrence = aJob.occurrences_[aNumber];
-  if (occurrence.steps_.empty()) {
-    occurrence.steps_.resize(aJob.job_.steps_.size());
-    for (std::size_t step = 0; step < occurrence.steps_.size(); ++step) {
-      const auto& spec = aJob.job_.steps_[step];
-      occurrence.steps_[step].items_.resize(
-        static_cast<std::size_t>(spec.count_));
-      aJob.unassigned_ += spec.count_;
-      if (spec.count_ == 0) {
-        CountStepDone(aJob, occurrence);
-      }
-    }
-  }
-  return occurrence;
-}
-
-void
-MarkItemDone(JobEntry& aJob,
-             Occurrence& aOccurrence,
-             StepState& aStep,
-             const Step& aSpec,
-             ItemState& aItem)
-{
-  if (aItem.phase_ == ItemPhase::Waiting) {
-    --aJob.unassigned_;
-  } else if (aItem.phase_ == ItemPhase::Assigned) {
-    --aStep.assigned_; // another run of it is done
-  }
-  aItem.phase_ = ItemPhase::Done;
-  aItem.checkpoint_.clear();
-  ++aStep.done_;
-  if (aStep.done_ == aSpec.count_) {
-    CountStepDone(aJob, aOccurrence);
-  }
-}
-
 // Restores one item from the progress that an earlier owner stored.
 void
 RestoreItem(FleetState& aState, JobEntry& aJob, const ItemProgress& aFrom)
@@ -76,13 +23,16 @@
       static_cast<std::size_t>(aFrom.step_) >= aJob.job_.steps_.size()) {
     return;
   }
-  auto& occurrence = OpenOccurrence(aJob, aFrom.occurrence_);
+  auto& occurrence = FindOccurrence(aJob, aFrom.occurrence_);
   auto& step = occurrence.steps_[static_cast<std::size_t>(aFrom.step_)];
   const auto& spec = aJob.job_.steps_[static_cast<std::size_t>(aFrom.step_)];
   if (aFrom.index_ < 0 || aFrom.index_ >= spec.count_) {
     return;
   }
   auto& item = step.items_[static_cast<std::size_t>(aFrom.index_)];
+  if (item.phase_ == ItemPhase::Done) {
+    return;
+  }
   item.failedRuns_ = aFrom.failedRuns_;
   item.run_ = aFrom.run_;
   item.checkpoint_ = aFrom.checkpoint_;
@@ -91,6 +41,7 @@
   aJob.hasCrashes_ = aJob.hasCrashes_ || !item.crashes_.empty();
   if (aFrom.isDone_) {
     MarkItemDone(aJob, occurrence, step, spec, item);
+    CloseIfDone(aJob, aFrom.occurrence_);
     return;
   }
   if (aFrom.target_.empty()) {
@@ -107,27 +58,6 @@
   AddRun(aState, target, std::move(run));
 }
 
-// Restores the occurrences whose items are all done.
-void
-RestoreDoneOccurrences(JobEntry& aJob, const Progress& aProgress)
-{
-  for (const auto& [first, last] : aProgress.doneOccurrences_) {
-    const int end = std::min(last + 1, OccurrencesOf(aJob.job_));
-    for (int number = std::max(0, first); number < end; ++number) {
-      auto& occurrence = OpenOccurrence(aJob, number);
-      for (std::size_t step = 0; step < occurrence.steps_.size(); ++step) {
-        for (auto& item : occurrence.steps_[step].items_) {
-          MarkItemDone(aJob,
-                       occurrence,
-                       occurrence.steps_[step],
-                       aJob.job_.steps_[step],
-                       item);
-        }
-      }
-    }
-  }
-}
-
 void
 RestoreJob(FleetState& aState, JobEntry& aJob, const Progress& aProgress)
 {
@@ -236,7 +166,7 @@
       aName.index_ >= entry.job_.steps_[step].count_) {
     return ref;
   }
-  auto& occurrence = OpenOccurrence(entry, aName.occurrence_);
+  auto& occurrence = FindOccurrence(entry, aName.occurrence_);
   ref.job_ = &entry;
   ref.spec_ = &entry.job_.steps_[step];
   ref.step_ = &occurrence.steps_[step];
@@ -460,24 +390,6 @@
   });
 }
 
-void
-OpenOccurrences(FleetState& aState, JobEntry& aJob)
-{
-  const auto& job = aJob.job_;
-  if (job.repeats_ <= 0) {
-    OpenOccurrence(aJob, 0);
-    return;
-  }
-  const auto now = aState.TimeOfDay();
-  for (; aJob.nextOccurrence_ < job.repeats_; ++aJob.nextOccurrence_) {
-    if (job.firstRun_ + aJob.nextOccurrence_ * job.interval_ > now) {
-      return;
-    }
-    OpenOccurrence(aJob, aJob.nextOccurrence_);
-    aState.dirtyPools_.insert(PoolOf(aState, aJob));
-  }
-}
-
 void
 MarkDirty(FleetState& aState, JobEntry& aJob)
 {
@@ -521,7 +433,7 @@
   if (entry.HasEnded() || aRef.item_->phase_ == ItemPhase::Done) {
     return;
   }
-  auto& occurrence = entry.occurrences_[aName.occurrence_];
+  auto& occurrence = FindOccurrence(entry, aName.occurrence_);
   aRef.step_->hasPassedTrial_ =
     aRef.step_->hasPassedTrial_ || IsSuspect(*aRef.item_);
   MarkItemDone(entry, occurrence, *aRef.step_, *aRef.spec_, *aRef.item_);
@@ -533,6 +445,7 @@
       }
     }
   }
+  CloseIfDone(entry, aName.occurrence_);
   ++aState.counts_.done_;
   MarkDirty(aState, entry);
   aState.dirtyPools_.insert(PoolOf(aState, entry));
@@ -566,7 +479,7 @@
 {
   auto& entry = *aRef.job_;
   ++aState.counts_.failed_;
-  if (entry.HasEnded()) {
+  if (entry.HasEnded() || aRef.item_->phase_ == ItemPhase::Done) {
     return;
   }
   MarkDirty(aState, entry);
--- a/packages/fleet/src/jobs.h
+++ b/packages/fleet/src/jobs.h
@@ -34,9 +34,6 @@
 // The objective of a job: the time from its arrival to its completion.
 Millis CompletionObjective(const FleetState& aState, const JobEntry& aJob);
 
-// Opens the occurrences that are due.
-void OpenOccurrences(FleetState& aState, JobEntry& aJob);
-
 // Marks a job's progress as changed, so that the next batch stores it.
 void MarkDirty(FleetState& aState, JobEntry& aJob);
 // Ends a job and stops its runs.
--- a/packages/fleet/src/reducer.cpp
+++ b/packages/fleet/src/reducer.cpp
@@ -9,6 +9,7 @@
 #include "evacuation/evacuation.h"
 #include "fleet_waves.h"
 #include "jobs.h"
+#include "occurrences/occurrences.h"
 #include "pacing.h"
 #include "relocate.h"
 #include "runs.h"
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 
+#include <boost/icl/interval_set.hpp>
+
 #include "cuminbridge/fleet.h"
 
 #include "demand_peaks.h"
@@ -76,6 +78,8 @@
   std::size_t stepsDone_ = 0;
 };
 
+using OccurrenceSet = boost::icl::interval_set<int>; // numbers
+
 struct JobEntry
 {
   Job job_;
@@ -86,8 +90,10 @@
   bool isBeyondShare_ = false; // exceeds the share of its client account
   bool isGuest_ = false;       // another cell has transferred it
   bool hasCrashes_ = false;    // some item has or had
-  std::map<int, Occurrence> occurrences_; // by number; only opened ones
-  int nextOccurrence_ = 0;                // first that is not open yet
+  std::map<int, Occurrence> occurrences_; // by number; only open ones
+  OccurrenceSet closedOccurrences_;       // of a repeating job: all done
+  Occurrence closedOccurrence_;           // state of each; filled when needed
+  int nextOccurrence_ = 0;                // all before it have been opened
   int occurrencesDone_ = 0;
   int unassigned_ = 0; // waiting items, whether their step is ready or not
   Instant arrived_;    // when it was accepted, on this owner's clock
--- a/packages/fleet/src/storing.cpp
+++ b/packages/fleet/src/storing.cpp
@@ -9,18 +9,6 @@
 
 namespace {
 
-// Adds an occurrence to the ranges of those that are done. They come in
-// ascending order.
-void
-AddDone(std::vector<std::pair<int, int>>& aRanges, int aOccurrence)
-{
-  if (!aRanges.empty() && aRanges.back().second == aOccurrence - 1) {
-    aRanges.back().second = aOccurrence;
-  } else {
-    aRanges.emplace_back(aOccurrence, aOccurrence);
-  }
-}
-
 Progress
 ProgressOf(const FleetState& aState, const JobEntry& aJob)
 {
@@ -30,11 +18,11 @@
   if (aJob.HasEnded()) {
     return progress;
   }
+  for (const auto& range : aJob.closedOccurrences_) {
+    progress.doneOccurrences_.emplace_back(boost::icl::first(range),
+                                           boost::icl::last(range));
+  }
   for (const auto& [number, occurrence] : aJob.occurrences_) {
-    if (occurrence.stepsDone_ == occurrence.steps_.size()) {
-      AddDone(progress.doneOccurrences_, number);
-      continue;
-    }
     for (std::size_t step = 0; step < occurrence.steps_.size(); ++step) {
       const auto& items = occurrence.steps_[step].items_;
       for (std::size_t index = 0; index < items.size(); ++index) {
