--- a/packages/fleet/src/jobs.cpp
+++ b/packages/fleet/src/jobs.cpp
@@ -299,7 +299,12 @@
   }
   for (auto& [id, target] : aState.targets_) {
     if (target.startUnixMs_ != 0) { // listed before the records were read
-      AllowForPreviousClock(aState, target, ClockOf(aState, target));
+      AllowForPreviousClock(aState,
+                            target,
+                            LatestClock(aState,
+                                        target,
+                                        ClockOf(aState, target),
+                                        aState.options_.maxReportAge_));
     }
   }
   for (const auto& stored : aLoaded.targets_) {
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -210,6 +210,14 @@
          aAnswer.sentAt_ <= aTarget.incarnationSeenAt_;
 }
 
+// Since the process started, by the times of day of two machines.
+Millis
+AgeOf(const FleetState& aState, const Target& aTarget)
+{
+  const WallTime born{ Millis(aTarget.startUnixMs_) };
+  return std::chrono::duration_cast<Millis>(aState.TimeOfDay() - born);
+}
+
 // A report of a target whose process counts as ended. One may have been on its
 // way when it ended.
 void
@@ -232,6 +240,16 @@
 
 } // namespace
 
+std::int64_t
+LatestClock(const FleetState& aState,
+            const Target& aTarget,
+            std::int64_t aClockMs,
+            Millis aMaxAge)
+{
+  const auto age = AgeOf(aState, aTarget).count();
+  return std::max(aClockMs, std::min(age, aClockMs + aMaxAge.count()));
+}
+
 void
 RecordTarget(FleetState& aState, Target& aTarget, const std::string& aId)
 {
@@ -246,9 +264,7 @@
                       std::int64_t aClockMs)
 {
   const auto& options = aState.options_;
-  const WallTime born{ Millis(aTarget.startUnixMs_) };
-  const Millis age =
-    std::chrono::duration_cast<Millis>(aState.TimeOfDay() - born);
+  const auto age = AgeOf(aState, aTarget);
   if (aState.term_ > 1 && !aTarget.hasListedRuns_ &&
       age < options.ownerAllowance_ + options.longestLease_) {
     // Such a call may still come while the process is younger than this.
@@ -263,7 +279,8 @@
 BeginIncarnation(FleetState& aState,
                  Target& aTarget,
                  std::int64_t aStartUnixMs,
-                 std::int64_t aClockMs)
+                 std::int64_t aClockMs,
+                 Millis aMaxClockAge)
 {
   if (aTarget.startUnixMs_ != 0) {
     aState.Log("target_restarted",
@@ -295,9 +312,10 @@
   // A start or a renewal for the previous process may have reached this one,
   // with a deadline on the previous clock. The target shortens a deadline that
   // lies further ahead than longestLease_.
+  const auto clock = LatestClock(aState, aTarget, aClockMs, aMaxClockAge);
   aTarget.leaseUntil_ =
-    std::min(lastDeadline, aClockMs + aState.options_.longestLease_.count());
-  AllowForPreviousClock(aState, aTarget, aClockMs);
+    std::min(lastDeadline, clock + aState.options_.longestLease_.count());
+  AllowForPreviousClock(aState, aTarget, clock);
   aTarget.contact_ = Contact::Unreconciled;
   aTarget.incarnationSeenAt_ = aState.now_;
   aTarget.nextRenewal_ = aState.now_;
@@ -404,7 +422,11 @@
     const bool isNewReport =
       isNewIncarnation || target.report_.sequence_ != report.sequence_;
     if (isNewIncarnation && report.startUnixMs_ > target.startUnixMs_) {
-      BeginIncarnation(aState, target, report.startUnixMs_, report.clockMs_);
+      BeginIncarnation(aState,
+                       target,
+                       report.startUnixMs_,
+                       report.clockMs_,
+                       aState.options_.maxReportAge_);
     }
     if (!target.report_.isDraining_ && report.isDraining_) {
       aState.Log("target_draining",
--- a/packages/fleet/src/targets.h
+++ b/packages/fleet/src/targets.h
@@ -22,7 +22,15 @@
 void BeginIncarnation(FleetState& aState,
                       Target& aTarget,
                       std::int64_t aStartUnixMs,
-                      std::int64_t aClockMs);
+                      std::int64_t aClockMs,
+                      Millis aMaxClockAge = Millis(0));
+
+// The most that the clock of a target's process shows now, if it showed
+// aClockMs at most aMaxAge ago: it begins with the process.
+std::int64_t LatestClock(const FleetState& aState,
+                         const Target& aTarget,
+                         std::int64_t aClockMs,
+                         Millis aMaxAge);
 
 // An earlier owner that did not know of a restart may have sent deadlines on
 // the clock of the previous process. For as long as such a lease may last, no
--- a/packages/fleet/tests/takeover_test.cpp
+++ b/packages/fleet/tests/takeover_test.cpp
@@ -674,6 +674,30 @@
   }
 }
 
+TEST_CASE("a new owner allows for the time since a young target's report")
+{
+  // The report is older than the list that brings it. A deadline on the clock
+  // of the process before may have come since, and held beyond what was
+  // allowed.
+  const auto isListFirst = GENERATE(false, true);
+  CAPTURE(isListFirst);
+  constexpr Millis kAge(4500);
+  constexpr Millis kReportAge(1500);
+  const FleetOptions options;
+  TakenOverFleet fixture;
+  fixture.AddTarget("t");
+  auto& report = fixture.reports_.front();
+  const Millis now(fixture.now_.time_since_epoch());
+  report.startUnixMs_ = (now - kAge).count();
+  report.clockMs_ = (kAge - kReportAge).count();
+  if (isListFirst) {
+    fixture.Deliver(TargetsSeen{ fixture.reports_ });
+  }
+  fixture.TakeOver();
+  const auto& target = fixture.fleet_.State().targets_.at("t");
+  CHECK(target.leaseUntil_ >= (kAge + options.longestLease_).count());
+}
+
 TEST_CASE("failures of a long-running item leave no trace in its record")
 {
   // An item that failed 10 ms after each start made the record grow for ever.
