--- a/packages/daemon/src/admission/relay.cpp
+++ b/packages/daemon/src/admission/relay.cpp
@@ -48,27 +48,31 @@
 } // namespace
 
 std::string
-EncodeRelayed(const HttpRequest& aRequest)
+EncodeRelayed(const RelayedRequest& aRelayed)
 {
-  return ToText({ { "method", aRequest.method_ },
-                  { "path", aRequest.path_ },
-                  { "host", aRequest.host_ },
-                  { "body", aRequest.body_ },
-                  { "headers", EncodeHeaders(aRequest.headers_) } });
+  const auto& request = aRelayed.request_;
+  return ToText({ { "method", request.method_ },
+                  { "path", request.path_ },
+                  { "host", request.host_ },
+                  { "body", request.body_ },
+                  { "headers", EncodeHeaders(request.headers_) },
+                  { "config", aRelayed.configVersion_ } });
 }
 
-std::optional<HttpRequest>
+std::optional<RelayedRequest>
 DecodeRelayed(const std::string& aText)
 {
   try {
     const auto body = json::parse(aText);
-    HttpRequest request;
+    RelayedRequest relayed;
+    auto& request = relayed.request_;
+    relayed.configVersion_ = body.value("config", std::int64_t(0));
     body.at("method").get_to(request.method_);
     body.at("path").get_to(request.path_);
     body.at("host").get_to(request.host_);
     body.at("body").get_to(request.body_);
     request.headers_ = DecodeHeaders(body.at("headers"));
-    return request;
+    return relayed;
   } catch (const json::exception&) {
     return std::nullopt;
   }
@@ -129,7 +133,7 @@
 }
 
 Awaitable<std::optional<HttpResponse>>
-Relay::Ask(HttpRequest aRequest, int aCell, Millis aLimit)
+Relay::Ask(RelayedRequest aRelayed, int aCell, Millis aLimit)
 {
   if (context_.clocks_.Now() < nextTry_ || aLimit <= Millis(0)) {
     co_return std::nullopt;
@@ -140,14 +144,15 @@
     call.kind_ = "peer_relay";
     call.method_ = "POST";
     call.path_ = kRelayPath;
-    call.body_ = EncodeRelayed(aRequest);
+    call.body_ = EncodeRelayed(aRelayed);
     call.limit_ =
       std::chrono::duration_cast<Millis>(deadline - context_.clocks_.Now());
     if (call.limit_ <= Millis(0)) {
       break;
     }
     const auto reply = co_await context_.http_.Call(peer, std::move(call));
-    if (reply.outcome_ == CallOutcome::Lost && aRequest.method_ != "GET") {
+    if (reply.outcome_ == CallOutcome::Lost &&
+        aRelayed.request_.method_ != "GET") {
       HttpResponse answer;
       answer.status_ = kTimeout;
       answer.body_ = FormatError("it may have been done: ask again");
--- a/packages/daemon/src/admission/relay.h
+++ b/packages/daemon/src/admission/relay.h
@@ -13,8 +13,17 @@
 // Where peers answer relayed requests. They do not relay them again.
 inline constexpr const char* kRelayPath = "/relay";
 
-std::string EncodeRelayed(const HttpRequest& aRequest);
-std::optional<HttpRequest> DecodeRelayed(const std::string& aText);
+// A caller's request, and the version of the configuration that the entry goes
+// by which relays it. An entry that goes by another one does not answer: the
+// caller would see queues and keys come and go.
+struct RelayedRequest
+{
+  HttpRequest request_;
+  std::int64_t configVersion_ = 0; // 0: of an earlier version of this program
+};
+
+std::string EncodeRelayed(const RelayedRequest& aRelayed);
+std::optional<RelayedRequest> DecodeRelayed(const std::string& aText);
 // The answer of a peer: 503 if it does not reach the store either.
 HttpResponse EncodeRelayAnswer(const std::optional<HttpResponse>& aAnswer);
 // Nothing if the peer did not do what was asked for.
@@ -29,7 +38,7 @@
   // owner, or else of another owner. Nothing if no peer could do what the
   // request asks for either; it has then surely not been done. A peer that did
   // not answer may have done it: 504.
-  Awaitable<std::optional<HttpResponse>> Ask(HttpRequest aRequest,
+  Awaitable<std::optional<HttpResponse>> Ask(RelayedRequest aRelayed,
                                              int aCell,
                                              Millis aLimit);
 
--- a/packages/daemon/src/admission/relayed_requests.cpp
+++ b/packages/daemon/src/admission/relayed_requests.cpp
@@ -7,10 +7,11 @@
 Awaitable<HttpResponse>
 CallerApi::AnswerRelayed(std::string aText)
 {
-  const auto request = DecodeRelayed(aText);
+  const auto relayed = DecodeRelayed(aText);
   Outcome outcome;
-  if (request) {
-    outcome = co_await AnswerFromStore(*request);
+  if (relayed && (relayed->configVersion_ == 0 ||
+                  relayed->configVersion_ == config_.version_)) {
+    outcome = co_await AnswerFromStore(relayed->request_);
   }
   co_return EncodeRelayAnswer(outcome);
 }
--- a/packages/daemon/src/caller_api.cpp
+++ b/packages/daemon/src/caller_api.cpp
@@ -143,7 +143,7 @@
   auto outcome = co_await AnswerFromStore(aRequest);
   const std::string id(LastPart(aRequest.path_));
   if (!outcome) {
-    auto relayed = aRequest;
+    RelayedRequest relayed{ aRequest, config_.version_ };
     const auto left = kAnswerTimeout - (context_.clocks_.Now() - startedAt);
     outcome =
       co_await relay_.Ask(std::move(relayed), CellOfJob(id).number_, left);
