--- a/packages/fleet/tests/occurrences_test.cpp
+++ b/packages/fleet/tests/occurrences_test.cpp
@@ -63,6 +63,7 @@
   void End(const std::vector<StartRun>& aStarts, EndKind aKind)
   {
     std::vector<EndedRun> ended;
+    ended.reserve(aStarts.size());
     for (const auto& start : aStarts) {
       ended.push_back({ ++ends_, start.item_, start.run_, aKind, "" });
     }
