Fleet: bound the items of an account whose state is kept (Fault)

What callers would see: after some 30 requests of 200 bytes by one client, owner after owner runs out of memory.

Cause: each item takes 200 bytes in its owner. A job was bounded to 50,000, all jobs of an account together were not, and ended jobs kept their items.

Change: beyond 200,000 open items and steps of an account, its next jobs wait and are opened as others end, the oldest first; one is always open. The items of an ended job are dropped once no run of it is left.

The tests need the new option.

--- a/packages/fleet/include/cuminbridge/fleet.h
+++ b/packages/fleet/include/cuminbridge/fleet.h
@@ -119,6 +119,9 @@
   // Busy VMs that their pool can spare take no more work while others lack
   // room.
   bool releasesVms_ = true;
+  // Work items and steps of one client account whose state is kept at once, of
+  // some 200 bytes each. Its further jobs wait until others have ended.
+  std::int64_t maxOpenItems_ = 200000;
   // Cells of the fleet. Jobs are divided evenly, so a cell gets one job of this
   // many of each account.
   int cells_ = 1;
--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -9,6 +9,7 @@
 #include "crashes.h"
 #include "evacuation/evacuation.h"
 #include "jobs.h"
+#include "occurrences/occurrences.h"
 #include "placing.h"
 #include "runs.h"
 #include "scarcity/waiting_order.h"
@@ -301,6 +302,7 @@
                " thousandths of a core do not fit here");
   aState.Emit(TransferJob{ job.job_, *cell });
   aState.activeJobs_.erase(id);
+  DropOccurrences(aState, job);
   aState.jobs_.erase(id);
   return true;
 }
--- a/packages/fleet/src/jobs.cpp
+++ b/packages/fleet/src/jobs.cpp
@@ -24,7 +24,7 @@
       static_cast<std::size_t>(aFrom.step_) >= aJob.job_.steps_.size()) {
     return;
   }
-  auto& occurrence = FindOccurrence(aJob, aFrom.occurrence_);
+  auto& occurrence = FindOccurrence(aState, aJob, aFrom.occurrence_);
   auto& step = occurrence.steps_[static_cast<std::size_t>(aFrom.step_)];
   const auto& spec = aJob.job_.steps_[static_cast<std::size_t>(aFrom.step_)];
   if (aFrom.index_ < 0 || aFrom.index_ >= spec.count_) {
@@ -42,7 +42,7 @@
   aJob.hasCrashes_ = aJob.hasCrashes_ || !item.crashes_.empty();
   if (aFrom.isDone_) {
     MarkItemDone(aJob, occurrence, step, spec, item);
-    CloseIfDone(aJob, aFrom.occurrence_);
+    CloseIfDone(aState, aJob, aFrom.occurrence_);
     return;
   }
   if (aFrom.target_.empty()) {
@@ -167,7 +167,7 @@
       aName.index_ >= entry.job_.steps_[step].count_) {
     return ref;
   }
-  auto& occurrence = FindOccurrence(entry, aName.occurrence_);
+  auto& occurrence = FindOccurrence(aState, entry, aName.occurrence_);
   ref.job_ = &entry;
   ref.spec_ = &entry.job_.steps_[step];
   ref.step_ = &occurrence.steps_[step];
@@ -414,6 +414,7 @@
   aJob.state_ = aEndState;
   aJob.ended_ = aState.now_;
   aState.activeJobs_.erase(aJob.job_.id_);
+  aState.endedOpenJobs_.insert(aJob.job_.id_);
   aState.isUrgent_ = true;
   ++aState.counts_.jobsEnded_;
   MarkDirty(aState, aJob);
@@ -444,7 +445,7 @@
   if (entry.HasEnded() || aRef.item_->phase_ == ItemPhase::Done) {
     return;
   }
-  auto& occurrence = FindOccurrence(entry, aName.occurrence_);
+  auto& occurrence = FindOccurrence(aState, entry, aName.occurrence_);
   aRef.step_->hasPassedTrial_ =
     aRef.step_->hasPassedTrial_ || IsSuspect(*aRef.item_);
   MarkItemDone(entry, occurrence, *aRef.step_, *aRef.spec_, *aRef.item_);
@@ -456,7 +457,7 @@
       }
     }
   }
-  CloseIfDone(entry, aName.occurrence_);
+  CloseIfDone(aState, entry, aName.occurrence_);
   ++aState.counts_.done_;
   MarkDirty(aState, entry);
   aState.dirtyPools_.insert(PoolOf(aState, entry));
--- a/packages/fleet/src/occurrences/occurrences.cpp
+++ b/packages/fleet/src/occurrences/occurrences.cpp
@@ -16,7 +16,7 @@
 constexpr int kMaxWaitingOccurrences = 64;
 // Items and steps of the open occurrences of one job, unless a single one has
 // more. As many items are allowed in a job that does not repeat.
-constexpr std::size_t kMaxOpenItems = 50000;
+constexpr std::int64_t kMaxOpenItems = 50000;
 
 void
 CountStepDone(JobEntry& aJob, Occurrence& aOccurrence)
@@ -27,11 +27,25 @@
   }
 }
 
+std::int64_t
+CountItemsAndSteps(const Job& aJob)
+{
+  auto count = static_cast<std::int64_t>(aJob.steps_.size());
+  for (const auto& step : aJob.steps_) {
+    count += step.count_;
+  }
+  return count;
+}
+
 Occurrence&
-OpenOccurrence(JobEntry& aJob, int aNumber)
+OpenOccurrence(FleetState& aState, JobEntry& aJob, int aNumber)
 {
   auto& occurrence = aJob.occurrences_[aNumber];
   if (occurrence.steps_.empty()) {
+    aState.openItems_[aJob.job_.account_] += CountItemsAndSteps(aJob.job_);
+    if (aJob.HasEnded()) {
+      aState.endedOpenJobs_.insert(aJob.job_.id_);
+    }
     occurrence.steps_.resize(aJob.job_.steps_.size());
     for (std::size_t step = 0; step < occurrence.steps_.size(); ++step) {
       const auto& spec = aJob.job_.steps_[step];
@@ -65,16 +79,6 @@
   return closed;
 }
 
-std::size_t
-CountItemsAndSteps(const Job& aJob)
-{
-  auto count = aJob.steps_.size();
-  for (const auto& step : aJob.steps_) {
-    count += static_cast<std::size_t>(step.count_);
-  }
-  return count;
-}
-
 bool
 HasWaitingItems(const Occurrence& aOccurrence)
 {
@@ -84,7 +88,31 @@
     [](const StepState& aStep) { return CountWaitingItems(aStep) > 0; });
 }
 
-// The occurrences that may be opened now, due or not.
+void
+CountClosed(FleetState& aState, const JobEntry& aJob, std::size_t aOccurrences)
+{
+  const auto found = aState.openItems_.find(aJob.job_.account_);
+  if (found != aState.openItems_.end()) {
+    found->second -=
+      CountItemsAndSteps(aJob.job_) * static_cast<std::int64_t>(aOccurrences);
+    if (found->second <= 0) {
+      aState.openItems_.erase(found);
+    }
+  }
+}
+
+// Whether an account may have one more occurrence open. Each may have one.
+bool
+HasRoom(const FleetState& aState, const JobEntry& aJob)
+{
+  const auto open = aState.openItems_.find(aJob.job_.account_);
+  return open == aState.openItems_.end() ||
+         open->second + CountItemsAndSteps(aJob.job_) <=
+           aState.options_.maxOpenItems_;
+}
+
+// The occurrences of a repeating job that may be opened now, due or not, as far
+// as its account has room.
 int
 CountRoom(const JobEntry& aJob)
 {
@@ -94,10 +122,10 @@
       return HasWaitingItems(aEntry.second);
     });
   const auto most =
-    std::max<std::size_t>(1, kMaxOpenItems / CountItemsAndSteps(aJob.job_));
-  const auto room = std::min(
-    kMaxWaitingOccurrences - static_cast<std::int64_t>(waiting),
-    static_cast<std::int64_t>(most) - static_cast<std::int64_t>(open.size()));
+    std::max<std::int64_t>(1, kMaxOpenItems / CountItemsAndSteps(aJob.job_));
+  const auto room =
+    std::min(kMaxWaitingOccurrences - static_cast<std::int64_t>(waiting),
+             most - static_cast<std::int64_t>(open.size()));
   return static_cast<int>(std::max<std::int64_t>(0, room));
 }
 
@@ -133,11 +161,11 @@
 }
 
 Occurrence&
-FindOccurrence(JobEntry& aJob, int aNumber)
+FindOccurrence(FleetState& aState, JobEntry& aJob, int aNumber)
 {
   return boost::icl::contains(aJob.closedOccurrences_, aNumber)
            ? ClosedOccurrence(aJob)
-           : OpenOccurrence(aJob, aNumber);
+           : OpenOccurrence(aState, aJob, aNumber);
 }
 
 void
@@ -161,12 +189,13 @@
 }
 
 void
-CloseIfDone(JobEntry& aJob, int aNumber)
+CloseIfDone(FleetState& aState, JobEntry& aJob, int aNumber)
 {
   const auto found = aJob.occurrences_.find(aNumber);
   if (aJob.job_.repeats_ > 0 && found != aJob.occurrences_.end() &&
       found->second.stepsDone_ == found->second.steps_.size()) {
     aJob.occurrences_.erase(found);
+    CountClosed(aState, aJob, 1);
     aJob.closedOccurrences_.insert(aNumber);
   }
 }
@@ -188,20 +217,80 @@
 {
   const auto& job = aJob.job_;
   if (job.repeats_ <= 0) {
-    FindOccurrence(aJob, 0);
+    if (aJob.occurrences_.empty() && HasRoom(aState, aJob)) {
+      OpenOccurrence(aState, aJob, 0);
+      aState.dirtyPools_.insert(PoolOf(aState, aJob));
+    }
     return;
   }
   const auto now = aState.TimeOfDay();
   for (int room = CountRoom(aJob); room > 0; --room) {
     const int number = SkipOpened(aJob, aJob.nextOccurrence_);
     aJob.nextOccurrence_ = number;
-    if (number >= job.repeats_ || DueTime(job, number) > now) {
+    if (number >= job.repeats_ || DueTime(job, number) > now ||
+        !HasRoom(aState, aJob)) {
       return;
     }
-    OpenOccurrence(aJob, number);
-    CloseIfDone(aJob, number); // it may have no items
+    OpenOccurrence(aState, aJob, number);
+    CloseIfDone(aState, aJob, number); // it may have no items
     aState.dirtyPools_.insert(PoolOf(aState, aJob));
   }
 }
 
+void
+OpenAllOccurrences(FleetState& aState)
+{
+  std::vector<JobEntry*> active;
+  active.reserve(aState.activeJobs_.size());
+  for (const auto& id : aState.activeJobs_) {
+    active.push_back(aState.jobs_[id].get());
+  }
+  if (std::any_of(active.begin(), active.end(), [](const JobEntry* aJob) {
+        return aJob->occurrences_.empty();
+      })) {
+    std::stable_sort(active.begin(),
+                     active.end(),
+                     [](const JobEntry* aLeft, const JobEntry* aRight) {
+                       return aLeft->arrived_ < aRight->arrived_;
+                     });
+  }
+  for (auto* job : active) {
+    OpenOccurrences(aState, *job);
+    aState.dirtyPools_.insert(PoolOf(aState, *job));
+    EndIfDone(aState, *job); // removes it from the active ones
+  }
+}
+
+void
+DropOccurrences(FleetState& aState, JobEntry& aJob)
+{
+  CountClosed(aState, aJob, aJob.occurrences_.size());
+  aJob.occurrences_.clear();
+  aJob.closedOccurrence_ = {};
+}
+
+void
+DropEndedOccurrences(FleetState& aState)
+{
+  std::erase_if(aState.endedOpenJobs_, [&](const std::string& aId) {
+    const auto found = aState.jobs_.find(aId);
+    if (found == aState.jobs_.end()) {
+      return true;
+    }
+    auto& job = *found->second;
+    const bool hasRuns = std::any_of(
+      job.occurrences_.begin(), job.occurrences_.end(), [](const auto& aEntry) {
+        const auto& steps = aEntry.second.steps_;
+        return std::any_of(
+          steps.begin(), steps.end(), [](const StepState& aStep) {
+            return aStep.assigned_ > 0;
+          });
+      });
+    if (!hasRuns) {
+      DropOccurrences(aState, job);
+    }
+    return !hasRuns;
+  });
+}
+
 } // namespace cuminbridge
--- a/packages/fleet/src/reducer.cpp
+++ b/packages/fleet/src/reducer.cpp
@@ -88,15 +88,8 @@
     return;
   }
   aState.nextSweep_ = aState.now_ + kSweepInterval;
-  std::vector<JobEntry*> active;
-  for (const auto& id : aState.activeJobs_) {
-    active.push_back(aState.jobs_[id].get());
-  }
-  for (auto* job : active) {
-    OpenOccurrences(aState, *job);
-    aState.dirtyPools_.insert(PoolOf(aState, *job));
-    EndIfDone(aState, *job); // removes it from the active ones
-  }
+  DropEndedOccurrences(aState);
+  OpenAllOccurrences(aState);
   UpdateWatchedTargets(aState);
   NoteStepsThatWait(aState);
   Evacuate(aState);
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -371,6 +371,9 @@
   FleetConfig config_;
   std::unordered_map<std::string, std::unique_ptr<JobEntry>> jobs_;
   std::set<std::string> activeJobs_; // ids of jobs that have not ended
+  // Items and steps of all open occurrences, by account.
+  std::map<std::string, std::int64_t> openItems_;
+  std::set<std::string> endedOpenJobs_; // ids of ended jobs with open ones
   // Jobs that are not known yet, and when their cancellation became known.
   std::map<std::string, Instant> earlyCancellations_;
   std::map<std::string, Target> targets_;
--- a/packages/fleet/src/storing.cpp
+++ b/packages/fleet/src/storing.cpp
@@ -3,6 +3,7 @@
 #include "storing.h"
 
 #include "jobs.h"
+#include "occurrences/occurrences.h"
 #include "vm_orders.h"
 
 namespace cuminbridge {
@@ -164,6 +165,7 @@
     }
   }
   for (const auto& id : effect.jobs_) {
+    DropOccurrences(aState, *aState.jobs_[id]);
     aState.jobs_.erase(id);
   }
   if (!effect.jobs_.empty()) {
--- a/packages/fleet/tests/occurrences_test.cpp
+++ b/packages/fleet/tests/occurrences_test.cpp
@@ -70,9 +70,23 @@
     AnswerRenewal("t", {}, ended);
   }
 
-  const JobEntry& Entry() const
+  const JobEntry& Entry(int aJob = 1) const
   {
-    return *fleet_.State().jobs_.at(MakeJobId(1));
+    return *fleet_.State().jobs_.at(MakeJobId(aJob));
+  }
+
+  // Items of all jobs whose state is kept.
+  std::size_t CountItems() const
+  {
+    std::size_t items = 0;
+    for (const auto& [id, job] : fleet_.State().jobs_) {
+      for (const auto& [number, occurrence] : job->occurrences_) {
+        for (const auto& step : occurrence.steps_) {
+          items += step.items_.size();
+        }
+      }
+    }
+    return items;
   }
 
   std::int64_t ends_ = 0;
@@ -179,3 +193,73 @@
   CHECK(!fixture.Entry().HasEnded());
   CHECK(fixture.fleet_.Counts().stoppedUnwanted_ == 1);
 }
+
+namespace {
+
+Job
+MakeJobOf(const std::string& aAccount, int aNumber, int aItems)
+{
+  auto job = MakeJob(MakeJobId(aNumber), "a", { aItems });
+  job.account_ = aAccount;
+  return job;
+}
+
+} // namespace
+
+TEST_CASE("many jobs with many items do not fill the owner's memory")
+{
+  // Twenty requests for 50,000 items each, of a few bytes, took 200 MB.
+  constexpr std::int64_t kMostItems = 5000; // of one account
+  constexpr int kItems = 2000;              // of one job
+  constexpr int kJobs = 30;
+  OneTarget fixture;
+  FleetOptions options;
+  options.maxOpenItems_ = kMostItems;
+  fixture.Deliver(OptionsChanged{ options });
+  for (int number = 1; number <= kJobs; ++number) {
+    fixture.Deliver(JobArrived{ MakeJobOf("large", number, kItems) });
+    fixture.AdvanceTime(Millis(1));
+  }
+  CHECK(fixture.CountItems() <= kMostItems);
+  fixture.Deliver(JobArrived{ MakeJobOf("other", 99, 1) });
+  CHECK(!fixture.Entry(99).occurrences_.empty());
+  const auto starts = fixture.StoreAndCollect();
+  CHECK(fixture.Entry(kJobs).occurrences_.empty());
+  CHECK(fixture.fleet_.StoredState(MakeJobId(kJobs)) == JobState::Queued);
+  // As those before it end, the oldest one that waits is next.
+  for (int number = 1; number < kJobs; ++number) {
+    INFO("job " << number);
+    CHECK(!fixture.Entry(number).occurrences_.empty());
+    fixture.Deliver(JobCancelled{ MakeJobId(number) });
+    std::vector<EndedRun> ended;
+    for (const auto& start : starts) {
+      if (start.item_.job_ == MakeJobId(number)) {
+        ended.push_back(
+          { ++fixture.ends_, start.item_, start.run_, EndKind::Stopped, "" });
+      }
+    }
+    fixture.AnswerRenewal("t", {}, ended);
+    fixture.End(fixture.StoreAndCollect(), EndKind::Stopped);
+    REQUIRE(fixture.CountItems() <= kMostItems + 1);
+  }
+  fixture.StoreAndCollect();
+  CHECK(!fixture.Entry(kJobs).occurrences_.empty());
+}
+
+TEST_CASE(
+  "a job beyond the limit of open items runs if its account has no other")
+{
+  OneTarget fixture;
+  FleetOptions options;
+  options.maxOpenItems_ = 3;
+  fixture.Deliver(OptionsChanged{ options });
+  fixture.Deliver(JobArrived{ MakeJobOf("large", 1, 8) });
+  fixture.Deliver(JobArrived{ MakeJobOf("large", 2, 1) });
+  const auto first = fixture.StoreAndCollect();
+  REQUIRE(first.size() == 8);
+  CHECK(first[0].item_.job_ == MakeJobId(1));
+  fixture.End(first, EndKind::Done);
+  const auto second = fixture.StoreAndCollect();
+  REQUIRE(second.size() == 1);
+  CHECK(second[0].item_.job_ == MakeJobId(2));
+}
