--- a/packages/fleet/src/occurrences/occurrences.cpp
+++ b/packages/fleet/src/occurrences/occurrences.cpp
@@ -14,6 +14,8 @@
 // Open occurrences of one job that have waiting items. Each dispatch orders
 // their steps, beside those of all other jobs.
 constexpr int kMaxWaitingOccurrences = 64;
+// Targets list the last runs of a job within this time after its end.
+constexpr Millis kItemsKept(2000);
 // Items and steps of the open occurrences of one job, unless a single one has
 // more. As many items are allowed in a job that does not repeat.
 constexpr std::int64_t kMaxOpenItems = 50000;
@@ -30,7 +32,7 @@
 std::int64_t
 CountItemsAndSteps(const Job& aJob)
 {
-  auto count = static_cast<std::int64_t>(aJob.steps_.size());
+  auto count = std::max<std::int64_t>(1, std::ssize(aJob.steps_));
   for (const auto& step : aJob.steps_) {
     count += step.count_;
   }
@@ -286,10 +288,11 @@
             return aStep.assigned_ > 0;
           });
       });
-    if (!hasRuns) {
+    const bool isOver = !hasRuns && aState.now_ - job.ended_ >= kItemsKept;
+    if (isOver) {
       DropOccurrences(aState, job);
     }
-    return !hasRuns;
+    return isOver;
   });
 }
 
--- a/packages/fleet/src/occurrences/occurrences.h
+++ b/packages/fleet/src/occurrences/occurrences.h
@@ -45,7 +45,7 @@
 
 // Forgets the state of a job's items.
 void DropOccurrences(FleetState& aState, JobEntry& aJob);
-// Likewise for jobs that have ended, once no run of them is left.
+// Likewise for jobs that ended a while ago, once no run of them is left.
 void DropEndedOccurrences(FleetState& aState);
 
 } // namespace cuminbridge
--- a/packages/fleet/tests/occurrences_test.cpp
+++ b/packages/fleet/tests/occurrences_test.cpp
@@ -239,6 +239,7 @@
       }
     }
     fixture.AnswerRenewal("t", {}, ended);
+    fixture.AdvanceTime(Millis(2000));
     fixture.End(fixture.StoreAndCollect(), EndKind::Stopped);
     REQUIRE(fixture.CountItems() <= kMostItems + 1);
   }
@@ -259,6 +260,7 @@
   REQUIRE(first.size() == 8);
   CHECK(first[0].item_.job_ == MakeJobId(1));
   fixture.End(first, EndKind::Done);
+  fixture.AdvanceTime(Millis(2000));
   const auto second = fixture.StoreAndCollect();
   REQUIRE(second.size() == 1);
   CHECK(second[0].item_.job_ == MakeJobId(2));
