Election: a type name of its own for the candidates (one definition rule)

Cause: the daemon and the fleet both defined cuminbridge::Candidate, of different sizes. A program with both may use the copy constructor or the vector of either; with the address sanitizer it wrote 64 bytes over the end.

Change: the daemon's type is OwnerCandidate. No other two types of the product share a name, but for those of the stand-in, which have a namespace.

Evidence: build/asan daemon_ownership_test was aborted in MakeCandidates(), 1 of 1 on x86-64, and is not any more.

--- a/packages/daemon/src/cells.cpp
+++ b/packages/daemon/src/cells.cpp
@@ -21,7 +21,7 @@
 
 // Whether a candidate is strong enough beside the strongest one.
 bool
-IsStrong(const Candidate& aCandidate, double aStrongest)
+IsStrong(const OwnerCandidate& aCandidate, double aStrongest)
 {
   return !ShouldYield(aCandidate.cpuShare_, aStrongest);
 }
@@ -159,14 +159,14 @@
 // [SECTION] Who owns a cell
 //-----------------------------------------------------------------------------
 
-std::vector<Candidate>
-RankCandidates(std::vector<Candidate> aCandidates, int aCell)
+std::vector<OwnerCandidate>
+RankCandidates(std::vector<OwnerCandidate> aCandidates, int aCell)
 {
   double strongest = 0;
   for (const auto& candidate : aCandidates) {
     strongest = std::max(strongest, candidate.cpuShare_);
   }
-  const auto key = [&](const Candidate& aCandidate) {
+  const auto key = [&](const OwnerCandidate& aCandidate) {
     return std::make_tuple(
       !IsStrong(aCandidate, strongest),
       aCandidate.cells_,
@@ -174,7 +174,7 @@
   };
   std::sort(aCandidates.begin(),
             aCandidates.end(),
-            [&](const Candidate& aLeft, const Candidate& aRight) {
+            [&](const OwnerCandidate& aLeft, const OwnerCandidate& aRight) {
               return key(aLeft) < key(aRight);
             });
   return aCandidates;
--- a/packages/daemon/src/cells.h
+++ b/packages/daemon/src/cells.h
@@ -83,20 +83,21 @@
 // [SECTION] Who owns a cell
 //-----------------------------------------------------------------------------
 
-struct Candidate
+struct OwnerCandidate
 {
   std::string name_;
   double cpuShare_ = 0; // of a core
   int cells_ = 0;       // that it owns
 
-  bool operator==(const Candidate&) const = default;
+  bool operator==(const OwnerCandidate&) const = default;
 };
 
 // The candidates in the order in which they should take a cell: those with
 // enough processor time first, those that own fewer cells first, and else by a
 // hash that differs from cell to cell.
-std::vector<Candidate> RankCandidates(std::vector<Candidate> aCandidates,
-                                      int aCell);
+std::vector<OwnerCandidate> RankCandidates(
+  std::vector<OwnerCandidate> aCandidates,
+  int aCell);
 
 // How long the candidate at this place leaves a cell without an owner to those
 // before it; 0 for the first.
--- a/packages/daemon/src/election.cpp
+++ b/packages/daemon/src/election.cpp
@@ -271,7 +271,7 @@
 Election::PlaceOf(const StoreReply& aEntries, int aCell) const
 {
   const auto& own = context_.settings_.name_;
-  std::vector<Candidate> candidates;
+  std::vector<OwnerCandidate> candidates;
   for (const auto& item : aEntries.items_) {
     const auto entry = DecodeEntry(item.value_);
     const auto name = item.key_.substr(std::string_view(kEntriesPrefix).size());
@@ -287,7 +287,7 @@
       context_.peers_.CountCellsOf(PeerAddress(context_.settings_)) });
   const auto ranked = RankCandidates(std::move(candidates), aCell);
   const auto place = std::find_if(
-    ranked.begin(), ranked.end(), [&](const Candidate& aCandidate) {
+    ranked.begin(), ranked.end(), [&](const OwnerCandidate& aCandidate) {
       return aCandidate.name_ == own;
     });
   return static_cast<std::size_t>(place - ranked.begin());
--- a/packages/daemon/tests/cells_test.cpp
+++ b/packages/daemon/tests/cells_test.cpp
@@ -118,11 +118,11 @@
 
 TEST_CASE("strong entries come first, then those with fewer cells")
 {
-  const std::vector<Candidate> candidates = { { "weak-1", 0.12, 0 },
-                                              { "strong-1", 0.5, 1 },
-                                              { "strong-2", 0.5, 0 },
-                                              { "weak-2", 0.12, 0 },
-                                              { "strong-3", 0.4, 0 } };
+  const std::vector<OwnerCandidate> candidates = { { "weak-1", 0.12, 0 },
+                                                   { "strong-1", 0.5, 1 },
+                                                   { "strong-2", 0.5, 0 },
+                                                   { "weak-2", 0.12, 0 },
+                                                   { "strong-3", 0.4, 0 } };
   const auto ranked = RankCandidates(candidates, 0);
   CHECK(ranked[2].name_ == "strong-1");
   CHECK(ranked[3].cpuShare_ == 0.12);
