Relay: have peers with a newer configuration answer, and keep to it (CONFIG)

The comparison of versions also refused peers with a newer configuration.

Change: only a peer with an older configuration does not answer. An answer names the peer's version, and an entry whose callers have seen a newer one has peers answer until it has read that version itself.

--- a/packages/daemon/src/admission/relay.cpp
+++ b/packages/daemon/src/admission/relay.cpp
@@ -79,7 +79,8 @@
 }
 
 HttpResponse
-EncodeRelayAnswer(const std::optional<HttpResponse>& aAnswer)
+EncodeRelayAnswer(const std::optional<HttpResponse>& aAnswer,
+                  std::int64_t aConfigVersion)
 {
   HttpResponse response;
   if (!aAnswer) {
@@ -88,11 +89,12 @@
   }
   response.body_ = ToText({ { "status", aAnswer->status_ },
                             { "body", aAnswer->body_ },
-                            { "headers", EncodeHeaders(aAnswer->headers_) } });
+                            { "headers", EncodeHeaders(aAnswer->headers_) },
+                            { "config", aConfigVersion } });
   return response;
 }
 
-std::optional<HttpResponse>
+std::optional<RelayAnswer>
 DecodeRelayAnswer(const HttpReply& aReply)
 {
   constexpr int kOk = 200;
@@ -101,10 +103,11 @@
   }
   try {
     const auto body = json::parse(aReply.body_);
-    HttpResponse answer;
-    body.at("status").get_to(answer.status_);
-    body.at("body").get_to(answer.body_);
-    answer.headers_ = DecodeHeaders(body.at("headers"));
+    RelayAnswer answer;
+    body.at("status").get_to(answer.response_.status_);
+    body.at("body").get_to(answer.response_.body_);
+    answer.response_.headers_ = DecodeHeaders(body.at("headers"));
+    answer.configVersion_ = body.value("config", std::int64_t(0));
     return answer;
   } catch (const json::exception&) {
     return std::nullopt;
@@ -160,7 +163,8 @@
     }
     if (auto relayed = DecodeRelayAnswer(reply)) {
       ++answered_;
-      co_return relayed;
+      newestConfig_ = std::max(newestConfig_, relayed->configVersion_);
+      co_return std::move(relayed->response_);
     }
   }
   nextTry_ = context_.clocks_.Now() + kPause;
--- a/packages/daemon/src/admission/relay.h
+++ b/packages/daemon/src/admission/relay.h
@@ -14,7 +14,7 @@
 inline constexpr const char* kRelayPath = "/relay";
 
 // A caller's request, and the version of the configuration that the entry goes
-// by which relays it. An entry that goes by another one does not answer: the
+// by which relays it. An entry that goes by an older one does not answer: the
 // caller would see queues and keys come and go.
 struct RelayedRequest
 {
@@ -22,12 +22,20 @@
   std::int64_t configVersion_ = 0; // 0: of an earlier version of this program
 };
 
+// The answer of a peer, and the version of the configuration that it goes by.
+struct RelayAnswer
+{
+  HttpResponse response_;
+  std::int64_t configVersion_ = 0; // as above
+};
+
 std::string EncodeRelayed(const RelayedRequest& aRelayed);
 std::optional<RelayedRequest> DecodeRelayed(const std::string& aText);
 // The answer of a peer: 503 if it does not reach the store either.
-HttpResponse EncodeRelayAnswer(const std::optional<HttpResponse>& aAnswer);
+HttpResponse EncodeRelayAnswer(const std::optional<HttpResponse>& aAnswer,
+                               std::int64_t aConfigVersion);
 // Nothing if the peer did not do what was asked for.
-std::optional<HttpResponse> DecodeRelayAnswer(const HttpReply& aReply);
+std::optional<RelayAnswer> DecodeRelayAnswer(const HttpReply& aReply);
 
 class Relay
 {
@@ -43,6 +51,9 @@
                                              Millis aLimit);
 
   std::uint64_t Answered() const { return answered_; } // by a peer
+  // Newest version of the configuration that a peer has answered by. Callers
+  // have seen its effects here.
+  std::int64_t NewestConfig() const { return newestConfig_; }
 
 private:
   std::vector<std::string> ChoosePeers(int aCell) const;
@@ -50,6 +61,7 @@
   DaemonContext context_;
   Instant nextTry_;
   std::uint64_t answered_ = 0;
+  std::int64_t newestConfig_ = 0;
 };
 
 } // namespace cuminbridge
--- a/packages/daemon/src/admission/relayed_requests.cpp
+++ b/packages/daemon/src/admission/relayed_requests.cpp
@@ -4,16 +4,22 @@
 
 namespace cuminbridge {
 
+bool
+CallerApi::IsConfigOutdated() const
+{
+  return config_.version_ < relay_.NewestConfig();
+}
+
 Awaitable<HttpResponse>
 CallerApi::AnswerRelayed(std::string aText)
 {
   const auto relayed = DecodeRelayed(aText);
   Outcome outcome;
-  if (relayed && (relayed->configVersion_ == 0 ||
-                  relayed->configVersion_ == config_.version_)) {
+  if (relayed && relayed->configVersion_ <= config_.version_ &&
+      !IsConfigOutdated()) {
     outcome = co_await AnswerFromStore(relayed->request_);
   }
-  co_return EncodeRelayAnswer(outcome);
+  co_return EncodeRelayAnswer(outcome, config_.version_);
 }
 
 } // namespace cuminbridge
--- a/packages/daemon/src/caller_api.cpp
+++ b/packages/daemon/src/caller_api.cpp
@@ -140,7 +140,10 @@
 CallerApi::Answer(const HttpRequest& aRequest)
 {
   const auto startedAt = context_.clocks_.Now();
-  auto outcome = co_await AnswerFromStore(aRequest);
+  Outcome outcome;
+  if (!IsConfigOutdated()) {
+    outcome = co_await AnswerFromStore(aRequest);
+  }
   const std::string id(LastPart(aRequest.path_));
   if (!outcome) {
     RelayedRequest relayed{ aRequest, config_.version_ };
--- a/packages/daemon/src/caller_api.h
+++ b/packages/daemon/src/caller_api.h
@@ -47,6 +47,9 @@
   std::uint64_t CountRelayed() const { return relay_.Answered(); }
 
 private:
+  // Whether a peer has answered callers of this entry by a newer version. Until
+  // that is read, only peers answer.
+  bool IsConfigOutdated() const;
   Awaitable<Outcome> Submit(const HttpRequest& aRequest,
                             const Queue& aQueue,
                             std::string aAccount,
