Tests: failures of a done item do not fail its job; postmortem

What callers would see: a job shown as failed whose items were all done. Cause: a failed end counted as an attempt also once its item was done.

--- a/packages/fleet/tests/occurrences_test.cpp
+++ b/packages/fleet/tests/occurrences_test.cpp
@@ -180,6 +180,25 @@
   CHECK(fixture.fleet_.Counts().stoppedUnwanted_ == 1);
 }
 
+TEST_CASE("failures of an item that is done do not fail its job")
+{
+  // Runs that were given up end after the one that was done. They used up the
+  // attempts.
+  OneTarget fixture;
+  auto job = MakeJob(MakeJobId(1), "a", { 2 });
+  job.attempts_ = 2;
+  fixture.Deliver(JobArrived{ job });
+  const auto starts = fixture.StoreAndCollect();
+  REQUIRE(starts.size() == 2);
+  std::vector<StartRun> first{ starts[0] };
+  fixture.End(first, EndKind::Done);
+  for (int failure = 0; failure < 4; ++failure) {
+    ++first[0].run_;
+    fixture.End(first, EndKind::Failed);
+  }
+  CHECK(!fixture.Entry().HasEnded());
+}
+
 namespace {
 
 Job
