Fleet: silence of a target that was not in contact is no crash of its item (LOST)

Cause: a start without an answer counted as a crash whatever was known of the target. Idle targets are not called, so four that had ended before the start were four crashes of five, and the first target that ran the item the fifth.

Change: a run notes whether its target had answered within 0.5 s before the start. If not, its crash is of the new kind Unreached, and all of these count as one. After a start without an answer, an item starts only on a target in contact; up to four candidates are called for that. So an item that ends its targets before they answer is still given up after five at most.

--- a/packages/fleet/src/crashes.cpp
+++ b/packages/fleet/src/crashes.cpp
@@ -27,7 +27,8 @@
 KindOf(const Run& aRun, Instant aEndedBy)
 {
   if (!aRun.confirmedAt_ && aRun.isStartedByThisOwner_) {
-    return CrashKind::Unanswered;
+    return aRun.wasTargetInContact_ ? CrashKind::Unanswered
+                                    : CrashKind::Unreached;
   }
   if (!aRun.confirmedAt_ || aRun.mayHaveEnded_ || aRun.isExplained_) {
     return CrashKind::Uncertain;
@@ -96,13 +97,18 @@
 {
   int early = 0;
   int confirmed = 0;
+  std::size_t unreached = 0;
   for (const auto& crash : aCrashes) {
     early += crash.kind_ == CrashKind::Early ? 1 : 0;
     confirmed +=
       crash.kind_ == CrashKind::Early || crash.kind_ == CrashKind::Late ? 1 : 0;
+    unreached += crash.kind_ == CrashKind::Unreached ? 1 : 0;
   }
+  // Targets that fall silent together are one event.
+  const auto counted =
+    aCrashes.size() - unreached + std::min<std::size_t>(unreached, 1);
   return early >= (aIsLongRunning ? kLongRunningLimit : kEarlyLimit) ||
-         confirmed >= kConfirmedLimit || aCrashes.size() >= kLimit;
+         confirmed >= kConfirmedLimit || counted >= kLimit;
 }
 
 bool
@@ -111,7 +117,8 @@
   return std::any_of(
     aItem.crashes_.begin(), aItem.crashes_.end(), [](const Crash& aCrash) {
       return aCrash.kind_ == CrashKind::Early ||
-             aCrash.kind_ == CrashKind::Unanswered;
+             aCrash.kind_ == CrashKind::Unanswered ||
+             aCrash.kind_ == CrashKind::Unreached;
     });
 }
 
--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -6,6 +6,7 @@
 
 #include "account_limits.h"
 #include "candidates.h"
+#include "contact/contact.h"
 #include "crashes.h"
 #include "evacuation/evacuation.h"
 #include "jobs.h"
@@ -26,6 +27,9 @@
 // Least time between two dispatches of one pool, so that changes that come
 // close together are handled together.
 constexpr Millis kDispatchInterval(4);
+// Targets that are probed for one item, as some may have fallen silent
+// together.
+constexpr std::size_t kProbes = 4;
 
 std::string
 StepName(const WaitingStep& aWaiting)
@@ -143,6 +147,16 @@
   if (!std::all_of(step.items_.begin(), step.items_.end(), AreCrashesStored)) {
     return true;
   }
+  if (std::any_of(step.items_.begin(), step.items_.end(), NeedsContact)) {
+    ProbeCandidates(aState,
+                    aTargets,
+                    aCandidates,
+                    step.items_.size() + kProbes,
+                    [&](const std::vector<Candidate>& aOnes) {
+                      return ChooseTarget(spec, aOnes);
+                    });
+    aCandidates = CandidatesInContact(aState, aTargets, std::move(aCandidates));
+  }
   Resources all;
   for (int member = 0; member < spec.count_; ++member) {
     all += spec.needs_;
@@ -189,13 +203,21 @@
         (!AreCrashesStored(item) || !MayTrySuspect(aState, step))) {
       continue;
     }
+    const auto choose = [&](const std::vector<Candidate>& aOnes) {
+      return isSuspect
+               ? ChooseTargetForSuspect(
+                   aState, spec, aTargets, aOnes, NameOf(aWaiting, index), item)
+               : ChooseTargetAvoiding(
+                   spec, aTargets, aOnes, item.avoidedTarget_);
+    };
+    const bool needsContact = NeedsContact(item);
     const int best =
-      isSuspect
-        ? ChooseTargetForSuspect(
-            aState, spec, aTargets, aCandidates, NameOf(aWaiting, index), item)
-        : ChooseTargetAvoiding(
-            spec, aTargets, aCandidates, item.avoidedTarget_);
-    if (best == kNoCandidate && isSuspect) {
+      needsContact ? choose(CandidatesInContact(aState, aTargets, aCandidates))
+                   : choose(aCandidates);
+    if (best == kNoCandidate && needsContact) {
+      ProbeCandidates(aState, aTargets, aCandidates, kProbes, choose);
+    }
+    if (best == kNoCandidate && (isSuspect || needsContact)) {
       continue;
     }
     if (best == kNoCandidate) {
--- a/packages/fleet/src/runs.cpp
+++ b/packages/fleet/src/runs.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 
+#include "contact/contact.h"
 #include "crashes.h"
 #include "evacuation/evacuation.h"
 #include "jobs.h"
@@ -165,6 +166,7 @@
   run.sentAt_ = aState.now_;
   run.isStartedByThisOwner_ = true;
   run.isStartPending_ = true;
+  run.wasTargetInContact_ = IsInContact(aState, aTarget);
   run.progressBaseAt_ = aState.now_;
   StartRun effect;
   effect.target_ = aTarget.report_.id_;
@@ -323,7 +325,11 @@
     return;
   }
   run->isStartPending_ = false;
+  const auto ref = FindItem(aState, aAnswer.item_);
   if (aAnswer.outcome_ == StartOutcome::Started) {
+    if (ref.item_) {
+      ref.item_->isStartUnanswered_ = false;
+    }
     run->processEndedBy_.reset(); // the new process has started it
     run->isExplained_ = false;
     run->confirmedAt_ = aState.now_;
@@ -351,12 +357,14 @@
              aAnswer.target_,
              kOutcomeNames[static_cast<int>(aAnswer.outcome_)]);
   if (aAnswer.outcome_ == StartOutcome::Unknown) {
+    if (ref.item_) {
+      ref.item_->isStartUnanswered_ = true;
+    }
     // The start may still be carried out. An answered stop rules that out.
     Stop(aState, target, *run, "its start was not answered");
     return;
   }
   ReleaseRun(aState, target, aAnswer.item_, aAnswer.run_);
-  const auto ref = FindItem(aState, aAnswer.item_);
   switch (aAnswer.outcome_) {
     case StartOutcome::Fenced:
       if (aAnswer.process_ == target.process_) {
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -42,10 +42,11 @@
   std::size_t crashesInBatch_ = 0; // of these, in the batch on its way
   std::size_t crashesStored_ = 0;  // of these, surely stored
   std::string checkpoint_;
-  std::string target_;        // while Assigned
-  std::string avoidedTarget_; // where a run failed last, or was too slow
-  int slowReplacements_ = 0;  // runs stopped because they were too slow
-  Instant notBefore_;         // earliest next start; never set, so no limit
+  std::string target_;             // while Assigned
+  std::string avoidedTarget_;      // where a run failed last, or was too slow
+  int slowReplacements_ = 0;       // runs stopped because they were too slow
+  bool isStartUnanswered_ = false; // the last start of it
+  Instant notBefore_; // earliest next start; never set, so no limit
 
   std::int64_t LastRun() const { return std::max(run_, highestRun_); }
 };
@@ -124,6 +125,8 @@
   bool isUnconfirmed_ = false;
   bool isStartedByThisOwner_ = false;
   bool isStartPending_ = false; // the call that starts it has not returned
+  // Its target had answered a moment before the start was sent.
+  bool wasTargetInContact_ = false;
   bool isTrial_ = false;        // its item was a suspect when it was added
   bool hasPassedStart_ = false; // listed when kTrialTime old or older
   // Its target has been unresponsive since it last listed the run.
@@ -180,7 +183,7 @@
   bool mayHaveRestarted_ = false;
   Contact contact_ = Contact::Unreconciled;
   Instant unresponsiveSince_;      // while Unresponsive
-  std::optional<Instant> heardAt_; // when it last answered, for the log
+  std::optional<Instant> heardAt_; // when it last answered
   Instant incarnationSeenAt_;      // when its process became known
   // A list of VMs has named this process since, or the previous owner used it.
   bool wasOnVm_ = false;
@@ -203,6 +206,7 @@
   Instant listedAt_;      // when the renewal was sent that last listed its runs
   Instant firstListedAt_; // likewise, that did so first for this owner
   bool isRenewalPending_ = false; // a renewal has not been answered
+  bool isProbed_ = false;         // called for ProbeCandidates()
   Instant nextRenewal_;
   // Ended runs, by their number in the target's list. Each of these is a
   // high-water mark: the ends up to it ...
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -3,6 +3,7 @@
 #include "targets.h"
 
 #include <algorithm>
+#include <utility>
 
 #include "crashes.h"
 #include "evacuation/evacuation.h"
@@ -69,7 +70,7 @@
   return !aTarget.runs_.empty() ||
          ((aTarget.isListed_ || aTarget.isInherited_) &&
           (aTarget.contact_ != Contact::Good || aTarget.isUnfenced_)) ||
-         LastStoredEnd(aTarget) > 0;
+         aTarget.isProbed_ || LastStoredEnd(aTarget) > 0;
 }
 
 // Whether the target has accepted a stop and the run has yet to end.
@@ -145,7 +146,7 @@
   effect.process_ = aTarget.process_;
   effect.acknowledgedEnds_ = EndsToAcknowledge(aState, aTarget);
   if (aTarget.contact_ == Contact::Good && !aTarget.isUnfenced_ &&
-      !aTarget.runs_.empty()) {
+      !aTarget.isProbed_ && !aTarget.runs_.empty()) {
     effect.wait_ = HasStopped(aTarget) || HasStartingItem(aTarget) ? kStopWait
                    : NeedsPacing(aTarget)  ? aState.options_.pacedRenewalWait_
                    : HasBatchRuns(aTarget) ? aState.options_.batchRenewalWait_
@@ -159,7 +160,7 @@
     effect.leaseUntil_ =
       ExtendLease(aState, aTarget, aState.options_.targetLease_);
   }
-  effect.limit_ = aTarget.contact_ == Contact::Good
+  effect.limit_ = aTarget.contact_ == Contact::Good && !aTarget.isProbed_
                     ? effect.wait_ + aState.options_.renewalGrace_
                     : aState.options_.reconcileTimeout_;
   aTarget.isRenewalPending_ = true;
@@ -393,6 +394,9 @@
   auto& target = found->second;
   target.isRenewalPending_ = false;
   target.nextRenewal_ = aState.now_;
+  if (std::exchange(target.isProbed_, false)) {
+    aState.dirtyPools_.insert(target.report_.pool_);
+  }
   switch (aAnswer.outcome_) {
     case RenewalOutcome::Answered:
       if (IsOfProcessBefore(target, aAnswer)) {
--- a/packages/fleet/tests/unanswered_starts_test.cpp
+++ b/packages/fleet/tests/unanswered_starts_test.cpp
@@ -99,3 +99,137 @@
   REQUIRE(fixture.First().crashes_.size() == 1);
   CHECK(fixture.First().crashes_[0].kind_ == CrashKind::Early);
 }
+
+namespace {
+
+// Six targets that nobody has called for a while, as nothing runs there. The
+// second item was started on one of them.
+struct SixIdleTargets : SixTargets
+{
+  SixIdleTargets()
+  {
+    Renew("t", { MakeRunning(kFirst, 1) });
+    ConfirmStart(kFirst, 1);
+    Deliver(JobCancelled{ kFirst.job_ });
+    Renew("t");
+    Wait(Millis(2000));
+    Collect();
+    Submit(kSecond);
+    start_ = TakeStarts().at(0);
+  }
+
+  // The starts and the probed targets of a short time in which nothing answers.
+  std::vector<StartRun> TakeStarts()
+  {
+    std::vector<StartRun> starts;
+    probed_.clear();
+    for (int round = 0; round < 10; ++round) {
+      for (const auto& effect : fleet_.TakeEffects()) {
+        if (const auto* start = std::get_if<StartRun>(&effect)) {
+          starts.push_back(*start);
+        } else if (const auto* store = std::get_if<StoreProgress>(&effect)) {
+          Deliver(ProgressStored{ store->batch_ });
+        } else if (const auto* renewal = std::get_if<RenewTarget>(&effect)) {
+          if (renewal->target_ != start_.target_) {
+            probed_.insert(renewal->target_);
+          }
+        }
+      }
+      Wait(Millis(10));
+    }
+    return starts;
+  }
+
+  // The start has got no answer, and another process is found at the address.
+  void LoseStart()
+  {
+    Wait(Millis(600));
+    Deliver(StartAnswered{ start_.target_,
+                           start_.item_,
+                           start_.run_,
+                           StartOutcome::Unknown,
+                           0,
+                           now_ - Millis(600) });
+    ShowReplaced(start_.target_);
+  }
+
+  const ItemState& Second() const
+  {
+    return fleet_.State()
+      .jobs_.at(kSecond.job_)
+      ->occurrences_.at(0)
+      .steps_[0]
+      .items_[0];
+  }
+
+  StartRun start_; // last one
+  std::set<std::string> probed_;
+};
+
+} // namespace
+
+TEST_CASE(
+  "a job is not given up after starts on targets that were silent before")
+{
+  // Four silent targets counted as four crashes of five; the first target that
+  // ran the item was the fifth, and its end failed the job.
+  SixIdleTargets fixture;
+  fixture.LoseStart();
+  REQUIRE(fixture.Second().crashes_.size() == 1);
+  CHECK(fixture.Second().crashes_[0].kind_ == CrashKind::Unreached);
+  std::set<std::string> silent = { fixture.start_.target_ };
+  while (silent.size() < 5) {
+    CHECK(fixture.TakeStarts().empty());
+    REQUIRE(!fixture.probed_.empty());
+    for (const auto& id : std::set<std::string>(fixture.probed_)) {
+      if (silent.size() < 5 && silent.insert(id).second) {
+        fixture.LoseContact(id);
+      }
+    }
+  }
+  for (const char* id : { "t", "u", "v", "w", "x", "y" }) {
+    if (silent.count(id) == 0) {
+      fixture.Renew(id);
+    }
+  }
+  const auto starts = fixture.TakeStarts();
+  REQUIRE(starts.size() == 1);
+  CHECK(silent.count(starts[0].target_) == 0);
+  fixture.start_ = starts[0];
+  fixture.ConfirmStart(kSecond, starts[0].run_, starts[0].target_);
+  fixture.ShowReplaced(starts[0].target_);
+  CHECK(fixture.Second().crashes_.size() == 2);
+  CHECK(fixture.fleet_.StoredState(kSecond.job_) == JobState::Serving);
+}
+
+TEST_CASE("an item whose starts are never answered starts five times at most")
+{
+  // Its targets were known to live just before, all but the first.
+  SixIdleTargets fixture;
+  int starts = 1;
+  for (int round = 0; round < 40; ++round) {
+    fixture.LoseStart();
+    for (const char* id : { "t", "u", "v", "w", "x", "y" }) {
+      fixture.Renew(id);
+    }
+    const auto next = fixture.TakeStarts();
+    starts += static_cast<int>(next.size());
+    if (!next.empty()) {
+      fixture.start_ = next[0];
+    }
+  }
+  CHECK(starts <= 5);
+  CHECK(fixture.fleet_.StoredState(kSecond.job_) == JobState::Failed);
+}
+
+TEST_CASE(
+  "after an unanswered start, a pool without any contact is not blocked")
+{
+  // The next start waits for one answer, not for all of the targets.
+  SixIdleTargets fixture;
+  fixture.LoseStart();
+  CHECK(fixture.TakeStarts().empty());
+  REQUIRE(!fixture.probed_.empty());
+  fixture.Renew(*fixture.probed_.begin());
+  CHECK(fixture.TakeStarts().size() == 1);
+}
--- a/packages/jobs/include/cuminbridge/jobs.h
+++ b/packages/jobs/include/cuminbridge/jobs.h
@@ -321,6 +321,7 @@
   Late = 1,       // later, or it was started by an earlier owner
   Unanswered = 2, // its start was not answered: it may not have run there
   Uncertain = 3,  // it may have ended there before
+  Unreached = 4,  // as Unanswered, but the target may have ended before it
 };
 
 // A run of an item was on a target whose process ended by itself.
--- a/packages/jobs/src/records.cpp
+++ b/packages/jobs/src/records.cpp
@@ -104,7 +104,7 @@
     crashes.push_back(
       { row.at(0).get<std::string>(),
         row.at(1).get<std::int64_t>(),
-        kind < 0 || kind > static_cast<int>(CrashKind::Uncertain)
+        kind < 0 || kind > static_cast<int>(CrashKind::Unreached)
           ? CrashKind::Uncertain
           : static_cast<CrashKind>(kind) });
   }
