--- a/packages/daemon/src/owner.h
+++ b/packages/daemon/src/owner.h
@@ -135,6 +135,7 @@
   std::set<std::int64_t> completedWaves_; // whose status this owner has stored
   std::map<std::string, TargetReport> reports_; // of the targets, by id
   std::set<std::string> unreadableTargets_;     // keys that were logged
+  std::vector<Job> earlyJobs_;                  // notified before hasLoaded_
   std::map<std::string, int> movedJobs_;   // transferred ones, with their cell
   std::set<std::string> pendingTransfers_; // of movedJobs_: not stored yet
   int orderSlot_ = 0;                      // of kVmOrdersPrefix, written last
--- a/packages/daemon/src/owner_cells.cpp
+++ b/packages/daemon/src/owner_cells.cpp
@@ -121,6 +121,10 @@
 void
 Owner::HandleSubmittedJob(Job aJob)
 {
+  if (!hasLoaded_) {
+    earlyJobs_.push_back(std::move(aJob)); // the records may know its end
+    return;
+  }
   if (movedJobs_.count(aJob.id_) != 0) {
     return; // a late notification
   }
--- a/packages/daemon/src/owner_reads.cpp
+++ b/packages/daemon/src/owner_reads.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <utility>
 
 #include <boost/asio/as_tuple.hpp>
 #include <boost/asio/experimental/awaitable_operators.hpp>
@@ -270,6 +271,9 @@
   StoreOwnerRecord(false);
   submissionsReadUpTo_ = readAt;
   hasLoaded_ = true;
+  for (auto& job : std::exchange(earlyJobs_, {})) {
+    HandleSubmittedJob(std::move(job));
+  }
   const auto revision = stored.submissions_.revision_;
   Spawn([self, revision] { return self->WatchSubmissions(revision); });
   if (previousState == PreviousOwner::Unknown) {
--- a/packages/daemon/tests/ownership_test.cpp
+++ b/packages/daemon/tests/ownership_test.cpp
@@ -35,11 +35,18 @@
   Election election_{ context_, callerApi_ };
 };
 
-// The owner of the only cell. There are no targets and no VM service.
+// The owner of the only cell, which has the given records. There are no targets
+// and no VM service.
 struct OwnerFixture : StoreFixture
 {
-  explicit OwnerFixture(Millis aValidity = Millis(60000))
+  explicit OwnerFixture(Millis aValidity = Millis(60000),
+                        std::vector<StoreWrite::Put> aRecords = {})
   {
+    if (!aRecords.empty()) {
+      StoreWrite records;
+      records.puts_ = std::move(aRecords);
+      Write(records);
+    }
     const auto lease = Await(store_.CreateLease(Millis(60000)));
     lease_ = lease.revision_;
     StoreWrite write;
@@ -206,6 +213,44 @@
   CHECK(fixture.target_.Starts() == 0);
 }
 
+TEST_CASE(
+  "a job that has ended does not run again if its entry tells of it late")
+{
+  // The notification came before the new owner had read the records. The job
+  // was taken for a new one, and its end in the records was dropped.
+  const auto job = MakeSmallJob("00000000000000a1");
+  Progress progress;
+  progress.state_ = JobState::Completed;
+  OwnerFixture fixture(
+    Millis(60000),
+    { { kJobPrefix + job.id_, kEndedJob, 0 },
+      { kProgressPrefix + job.id_, EncodeProgress(progress), 0 } });
+  fixture.owner_->HandleSubmittedJob(job);
+  fixture.RunFor(Millis(300));
+  CHECK(fixture.owner_->GetFleet().StoredState(job.id_) == JobState::Completed);
+}
+
+TEST_CASE(
+  "a job of another cell is not taken back if its entry tells of it late")
+{
+  // Likewise: both cells would have run it.
+  const auto job = MakeSmallJob("00000000000000a1");
+  OwnerFixture fixture(Millis(60000),
+                       { { kJobPrefix + job.id_, EncodeMovedJob(1), 0 } });
+  fixture.owner_->HandleSubmittedJob(job);
+  fixture.RunFor(Millis(300));
+  CHECK(!fixture.owner_->GetFleet().StoredState(job.id_));
+}
+
+TEST_CASE("a new job that its entry tells of before the records are read waits")
+{
+  const auto job = MakeSmallJob("00000000000000a1");
+  OwnerFixture fixture;
+  fixture.owner_->HandleSubmittedJob(job);
+  fixture.RunFor(Millis(300));
+  CHECK(fixture.owner_->GetFleet().StoredState(job.id_) == JobState::Queued);
+}
+
 TEST_CASE("an owner that was held up beyond its allowance has ended")
 {
   // It handled what had come meanwhile first, and renewed leases on targets for
