Callers: notify the owner of a job although its first write was not answered

Cause: the repetition of a write whose answer was lost finds the job stored, and was taken for the job of somebody else, of which the owner knows.

Change: if the store holds exactly the record that this attempt has written, the owner is notified.

Evidence: "the owner is notified of a job whose first write was not answered" failed before (0 notifications).

--- a/packages/daemon/src/caller_api.cpp
+++ b/packages/daemon/src/caller_api.cpp
@@ -70,6 +70,18 @@
     });
 }
 
+// Whether a rejected write shows that the key holds the value.
+bool
+ShowsValue(const StoreReply& aReply,
+           const std::string& aKey,
+           const std::string& aValue)
+{
+  return std::any_of(
+    aReply.items_.begin(), aReply.items_.end(), [&](const StoreItem& aItem) {
+      return aItem.key_ == aKey && aItem.value_ == aValue;
+    });
+}
+
 StoreWrite
 WriteOfJob(const SubmissionAttempt& aAttempt,
            const std::string& aValue,
@@ -289,7 +301,8 @@
                ? ", stored at revision " + std::to_string(reply.revision_)
                : ", already stored by an earlier submission") },
         context_.clocks_.Now());
-      if (reply.IsDone()) {
+      // The job of another attempt may differ.
+      if (reply.IsDone() || ShowsValue(reply, attempt.jobKey_, value)) {
         NotifyOwner(cell, std::move(job), value);
       }
       co_return HttpResponse{};
