--- a/packages/fleet/src/restarts/restarts.cpp
+++ b/packages/fleet/src/restarts/restarts.cpp
@@ -59,6 +59,20 @@
   }
 }
 
+void
+AllowForCallsUntilNow(const FleetState& aState, Target& aTarget)
+{
+  if (!aTarget.isUnfenced_ || aTarget.clockMs_ == 0) {
+    return;
+  }
+  const auto& options = aState.options_;
+  const auto clock = LatestClock(
+    aState, aTarget, ClockOf(aState, aTarget), options.maxReportAge_);
+  const auto longest = clock + options.longestLease_.count();
+  aTarget.leaseUntil_ =
+    std::max(aTarget.leaseUntil_, std::min(aTarget.previousDeadline_, longest));
+}
+
 void
 AllowForPreviousClock(const FleetState& aState,
                       Target& aTarget,
--- a/packages/fleet/src/restarts/restarts.h
+++ b/packages/fleet/src/restarts/restarts.h
@@ -29,6 +29,10 @@
                          std::int64_t aClockMs,
                          int aProcess);
 
+// The target's process has left its first call unanswered: a call for the
+// process before may have come until now.
+void AllowForCallsUntilNow(const FleetState& aState, Target& aTarget);
+
 // The most that the clock of a target's process shows now, if it showed
 // aClockMs at most aMaxAge ago: it begins with the process.
 std::int64_t LatestClock(const FleetState& aState,
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -173,6 +173,7 @@
   const bool isLost = aTarget.contact_ != Contact::Unresponsive;
   if (isLost) {
     aTarget.unresponsiveSince_ = aState.now_;
+    AllowForCallsUntilNow(aState, aTarget);
   }
   aTarget.contact_ = Contact::Unresponsive;
   // A refusal comes at once: until shortly before the first one, runs were
--- a/packages/fleet/tests/held_up_calls_test.cpp
+++ b/packages/fleet/tests/held_up_calls_test.cpp
@@ -125,6 +125,27 @@
   CHECK(target.previousDeadline_ == 0);
 }
 
+TEST_CASE("a call for the process before may come until the first one is lost")
+{
+  // The next process took a start for the one before, and was cut off. The item
+  // started elsewhere while that run's lease lasted.
+  ReplacedProcess fixture;
+  fixture.clockMs_ = 50;
+  fixture.report_.startUnixMs_ =
+    fixture.now_.time_since_epoch().count() - fixture.clockMs_;
+  fixture.ListTargets({ fixture.report_ });
+  fixture.Wait(Millis(350)); // the start is carried out at the end of this
+  const auto lease = fixture.clockMs_ + FleetOptions{}.longestLease_.count();
+  fixture.LoseContact("t");
+  fixture.Deliver(StartAnswered{
+    "t", kFirst, 1, StartOutcome::Unknown, 0, fixture.firstSentAt_ });
+  CHECK(fixture.fleet_.State().targets_.at("t").leaseUntil_ >= lease);
+  // The lease is not prolonged while the target stays cut off.
+  fixture.Wait(Millis(350));
+  fixture.LoseContact("t");
+  CHECK(fixture.fleet_.State().targets_.at("t").leaseUntil_ < lease + 350);
+}
+
 TEST_CASE("a process that a list shows is called at once")
 {
   // Until it has got a call of its own, it takes those for the one before.
