Owner: go on with a list of which a page was refused (LOST)

What callers would see: while the store refuses a part of the reads, a job of which the owner was not notified stays queued, and starts pause.

Cause: after a 410, each page without an answer began the list of submissions, or of targets, anew. A list of many pages then never ends.

Change: the next try goes on with the missing page. What is read counts as of the request of the first page.

Evidence: "a list goes on with the page that the store has refused" (three pages, every second read refused) failed before: the job was unknown 2 s after it had been stored.

--- a/packages/daemon/src/owner.h
+++ b/packages/daemon/src/owner.h
@@ -82,6 +82,14 @@
   Awaitable<void> RenewOnce();
   Awaitable<StoredFleet> ReadStoredFleet(StoredFleet aStored);
   Awaitable<StoreReply> ReadList(std::string aPrefix, StoreReply aRead);
+  // A list that is read page by page, over several tries if need be.
+  struct PagedList
+  {
+    StoreReply read_; // so far
+    Instant began_;   // when its first page was requested
+  };
+  // One try to read the pages that are missing.
+  Awaitable<StoreReply> ContinueList(std::string aPrefix, PagedList& aList);
   Awaitable<StoreReply> ReadKey(std::string aKey, StoreReply aRead);
   Awaitable<void> WatchSubmissions(std::int64_t aRevision);
   void UpdateTarget(const StoreItem& aItem);
--- a/packages/daemon/src/owner_reads.cpp
+++ b/packages/daemon/src/owner_reads.cpp
@@ -184,6 +184,22 @@
                                                   std::move(aRead));
 }
 
+Awaitable<StoreReply>
+Owner::ContinueList(std::string aPrefix, PagedList& aList)
+{
+  const auto self = shared_from_this();
+  if (aList.read_.items_.empty()) {
+    aList.began_ = context_.clocks_.Now();
+  }
+  auto reply = co_await context_.store_.ContinueList(std::move(aPrefix),
+                                                     std::move(aList.read_));
+  aList.read_ = {};
+  if (!reply.IsDone()) {
+    aList.read_ = reply;
+  }
+  co_return reply;
+}
+
 Awaitable<StoreReply>
 Owner::ReadKey(std::string aKey, StoreReply aRead)
 {
@@ -298,13 +314,15 @@
   auto after = aRevision;
   int incomplete = 0; // watches in a row that may lack changes
   bool mustList = false;
+  PagedList list;
   // Reading the records may have taken long: what came since is read at once.
   Millis wait(1);
   while (!hasEnded_) {
     StoreReply reply;
-    const auto sentAt = context_.clocks_.Now();
+    auto sentAt = context_.clocks_.Now();
     if (mustList) {
-      reply = co_await context_.store_.List(prefix);
+      reply = co_await ContinueList(prefix, list);
+      sentAt = list.began_;
     } else {
       reply = co_await context_.store_.Watch(prefix, after, wait);
       wait = kWatchWait;
@@ -370,12 +388,14 @@
   std::size_t listed = 0; // targets of the whole fleet
   int incomplete = 0;     // watches in a row that may lack changes
   bool mustList = true;
+  PagedList list;
   Instant readUpTo;
   while (!hasEnded_) {
     StoreReply reply;
-    const auto sentAt = context_.clocks_.Now();
+    auto sentAt = context_.clocks_.Now();
     if (mustList) {
-      reply = co_await context_.store_.List(kTargetPrefix);
+      reply = co_await ContinueList(kTargetPrefix, list);
+      sentAt = list.began_;
     } else {
       reply =
         co_await context_.store_.Watch(kTargetPrefix, after, kTargetWatchWait);
--- a/packages/daemon/tests/paged_list_test.cpp
+++ b/packages/daemon/tests/paged_list_test.cpp
@@ -3,6 +3,7 @@
 
 #include <algorithm>
 
+#include "owner.h"
 #include "store_fixture.h"
 
 using namespace cuminbridge;
@@ -67,3 +68,86 @@
     kSubmissionPrefix, NextWatchRevision(0, list, true), Millis(100)));
   CHECK(HasKey(watched, "in/job/0"));
 }
+
+namespace {
+
+// The owner of the only cell, whose records fill three pages. From
+// BeginTrouble() on, watches find their history gone, and the store turns every
+// second list away.
+struct BusyStore : StoreFixture
+{
+  static constexpr const char* kAddress = "127.0.43.11:18711";
+  static constexpr int kEndedJobs = 1100;
+
+  BusyStore()
+  {
+    REQUIRE(busyServer_.Open(kAddress).empty());
+    for (int job = 0; job < kEndedJobs; ++job) {
+      StoreWrite write;
+      write.puts_ = {
+        { kJobPrefix + std::to_string(1000000 + job), kEndedJob, 0 }
+      };
+      Write(write);
+    }
+    const auto lease = Await(store_.CreateLease(Millis(60000)));
+    StoreWrite write;
+    write.puts_ = { { keys_.Owner(), "", lease.revision_ },
+                    { keys_.Of(kChainKey), "0", 0 } };
+    Ownership ownership;
+    ownership.cell_ = { 0, 1 };
+    ownership.map_ = std::make_shared<CellMap>();
+    ownership.token_ = Write(write);
+    ownership.lease_ = lease.revision_;
+    ownership.validUntil_ = clocks_.Now() + Millis(60000);
+    owner_ = std::make_shared<Owner>(busy_, ownership, FleetConfig{});
+    owner_->Begin();
+    RunFor(Millis(400));
+  }
+
+  void BeginTrouble() { isInTrouble_ = true; }
+
+  Awaitable<HttpResponse> Serve(HttpRequest aRequest)
+  {
+    constexpr int kExpired = 410;
+    constexpr int kUnavailable = 503;
+    if (isInTrouble_ && aRequest.path_.rfind("/kv-watch", 0) == 0) {
+      co_return standin::Answer(kExpired);
+    }
+    const bool isList =
+      aRequest.path_.find(kSubmissionPrefix) != std::string::npos;
+    if (isInTrouble_ && isList && ++lists_ % 2 == 0) {
+      co_return standin::Answer(kUnavailable);
+    }
+    co_return co_await standin_.Serve(aRequest);
+  }
+
+  bool isInTrouble_ = false;
+  int lists_ = 0;
+  HttpServer busyServer_{ io_, {}, [this](const HttpRequest& aRequest) {
+                           return Serve(aRequest);
+                         } };
+  StoreClient client_{ http_, kAddress, clocks_ };
+  DaemonContext busy_{
+    io_, clocks_, settings_, tuning_, http_, client_, peers_
+  };
+  std::shared_ptr<Owner> owner_;
+};
+
+} // namespace
+
+TEST_CASE("a list goes on with the page that the store has refused")
+{
+  // Each refused page began the list anew. Of several pages, none was used
+  // until the store answered all of them in a row.
+  BusyStore fixture;
+  fixture.BeginTrouble();
+  fixture.RunFor(Millis(300));
+  Job job;
+  job.id_ = "00000000000000a1";
+  job.steps_.emplace_back().count_ = 1;
+  StoreWrite write;
+  write.puts_ = { { kJobPrefix + job.id_, EncodeJob(job), 0 } };
+  fixture.Write(write);
+  fixture.RunFor(Millis(2000));
+  CHECK(fixture.owner_->GetFleet().StoredState(job.id_) == JobState::Queued);
+}
