Tests: random histories with targets that fall silent together

Idle targets end without a word just before jobs come, and some jobs end the targets that start them.

--- a/packages/fleet/tests/unanswered_starts_test.cpp
+++ b/packages/fleet/tests/unanswered_starts_test.cpp
@@ -1,9 +1,13 @@
 // Starts whose answer is still on its way when their target's process turns out
 // to have ended.
 
+#include <algorithm>
+#include <random>
+
 #include <catch2/catch.hpp>
 
 #include "replaced_process.h"
+#include "seeds.h"
 
 using namespace cuminbridge;
 
@@ -233,3 +237,47 @@
   fixture.Renew(*fixture.probed_.begin());
   CHECK(fixture.TakeStarts().size() == 1);
 }
+
+TEST_CASE("random histories with targets that fall silent together")
+{
+  // Idle ones end without a word just before jobs come; some jobs end the
+  // targets that start them, at times before these have answered.
+  const auto seeds = ReadSeeds(150);
+  for (unsigned seed = seeds.first_; seed < seeds.end_; ++seed) {
+    INFO("seed " << seed);
+    std::mt19937 random(seed);
+    const auto draw = [&](int aLeast, int aMost) {
+      return std::uniform_int_distribution<int>(aLeast, aMost)(random);
+    };
+    SimulatedFaults faults;
+    faults.lostAnswer_ = seed % 3 == 0 ? 0.3 : 0;
+    SimulatedFleet fleet(seed, faults);
+    fleet.AddTargets("a", draw(6, 9));
+    fleet.StartOwner();
+    fleet.RunFor(Millis(1000));
+    constexpr int kJobs = 6;
+    for (int job = 0; job < kJobs; ++job) {
+      if (draw(0, 3) == 0) {
+        fleet.MakeDeadly({ MakeJobId(job), 0, 0, 0 });
+      }
+      auto ids = fleet.TargetIds();
+      std::shuffle(ids.begin(), ids.end(), random);
+      ids.resize(static_cast<std::size_t>(draw(0, 5)));
+      for (const auto& id : ids) {
+        fleet.PartitionTarget(id, Millis(draw(1000, 4000)));
+        fleet.CrashTarget(id);
+      }
+      fleet.RunFor(Millis(draw(0, 300)));
+      fleet.Submit(MakeJob(MakeJobId(job), "a", { draw(1, 3) }));
+      fleet.RunFor(Millis(draw(200, 4000)));
+    }
+    fleet.RunFor(Millis(60000));
+    for (const auto& what : fleet.Violations()) {
+      FAIL_CHECK(what);
+    }
+    for (int job = 0; job < kJobs; ++job) {
+      const auto state = fleet.StoredState(MakeJobId(job));
+      CHECK((state == JobState::Completed || state == JobState::Failed));
+    }
+  }
+}
