--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -130,6 +130,13 @@
   return aItem.crashesStored_ >= aItem.crashes_.size();
 }
 
+// Whether another run of the item is still being stopped.
+bool
+HasSurplusRuns(const ItemState& aItem)
+{
+  return aItem.surplusRuns_ > 0;
+}
+
 // Starts all members of a gang, or none. False if there is not enough free
 // capacity for all of them.
 bool
@@ -141,8 +148,10 @@
   const auto& spec = aWaiting.job_->job_.steps_[aWaiting.step_];
   auto& step =
     aWaiting.job_->occurrences_[aWaiting.occurrence_].steps_[aWaiting.step_];
-  if (step.assigned_ > 0) {
-    return true; // the remaining members of its last run have to end first
+  // The remaining members of its last runs have to end first.
+  if (step.assigned_ > 0 ||
+      std::any_of(step.items_.begin(), step.items_.end(), HasSurplusRuns)) {
+    return true;
   }
   if (!std::all_of(step.items_.begin(), step.items_.end(), AreCrashesStored)) {
     return true;
@@ -192,7 +201,8 @@
     aWaiting.job_->occurrences_[aWaiting.occurrence_].steps_[aWaiting.step_];
   for (std::size_t index = 0; index < step.items_.size(); ++index) {
     auto& item = step.items_[index];
-    if (item.phase_ != ItemPhase::Waiting || item.notBefore_ > aState.now_) {
+    if (item.phase_ != ItemPhase::Waiting || item.notBefore_ > aState.now_ ||
+        HasSurplusRuns(item)) {
       continue;
     }
     if (!IsWithinLimit(aState, aWaiting.job_->job_.account_, spec.needs_)) {
--- a/packages/fleet/src/runs.cpp
+++ b/packages/fleet/src/runs.cpp
@@ -57,10 +57,14 @@
 
 // Assigns a run's item to the run, if the item is waiting.
 void
-Assign(FleetState& aState, const Run& aRun, Target& aTarget)
+Assign(FleetState& aState, Run& aRun, Target& aTarget)
 {
   const auto ref = FindItem(aState, aRun.item_);
-  if (!ref.item_ || ref.item_->phase_ != ItemPhase::Waiting) {
+  aRun.isSurplus_ = ref.item_ && ref.item_->phase_ != ItemPhase::Waiting;
+  if (aRun.isSurplus_) {
+    ++ref.item_->surplusRuns_;
+  }
+  if (!ref.item_ || aRun.isSurplus_) {
     return;
   }
   ref.item_->phase_ = ItemPhase::Assigned;
@@ -211,6 +215,10 @@
     return;
   }
   aState.running_[run.account_] -= ref.spec_->needs_;
+  if (run.isSurplus_ && ref.item_->surplusRuns_ > 0) {
+    --ref.item_->surplusRuns_;
+    aState.dirtyPools_.insert(PoolOf(aState, *ref.job_));
+  }
   if (ref.item_->phase_ == ItemPhase::Assigned && ref.item_->run_ == aRun &&
       ref.item_->target_ == aTarget.report_.id_) {
     ref.item_->phase_ = ItemPhase::Waiting;
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -42,9 +42,10 @@
   std::size_t crashesInBatch_ = 0; // of these, in the batch on its way
   std::size_t crashesStored_ = 0;  // of these, surely stored
   std::string checkpoint_;
-  std::string target_;             // while Assigned
-  std::string avoidedTarget_;      // where a run failed last, or was too slow
-  int slowReplacements_ = 0;       // runs stopped because they were too slow
+  std::string target_;        // while Assigned
+  std::string avoidedTarget_; // where a run failed last, or was too slow
+  int slowReplacements_ = 0;  // runs stopped because they were too slow
+  int surplusRuns_ = 0; // of Run::isSurplus_; it starts once there are none
   bool isStartUnanswered_ = false; // the last start of it
   Instant notBefore_; // earliest next start; never set, so no limit
 
@@ -128,6 +129,7 @@
   // Its target had answered a moment before the start was sent.
   bool wasTargetInContact_ = false;
   bool isTrial_ = false;        // its item was a suspect when it was added
+  bool isSurplus_ = false;      // its item was assigned to another run then
   bool hasPassedStart_ = false; // listed when kTrialTime old or older
   // Its target has been unresponsive since it last listed the run.
   bool mayHaveEnded_ = false;
--- a/packages/fleet/tests/held_up_calls_test.cpp
+++ b/packages/fleet/tests/held_up_calls_test.cpp
@@ -2,10 +2,12 @@
 // target has begun under the same id.
 
 #include <algorithm>
+#include <random>
 
 #include <catch2/catch.hpp>
 
 #include "replaced_process.h"
+#include "seeds.h"
 
 using namespace cuminbridge;
 
@@ -71,6 +73,100 @@
   }
 }
 
+TEST_CASE("work on targets that restart again and again runs once")
+{
+  // The next process listed an older run, which a late start had begun. While
+  // that was being stopped, the item started elsewhere.
+  const auto seeds = ReadSeeds(300);
+  for (unsigned seed = seeds.first_; seed < seeds.end_; ++seed) {
+    CAPTURE(seed);
+    std::mt19937 random(seed);
+    const auto draw = [&](int aLeast, int aMost) {
+      return Millis(std::uniform_int_distribution<int>(aLeast, aMost)(random));
+    };
+    SimulatedFaults faults;
+    faults.heldUpStart_ = seed % 2 == 0 ? 0.15 : 0;
+    faults.heldUpRenewal_ = 0.15 - faults.heldUpStart_;
+    SimulatedFleet fleet(seed, faults);
+    fleet.AddTargets("a", 3);
+    fleet.StartOwner();
+    fleet.RunFor(Millis(6000));
+    for (int number = 1; number <= 3; ++number) {
+      auto job = MakeJob(MakeJobId(number), "a", { 4 });
+      job.steps_[0].estimate_ = Millis(9000);
+      fleet.Submit(job);
+    }
+    fleet.RunFor(draw(1000, 3000));
+    for (int restart = 0; restart < 4; ++restart) {
+      for (const auto& id : fleet.TargetIds()) {
+        fleet.RestartTarget(id);
+        fleet.RunFor(draw(0, 400));
+      }
+      fleet.RunFor(draw(200, 3500));
+      if (draw(0, 2).count() == 0) {
+        for (const auto& id : fleet.TargetIds()) {
+          fleet.PartitionTarget(id, draw(500, 9000));
+        }
+        fleet.RunFor(draw(0, 3000));
+      }
+      if (draw(0, 3).count() == 0) {
+        fleet.KillOwner();
+        fleet.RunFor(draw(100, 1500));
+        fleet.StartOwner(PreviousOwner::Ended);
+      }
+    }
+    for (const auto& id : fleet.TargetIds()) {
+      fleet.PartitionTarget(id, Millis(9000));
+      fleet.RunFor(Millis(100));
+    }
+    fleet.RunFor(Millis(40000));
+    for (const auto& what : fleet.Violations()) {
+      FAIL_CHECK(what);
+    }
+  }
+}
+
+TEST_CASE("an item waits until an older run of it has stopped")
+{
+  // Its current run was lost with the process before, so it started elsewhere.
+  ReplacedProcess fixture;
+  auto other = ReducerFixture::MakeReport("u");
+  fixture.ListTargets({ fixture.report_, other });
+  fixture.Renew("u");
+  fixture.Deliver(
+    StartAnswered{ "t", kFirst, 1, StartOutcome::Unknown, 0, fixture.now_ });
+  fixture.Deliver(StopAnswered{ "t", kFirst, 1, true });
+  fixture.Wait(Millis(20));
+  fixture.Renew("t");
+  fixture.Renew("u");
+  const auto second = fixture.Collect();
+  REQUIRE(second.size() == 1);
+  fixture.ConfirmStart(kFirst, second[0].run_, second[0].target_);
+  fixture.Renew(second[0].target_, { MakeRunning(kFirst, second[0].run_) });
+  // The late start of run 1 is carried out where run 2 is lost.
+  const auto id = second[0].target_;
+  fixture.clockMs_ = 50;
+  RenewalAnswered renewal;
+  renewal.target_ = id;
+  renewal.outcome_ = RenewalOutcome::Answered;
+  renewal.sentAt_ = fixture.now_;
+  renewal.startUnixMs_ = 2000;
+  renewal.clockMs_ = fixture.clockMs_;
+  renewal.running_ = { MakeRunning(kFirst, 1) };
+  fixture.Wait(Millis(10));
+  fixture.Deliver(renewal);
+  CHECK(fixture.Collect().empty());
+  CHECK(fixture.stops_ > 0);
+  EndedRun end;
+  end.number_ = 1;
+  end.item_ = kFirst;
+  end.run_ = 1;
+  end.kind_ = EndKind::Stopped;
+  fixture.Renew(id, {}, { end });
+  fixture.Renew(id == "t" ? "u" : "t");
+  CHECK(fixture.Collect().size() == 1);
+}
+
 TEST_CASE("calls for the next process of a target have a higher token")
 {
   ReplacedProcess fixture;
