--- a/packages/fleet/src/crashes.cpp
+++ b/packages/fleet/src/crashes.cpp
@@ -195,6 +195,9 @@
                std::to_string((endedBy - aRun.sentAt_).count()) +
                " ms after its start" +
                (aRun.confirmedAt_ ? "" : ", which was not answered") +
+               (kind == CrashKind::Unreached
+                  ? " by a target that had not answered shortly before"
+                  : "") +
                (aRun.isExplained_ ? ", with another start there" : "") +
                "; crash " + std::to_string(crashes.size()) + " of the item");
   if (!IsOverCrashLimit(crashes, aRun.isLongRunning_)) {
