--- a/packages/fleet/tests/restarts_test.cpp
+++ b/packages/fleet/tests/restarts_test.cpp
@@ -1,8 +1,11 @@
 // Targets that restart under the same id, and calls for the process before that
 // reach the new one.
 
+#include <random>
+
 #include <catch2/catch.hpp>
 
+#include "seeds.h"
 #include "simulated_fleet.h"
 
 using namespace cuminbridge;
@@ -54,3 +57,70 @@
   CHECK(fleet.Starts(MakeJobId(0)) == 1);
   CHECK(fleet.StoredState(MakeJobId(0)) == JobState::Completed);
 }
+
+TEST_CASE("random histories of targets that restart and are cut off")
+{
+  // With owners that are lost, cut off, or read their records late, and with
+  // renewals that the next process takes.
+  const auto seeds = ReadSeeds(200);
+  for (unsigned seed = seeds.first_; seed < seeds.end_; ++seed) {
+    INFO("seed " << seed);
+    std::mt19937 random(seed);
+    const auto draw = [&](int aLeast, int aMost) {
+      return std::uniform_int_distribution<int>(aLeast, aMost)(random);
+    };
+    SimulatedFaults faults;
+    faults.heldUpRenewal_ = 0.1;
+    faults.lostAnswer_ = seed % 2 == 0 ? 0.05 : 0;
+    SimulatedFleet fleet(seed, faults);
+    fleet.AddTargets("a", 4, seed % 3 != 0);
+    fleet.DelayRecords(Millis(draw(0, 120)));
+    fleet.StartOwner();
+    fleet.RunFor(Millis(3000));
+    constexpr int kJobs = 4;
+    for (int number = 0; number < kJobs; ++number) {
+      auto job = MakeJob(MakeJobId(number), "a", { draw(1, 4) });
+      job.steps_[0].estimate_ = Millis(draw(500, 9000));
+      fleet.Submit(job);
+    }
+    for (int step = 0; step < 12; ++step) {
+      const auto ids = fleet.TargetIds();
+      const auto& id = ids[static_cast<std::size_t>(
+        draw(0, static_cast<int>(ids.size()) - 1))];
+      switch (draw(0, 6)) {
+        case 0:
+          fleet.RestartTarget(id);
+          break;
+        case 1:
+          fleet.CrashTarget(id);
+          break;
+        case 2:
+          fleet.PartitionTarget(id, Millis(draw(300, 9000)));
+          break;
+        case 3:
+          fleet.RestartTarget(id);
+          fleet.RunFor(Millis(draw(0, 2500)));
+          fleet.PartitionTarget(id, Millis(9000));
+          break;
+        case 4:
+          fleet.KillOwner();
+          fleet.RunFor(Millis(draw(50, 1500)));
+          fleet.StartOwner(PreviousOwner::Ended);
+          break;
+        case 5:
+          // A hand-over would store all runs first.
+          fleet.StartOwner(draw(0, 1) == 0 ? PreviousOwner::Unknown
+                                           : PreviousOwner::Ended);
+          break;
+        default:
+          fleet.CutTargetFromStore(id, Millis(draw(500, 5000)));
+          break;
+      }
+      fleet.RunFor(Millis(draw(0, 1800)));
+    }
+    fleet.RunFor(Millis(60000));
+    for (const auto& what : fleet.Violations()) {
+      FAIL_CHECK(what);
+    }
+  }
+}
