--- a/packages/daemon/tests/lost_write_test.cpp
+++ b/packages/daemon/tests/lost_write_test.cpp
@@ -21,15 +21,7 @@
   {
     REQUIRE(losingServer_.Open(kStore).empty());
     REQUIRE(ownerServer_.Open(kOwner).empty());
-    Queue queue;
-    queue.name_ = "a";
-    queue.host_ = "demo.example";
-    queue.prefix_ = "/a/";
-    queue.isPublic_ = true;
-    FleetConfig config;
-    config.version_ = 1;
-    config.queues_.push_back(queue);
-    api_.SetConfig(config);
+    api_.SetConfig(MakePublicQueue(1));
     api_.SetCellCount(1);
     peers_.SetCount(1);
     peers_.SetAddress(0, kOwner);
--- a/packages/daemon/tests/ownership_test.cpp
+++ b/packages/daemon/tests/ownership_test.cpp
@@ -47,17 +47,8 @@
       records.puts_ = std::move(aRecords);
       Write(records);
     }
-    const auto lease = Await(store_.CreateLease(Millis(60000)));
-    lease_ = lease.revision_;
-    StoreWrite write;
-    write.puts_ = { { keys_.Owner(), "", lease.revision_ },
-                    { keys_.Of(kChainKey), "0", 0 } };
-    Ownership ownership;
-    ownership.cell_ = { 0, 1 };
-    ownership.map_ = std::make_shared<CellMap>();
-    ownership.token_ = Write(write);
-    ownership.lease_ = lease.revision_;
-    ownership.validUntil_ = clocks_.Now() + aValidity;
+    const auto ownership = TakeCell(aValidity);
+    lease_ = ownership.lease_;
     owner_ = std::make_shared<Owner>(context_, ownership, FleetConfig{});
     owner_->Begin();
   }
--- a/packages/daemon/tests/paged_list_test.cpp
+++ b/packages/daemon/tests/paged_list_test.cpp
@@ -3,7 +3,6 @@
 
 #include <algorithm>
 
-#include "owner.h"
 #include "store_fixture.h"
 
 using namespace cuminbridge;
@@ -89,17 +88,7 @@
       };
       Write(write);
     }
-    const auto lease = Await(store_.CreateLease(Millis(60000)));
-    StoreWrite write;
-    write.puts_ = { { keys_.Owner(), "", lease.revision_ },
-                    { keys_.Of(kChainKey), "0", 0 } };
-    Ownership ownership;
-    ownership.cell_ = { 0, 1 };
-    ownership.map_ = std::make_shared<CellMap>();
-    ownership.token_ = Write(write);
-    ownership.lease_ = lease.revision_;
-    ownership.validUntil_ = clocks_.Now() + Millis(60000);
-    owner_ = std::make_shared<Owner>(busy_, ownership, FleetConfig{});
+    owner_ = std::make_shared<Owner>(busy_, TakeCell(), FleetConfig{});
     owner_->Begin();
     RunFor(Millis(400));
   }
--- a/packages/daemon/tests/relayed_requests_test.cpp
+++ b/packages/daemon/tests/relayed_requests_test.cpp
@@ -68,15 +68,7 @@
   CutOffEntry()
   {
     REQUIRE(peerServer_.Open(kPeer).empty());
-    Queue queue;
-    queue.name_ = "a";
-    queue.host_ = "demo.example";
-    queue.prefix_ = "/a/";
-    queue.isPublic_ = true;
-    FleetConfig config;
-    config.version_ = kVersion;
-    config.queues_.push_back(queue);
-    api_.SetConfig(config);
+    api_.SetConfig(MakePublicQueue(kVersion));
     api_.SetCellCount(1);
     peers_.SetCount(1);
     peers_.SetAddress(0, kPeer);
--- a/packages/daemon/tests/store_fixture.h
+++ b/packages/daemon/tests/store_fixture.h
@@ -9,6 +9,7 @@
 #include <catch2/catch.hpp>
 
 #include "daemon_context.h"
+#include "owner.h"
 #include "records.h"
 #include "standin.h"
 
@@ -47,6 +48,36 @@
 
   void RunFor(Millis aTime) { io_.run_for(aTime); }
 
+  // The only cell, with a new lease in the store.
+  Ownership TakeCell(Millis aValidity = Millis(60000))
+  {
+    const auto lease = Await(store_.CreateLease(Millis(60000)));
+    StoreWrite write;
+    write.puts_ = { { keys_.Owner(), "", lease.revision_ },
+                    { keys_.Of(kChainKey), "0", 0 } };
+    Ownership ownership;
+    ownership.cell_ = { 0, 1 };
+    ownership.map_ = std::make_shared<CellMap>();
+    ownership.token_ = Write(write);
+    ownership.lease_ = lease.revision_;
+    ownership.validUntil_ = clocks_.Now() + aValidity;
+    return ownership;
+  }
+
+  // Has the only queue "a", which is public.
+  static FleetConfig MakePublicQueue(std::int64_t aVersion)
+  {
+    Queue queue;
+    queue.name_ = "a";
+    queue.host_ = "demo.example";
+    queue.prefix_ = "/a/";
+    queue.isPublic_ = true;
+    FleetConfig config;
+    config.version_ = aVersion;
+    config.queues_.push_back(queue);
+    return config;
+  }
+
   boost::asio::io_context io_;
   standin::Context standinContext_{ io_, {} };
   standin::Store standin_{ standinContext_ };
--- a/packages/fleet/tests/held_up_calls_test.cpp
+++ b/packages/fleet/tests/held_up_calls_test.cpp
@@ -13,6 +13,16 @@
 
 namespace {
 
+void
+SubmitLongJobs(SimulatedFleet& aFleet)
+{
+  for (int number = 1; number <= 3; ++number) {
+    auto job = MakeJob(MakeJobId(number), "a", { 4 });
+    job.steps_[0].estimate_ = Millis(9000);
+    aFleet.Submit(job);
+  }
+}
+
 template<typename EffectType>
 std::vector<int>
 ProcessesOf(const std::vector<Effect>& aEffects)
@@ -52,11 +62,7 @@
     fleet.AddTargets("a", 3);
     fleet.StartOwner();
     fleet.RunFor(Millis(6000));
-    for (int number = 1; number <= 3; ++number) {
-      auto job = MakeJob(MakeJobId(number), "a", { 4 });
-      job.steps_[0].estimate_ = Millis(9000);
-      fleet.Submit(job);
-    }
+    SubmitLongJobs(fleet);
     fleet.RunFor(Millis(2000));
     for (const auto& id : fleet.TargetIds()) {
       fleet.RestartTarget(id);
@@ -91,11 +97,7 @@
     fleet.AddTargets("a", 3);
     fleet.StartOwner();
     fleet.RunFor(Millis(6000));
-    for (int number = 1; number <= 3; ++number) {
-      auto job = MakeJob(MakeJobId(number), "a", { 4 });
-      job.steps_[0].estimate_ = Millis(9000);
-      fleet.Submit(job);
-    }
+    SubmitLongJobs(fleet);
     fleet.RunFor(draw(1000, 3000));
     for (int restart = 0; restart < 4; ++restart) {
       for (const auto& id : fleet.TargetIds()) {
