Fleet: probe busy targets with the time limit of a renewal

A target with runs that takes more than 350 ms to answer would have counted as unresponsive, and its runs as in doubt. All 208 cases of fleet_test pass.

--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -160,7 +160,9 @@
     effect.leaseUntil_ =
       ExtendLease(aState, aTarget, aState.options_.targetLease_);
   }
-  effect.limit_ = aTarget.contact_ == Contact::Good && !aTarget.isProbed_
+  // Runs there would be held up if a loaded target counted as unresponsive.
+  const bool isIdleProbe = aTarget.isProbed_ && aTarget.runs_.empty();
+  effect.limit_ = aTarget.contact_ == Contact::Good && !isIdleProbe
                     ? effect.wait_ + aState.options_.renewalGrace_
                     : aState.options_.reconcileTimeout_;
   aTarget.isRenewalPending_ = true;
