--- a/packages/daemon/tests/lost_write_test.cpp
+++ b/packages/daemon/tests/lost_write_test.cpp
@@ -41,7 +41,7 @@
 
   Awaitable<HttpResponse> ServeStore(HttpRequest aRequest)
   {
-    const bool isWrite = aRequest.path_.rfind("/kv-txn", 0) == 0;
+    const bool isWrite = aRequest.method_ == "POST";
     auto response = co_await standin_.Serve(aRequest);
     if (isWrite && ++writes_ == 1) {
       co_await Sleep(io_, Millis(60000));
