--- a/review/standin-4/build.sh
+++ b/review/standin-4/build.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-in of cases 11 and 13 to 15 into target/review/.
+# Builds the stand-in of cases 12, 13 and 15 into target/review/.
 set -euo pipefail
 cd "$(dirname "$0")/../.."
 objects_folder=target/review/standin-4.d
