Review: a late start is carried out by the next process of its worker

Case 11 shows that a work item runs on two workers: a start without an answer, whose run was stopped, is taken by the process that starts next under the worker's id.

--- a/review/build-3.sh
+++ b/review/build-3.sh
@@ -22,3 +22,7 @@
 for job in "${jobs[@]}"; do wait "$job"; done
 c++ "${objects[@]}" -o $out/standin_3 -lcrypto -lpthread
 echo "built $out/standin_3"
+
+# The stand-in of cases 11 and 13 to 15 of the fourth review.
+review/standin-4/build.sh
+echo "built target/review/standin-4"
--- a/review/standin-4/harness.h
+++ b/review/standin-4/harness.h
@@ -89,10 +89,13 @@
 
   // The disruptions.
   void Crash(std::int64_t aDownMs); // it is back under another id
+  // It is back under the same id, and reports itself a while after its start.
+  void Restart(std::int64_t aDownMs, std::int64_t aFirstReportMs);
   void CutOff(std::int64_t aForMs); // no call gets through; its runs go on
   void RejectStarts(std::int64_t aForMs); // it answers them 503
 
   void Advance(); // ends what is due
+  std::int64_t FirstReportAtMs() const { return firstReportAtMs_; }
   bool IsUp() const { return NowMs() >= upAtMs_; }
   bool IsCutOff() const { return NowMs() < cutUntilMs_; }
   const std::string& Id() const { return id_; }
@@ -128,6 +131,7 @@
   std::int64_t bornUnixMs_ = 0;
   std::int64_t bornAtMs_ = 0;
   std::int64_t upAtMs_ = 0;
+  std::int64_t firstReportAtMs_ = 0;
   std::int64_t cutUntilMs_ = 0;
   std::int64_t rejectUntilMs_ = 0;
   std::int64_t token_ = 0;
@@ -150,6 +154,14 @@
   std::vector<StartSeen> starts_;
   std::map<std::string, int> endsFailed_; // by item
   std::set<std::string> begun_;           // jobs of which an item has started
+  std::vector<std::string> doubleRuns_;   // items that ran twice at once
+  int orders_ = 0;                        // calls to the workers
+
+  // The first start of this job is left unanswered, and carried out once
+  // carryOutAtMs_ is set and has come, by the process that is there then.
+  std::string heldJob_;
+  std::string heldAt_; // id of the worker that was told
+  std::int64_t carryOutAtMs_ = 0;
 
   // Lets gangs begin whose members are all there, and ends those that waited
   // too long.
--- a/review/standin-4/main.cpp
+++ b/review/standin-4/main.cc
@@ -178,6 +178,7 @@
   Awaitable<int> CheckCrash();
   Awaitable<int> CheckWaiting();
   Awaitable<int> CheckTransfer();
+  Awaitable<int> CheckLateStart();
   Worker* FindWorkerOf(const std::string& aItem);
   Awaitable<void> Sleep(std::int64_t aMs)
   {
@@ -247,7 +248,7 @@
     const auto now = Worker::NowMs();
     for (auto& worker : Workers::Get().all_) {
       const auto last = beats.find(worker->Id());
-      if (worker->IsUp() &&
+      if (worker->IsUp() && now >= worker->FirstReportAtMs() &&
           (last == beats.end() || now - last->second >= interval)) {
         beats[worker->Id()] = now;
         worker->SendHeartbeat();
@@ -558,6 +559,69 @@
   co_return result;
 }
 
+// A start that gets no answer is carried out 6 s later. In between its work
+// item has been stopped and started elsewhere, and its worker has crashed and
+// is back under the same id.
+Awaitable<int>
+Harness::CheckLateStart()
+{
+  constexpr int kOtherJobs = 60; // so that the late order is one of many
+  constexpr std::int64_t kCrashAfterMs = 5500;
+  constexpr std::int64_t kDownMs = 300;
+  constexpr std::int64_t kFirstReportMs = 1000;
+  constexpr std::int64_t kCarryOutMs = 200; // after the worker is back
+  const std::string id = "3fa94be07d15c682";
+  auto& workers = Workers::Get();
+  const int ordersBefore = workers.orders_;
+  for (int number = 0; number < kOtherJobs; ++number) {
+    constexpr int kFirst = 10;
+    const auto other = "00000000000003" + std::to_string(kFirst + number);
+    const auto job = MakeJob("takes=500", 1, 2000, 500);
+    const bool isAccepted = co_await Submit(1, other, job);
+    if (!isAccepted) {
+      co_return kCouldNotRun;
+    }
+    co_await Sleep(20);
+  }
+  co_await Sleep(1500); // all of them have ended
+  // Work is packed: the item goes beside the short job first, whose worker is
+  // empty when it starts again, and then beside the long one.
+  const auto longJob = MakeJob("takes=60000", 1, 20000, 60000);
+  const auto shortJob = MakeJob("takes=900", 1, 50000, 900);
+  const auto job = MakeJob("takes=20000", 1, 8000, 20000);
+  bool areAccepted = co_await Submit(1, "00000000000004a0", longJob);
+  co_await Sleep(200);
+  areAccepted = co_await Submit(1, "00000000000004a1", shortJob) && areAccepted;
+  if (hasTrouble_) {
+    workers.heldJob_ = id;
+  }
+  areAccepted = co_await Submit(1, id, job) && areAccepted;
+  if (!areAccepted) {
+    co_return kCouldNotRun;
+  }
+  co_await Sleep(kCrashAfterMs);
+  if (hasTrouble_) {
+    Worker* told = nullptr;
+    for (auto& worker : workers.all_) {
+      if (worker->Id() == workers.heldAt_) {
+        told = worker.get();
+      }
+    }
+    if (!told || !told->Runs().empty()) {
+      co_return kCouldNotRun;
+    }
+    told->Restart(kDownMs, kFirstReportMs);
+    workers.carryOutAtMs_ = Worker::NowMs() + kDownMs + kCarryOutMs;
+  }
+  constexpr std::int64_t kObserveMs = 20000;
+  co_await Sleep(kObserveMs);
+  const auto state = co_await ReadState(2, id);
+  record_.Write("the job is shown as '" + state + "'; of " +
+                std::to_string(workers.orders_ - ordersBefore) +
+                " calls to the workers one was late");
+  co_return workers.doubleRuns_.empty() ? kPassed : kBroken;
+}
+
 Awaitable<void>
 Harness::Run(std::string aScenario)
 {
@@ -570,6 +634,8 @@
       result_ = co_await CheckCrash();
     } else if (aScenario == "waiting") {
       result_ = co_await CheckWaiting();
+    } else if (aScenario == "late-start") {
+      result_ = co_await CheckLateStart();
     } else if (aScenario == "transfer") {
       result_ = co_await CheckTransfer();
     }
--- a/review/standin-4/workers.cpp
+++ b/review/standin-4/workers.cc
@@ -154,6 +154,19 @@
   upAtMs_ = bornAtMs_ + aDownMs;
 }
 
+void
+Worker::Restart(std::int64_t aDownMs, std::int64_t aFirstReportMs)
+{
+  record_.Write(id_ + " crashes, is back in " + std::to_string(aDownMs) +
+                " ms under the same id");
+  --life_;
+  BeginLife();
+  bornAtMs_ += aDownMs;
+  bornUnixMs_ += aDownMs;
+  upAtMs_ = bornAtMs_;
+  firstReportAtMs_ = upAtMs_ + aFirstReportMs;
+}
+
 void
 Worker::CutOff(std::int64_t aForMs)
 {
@@ -258,6 +271,19 @@
     }
     co_return Answer(kUnavailable);
   }
+  auto& workers = Workers::Get();
+  ++workers.orders_;
+  const bool isHeld = path == "/run-start" && !workers.heldJob_.empty() &&
+                      text.find(workers.heldJob_ + '.') != std::string::npos;
+  if (isHeld) {
+    record_.Write(id_ + " leaves this start unanswered: " + text);
+    workers.heldJob_.clear();
+    workers.heldAt_ = id_;
+    while (workers.carryOutAtMs_ == 0 || NowMs() < workers.carryOutAtMs_) {
+      co_await Pause(io_);
+    }
+    record_.Write(id_ + " carries it out now");
+  }
   while (!IsUp()) {
     co_await Pause(io_);
   }
@@ -329,6 +355,17 @@
              std::min(deadline, ClockMs() + workers.bounds_.longestLeaseMs_));
   if (found == runs_.end()) {
     workers.begun_.insert(run.item_.substr(0, run.item_.find('.')));
+    for (auto& other : workers.all_) {
+      other->Advance();
+      const auto twin = other->runs_.find(run.item_);
+      if (other->IsUp() && twin != other->runs_.end()) {
+        workers.doubleRuns_.push_back(run.item_);
+        record_.Write("BROKEN: " + run.item_ + " runs on " + other->id_ +
+                      " as run " + std::to_string(twin->second.run_) +
+                      " and starts on " + id_ + " as run " +
+                      std::to_string(run.run_));
+      }
+    }
     if (run.gang_ == 0) {
       run.beganAtMs_ =
         NowMs() + (run.given_.empty() ? 0 : workers.bounds_.restoreMs_);
