Fleet: stay in contact with a target while a start may come late (TWICE)

Cause: an accepted stop and a list hold for the process that answered. The next one has seen no token and its clock begins anew; the idle target was not called until its new report was read.

For 12 s after such a start its target is now called with a higher token, every 50 ms, and the item starts again only while the target is in contact. A silent target, or one that has just restarted, is waited for. Records name such starts; a new owner looks at all targets of the one before.

--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -10,6 +10,7 @@
 #include "crashes.h"
 #include "evacuation/evacuation.h"
 #include "jobs.h"
+#include "late_starts/late_starts.h"
 #include "occurrences/occurrences.h"
 #include "placing.h"
 #include "runs.h"
@@ -137,6 +138,15 @@
   return aItem.surplusRuns_ > 0;
 }
 
+bool
+AwaitsLateStart(FleetState& aState,
+                const WaitingStep& aWaiting,
+                std::size_t aIndex)
+{
+  return !aState.lateStarts_.empty() &&
+         MustAwaitLateStart(aState, NameOf(aWaiting, aIndex));
+}
+
 // Starts all members of a gang, or none. False if there is not enough free
 // capacity for all of them.
 bool
@@ -156,6 +166,11 @@
   if (!std::all_of(step.items_.begin(), step.items_.end(), AreCrashesStored)) {
     return true;
   }
+  for (std::size_t index = 0; index < step.items_.size(); ++index) {
+    if (AwaitsLateStart(aState, aWaiting, index)) {
+      return true;
+    }
+  }
   if (std::any_of(step.items_.begin(), step.items_.end(), NeedsContact)) {
     ProbeCandidates(aState,
                     aTargets,
@@ -202,7 +217,7 @@
   for (std::size_t index = 0; index < step.items_.size(); ++index) {
     auto& item = step.items_[index];
     if (item.phase_ != ItemPhase::Waiting || item.notBefore_ > aState.now_ ||
-        HasSurplusRuns(item)) {
+        HasSurplusRuns(item) || AwaitsLateStart(aState, aWaiting, index)) {
       continue;
     }
     if (!IsWithinLimit(aState, aWaiting.job_->job_.account_, spec.needs_)) {
--- a/packages/fleet/src/ended_targets.cpp
+++ b/packages/fleet/src/ended_targets.cpp
@@ -96,6 +96,9 @@
         DescribeVm(aState, target) + "; " + DescribeContact(aState, target);
       aState.Log("target_gone", "", "", id, std::string(why) + "; " + evidence);
       SetExited(target);
+      const auto vm = aState.vms_.find(target.report_.vm_);
+      target.isReplaced_ =
+        vm != aState.vms_.end() && !vm->second.target_.empty();
       ReleaseEnded(aState,
                    target,
                    { "the process of its target has ended",
--- a/packages/fleet/src/jobs.cpp
+++ b/packages/fleet/src/jobs.cpp
@@ -6,6 +6,7 @@
 #include <cmath>
 
 #include "crashes.h"
+#include "late_starts/late_starts.h"
 #include "occurrences/occurrences.h"
 #include "restarts/restarts.h"
 #include "runs.h"
@@ -18,7 +19,10 @@
 
 // Restores one item from the progress that an earlier owner stored.
 void
-RestoreItem(FleetState& aState, JobEntry& aJob, const ItemProgress& aFrom)
+RestoreItem(FleetState& aState,
+            JobEntry& aJob,
+            const ItemProgress& aFrom,
+            WallTime aChanged)
 {
   if (aFrom.occurrence_ < 0 || aFrom.occurrence_ >= OccurrencesOf(aJob.job_) ||
       aFrom.step_ < 0 ||
@@ -46,13 +50,20 @@
     CloseIfDone(aState, aJob, aFrom.occurrence_);
     return;
   }
+  const ItemName name{
+    aJob.job_.id_, aFrom.occurrence_, aFrom.step_, aFrom.index_
+  };
+  for (const auto& start : aFrom.lateStarts_) {
+    RestoreLateStart(aState, name, start.target_, start.until_);
+  }
   if (aFrom.target_.empty()) {
     return;
   }
+  RestoreLateStart(aState, name, aFrom.target_, aChanged + kLateStartTime);
   auto& target = aState.targets_[aFrom.target_];
   target.report_.id_ = aFrom.target_;
   Run run;
-  run.item_ = { aJob.job_.id_, aFrom.occurrence_, aFrom.step_, aFrom.index_ };
+  run.item_ = name;
   run.run_ = aFrom.run_;
   run.phase_ = RunPhase::Running;
   run.isUnconfirmed_ = true;
@@ -71,7 +82,7 @@
   }
   RestoreDoneOccurrences(aJob, aProgress);
   for (const auto& item : aProgress.items_) {
-    RestoreItem(aState, aJob, item);
+    RestoreItem(aState, aJob, item, aProgress.changed_);
   }
 }
 
@@ -300,6 +311,7 @@
   }
   for (auto& [id, target] : aState.targets_) {
     if (target.startUnixMs_ != 0) { // listed before the records were read
+      target.hasRestarted_ = true;  // as far as can be told
       AllowForPreviousClock(aState,
                             target,
                             LatestClock(aState,
@@ -311,6 +323,7 @@
   for (const auto& stored : aLoaded.targets_) {
     auto& target = aState.targets_[stored.id_];
     target.isInherited_ = true;
+    ExpectStartsOfEarlierOwners(aState, target);
     target.wasOnVm_ = true;
     target.isRecorded_ = true;
     target.isStoredSilent_ = stored.isSilent_;
--- a/packages/fleet/src/reducer.cpp
+++ b/packages/fleet/src/reducer.cpp
@@ -9,6 +9,7 @@
 #include "evacuation/evacuation.h"
 #include "fleet_waves.h"
 #include "jobs.h"
+#include "late_starts/late_starts.h"
 #include "occurrences/occurrences.h"
 #include "pacing.h"
 #include "relocate.h"
@@ -91,6 +92,9 @@
   DropEndedOccurrences(aState);
   OpenAllOccurrences(aState);
   UpdateWatchedTargets(aState);
+  ForgetLateStarts(aState);
+  aState.dirtyPools_.merge(aState.lateStartPools_);
+  aState.lateStartPools_.clear();
   NoteStepsThatWait(aState);
   Evacuate(aState);
   PlanVms(aState);
--- a/packages/fleet/src/restarts/restarts.cpp
+++ b/packages/fleet/src/restarts/restarts.cpp
@@ -116,6 +116,7 @@
   const auto lastDeadline = aTarget.leaseUntil_;
   aTarget.wasOnVm_ = aTarget.wasOnVm_ && aTarget.startUnixMs_ == 0;
   NumberProcess(aState, aTarget, aTarget.startUnixMs_ != 0);
+  aTarget.hasRestarted_ = aTarget.isInherited_ || aTarget.startUnixMs_ != 0;
   aTarget.startUnixMs_ = aStartUnixMs;
   aTarget.mayHaveRestarted_ = false;
   aTarget.endsApplied_ = 0;
@@ -136,6 +137,7 @@
   aTarget.incarnationSeenAt_ = aState.now_;
   aTarget.nextRenewal_ = aState.now_;
   aTarget.hasExited_ = false;
+  aTarget.isReplaced_ = false;
   aTarget.isCordoned_ = false;
   aTarget.leavingUntil_ = aState.now_;
   aTarget.idleSince_ = aState.now_;
@@ -148,6 +150,7 @@
     run.isUnconfirmed_ = run.isUnconfirmed_ || run.confirmedAt_.has_value();
     if (!run.confirmedAt_) {
       run.stoppedAt_.reset(); // only the process before knows of the stop
+      run.fencedFrom_ = 0;    // likewise
     }
   }
 }
--- a/packages/fleet/src/run_lists.cpp
+++ b/packages/fleet/src/run_lists.cpp
@@ -6,6 +6,7 @@
 
 #include "crashes.h"
 #include "jobs.h"
+#include "late_starts/late_starts.h"
 #include "restarts/restarts.h"
 #include "runs.h"
 #include "target_record/deliveries.h"
@@ -311,7 +312,8 @@
     const bool mustBeListed =
       (run.isUnconfirmed_ && hasNoNewerConfirmation) ||
       (run.confirmedAt_ && *run.confirmedAt_ < aAnswer.sentAt_) ||
-      (run.stoppedAt_ && *run.stoppedAt_ < aAnswer.sentAt_);
+      (run.stoppedAt_ && *run.stoppedAt_ < aAnswer.sentAt_) ||
+      IsFencedBy(run, aAnswer);
     if (!isListed && mustBeListed && !HasUnappliedEnd(aTarget, aAnswer, run)) {
       absent.emplace_back(run.item_, run.run_);
     }
@@ -379,6 +381,7 @@
                  "; " + DescribeLease(aState, aTarget) + givenUp);
   }
   aTarget.heardAt_ = aState.now_;
+  aTarget.looksMissed_ = 0;
   if (aTarget.contact_ != Contact::Good) {
     aTarget.contact_ = Contact::Good;
     aState.dirtyPools_.insert(aTarget.report_.pool_);
--- a/packages/fleet/src/runs.cpp
+++ b/packages/fleet/src/runs.cpp
@@ -8,6 +8,7 @@
 #include "crashes.h"
 #include "evacuation/evacuation.h"
 #include "jobs.h"
+#include "late_starts/late_starts.h"
 #include "restarts/restarts.h"
 #include "targets.h"
 
@@ -329,6 +330,9 @@
     target.heardAt_ = aState.now_;
   }
   auto* run = FindRun(target, aAnswer.item_, aAnswer.run_);
+  if (aAnswer.outcome_ == StartOutcome::Unknown) {
+    NoteUnansweredStart(aState, target, aAnswer.item_, run);
+  }
   if (!run) {
     return;
   }
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -28,6 +28,16 @@
   Done,
 };
 
+// A start of an item that got no answer and may still be carried out.
+struct LateStart
+{
+  std::string target_;
+  Instant
+    notedAt_;     // calls to the target fence it off that were made after this
+  Instant until_; // it is not carried out after this
+  bool isAwaited_ = false; // its item waits for it, and the log says so
+};
+
 struct ItemState
 {
   ItemPhase phase_ = ItemPhase::Waiting;
@@ -145,7 +155,10 @@
   std::optional<Instant> confirmedAt_; // when the target first confirmed it
   Instant stopSentAt_;                 // last one
   std::optional<Instant> stoppedAt_;   // when the target accepted a stop
-  int percent_ = 0;                    // of its work that is done
+  // Its start got no answer. Calls to the target with this process_ or a higher
+  // one fence the start off; see late_starts.h.
+  int fencedFrom_ = 0;
+  int percent_ = 0; // of its work that is done
   // Baseline for its speed: when it had done basePercent_. That is its start,
   // or the first listing by the target if an earlier owner started it.
   std::optional<Instant> progressBaseAt_;
@@ -179,7 +192,10 @@
   bool isInherited_ = false;   // the previous owner used it
   bool hasListedRuns_ = false; // this owner has read its list of runs
   bool hasExited_ = false;     // its process has ended; see SetExited()
-  int reportsSinceExit_ = 0;   // of that process, read since
+  bool isReplaced_ = false;    // likewise, and none follows under its id
+  // Another process was there before under its id, or may have been.
+  bool hasRestarted_ = false;
+  int reportsSinceExit_ = 0; // of that process, read since
   // Its clock went back, and no list of runs or report has shown which process
   // it is now.
   bool mayHaveRestarted_ = false;
@@ -191,7 +207,9 @@
   bool wasOnVm_ = false;
   int listsWithoutIt_ = 0;       // lists of VMs in a row in which no VM has it
   std::int64_t startUnixMs_ = 0; // start of its process; 0: unknown
-  int process_ = 0;              // number of its process, for TargetToken()
+  // Number of its process for TargetToken(). It also rises with each start that
+  // got no answer.
+  int process_ = 0;
   // It has not answered a call of its own process, so it may still take those
   // for the one before. Latest deadline of these, on the clock of that one.
   bool isUnfenced_ = false;
@@ -210,6 +228,9 @@
   bool isRenewalPending_ = false; // a renewal has not been answered
   bool isProbed_ = false;         // called for ProbeCandidates()
   Instant nextRenewal_;
+  Instant lateStartsUntil_; // an unanswered start may be carried out until then
+  Instant nextLook_;        // likewise, no call for that reason before this
+  int looksMissed_ = 0;     // of these calls in a row, without an answer
   // Ended runs, by their number in the target's list. Each of these is a
   // high-water mark: the ends up to it ...
   std::int64_t endsApplied_ = 0; // ... are applied to this state
@@ -383,7 +404,12 @@
   // Jobs that are not known yet, and when their cancellation became known.
   std::map<std::string, Instant> earlyCancellations_;
   std::map<std::string, Target> targets_;
-  int restartsSeen_ = 0; // of all targets; numbers their processes
+  // Restarts and unanswered starts of all targets; numbers their processes.
+  int restartsSeen_ = 0;
+  std::size_t targetsAwaitingStarts_ = 0; // at the last sweep
+  std::map<ItemName, std::vector<LateStart>> lateStarts_;
+  // Pools of items that wait for contact with the target of a late start.
+  std::set<std::string> lateStartPools_;
   std::map<std::string, std::vector<Target*>> byPool_; // listed ones
   // Targets that may need a renewal, a stop or the release of lapsed runs. Each
   // tick checks only these; the sweep adds those that need it anew.
--- a/packages/fleet/src/storing.cpp
+++ b/packages/fleet/src/storing.cpp
@@ -10,6 +10,22 @@
 
 namespace {
 
+void
+AddLateStarts(const FleetState& aState,
+              ItemProgress& aRow,
+              const std::string& aJob)
+{
+  const auto found = aState.lateStarts_.find(
+    { aJob, aRow.occurrence_, aRow.step_, aRow.index_ });
+  if (found == aState.lateStarts_.end()) {
+    return;
+  }
+  for (const auto& start : found->second) {
+    aRow.lateStarts_.push_back(
+      { start.target_, aState.TimeOfDay() + (start.until_ - aState.now_) });
+  }
+}
+
 Progress
 ProgressOf(const FleetState& aState, const JobEntry& aJob)
 {
@@ -43,6 +59,7 @@
         if (item.phase_ == ItemPhase::Assigned) {
           row.target_ = item.target_;
         }
+        AddLateStarts(aState, row, aJob.job_.id_);
         progress.items_.push_back(std::move(row));
       }
     }
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -8,6 +8,7 @@
 #include "crashes.h"
 #include "evacuation/evacuation.h"
 #include "jobs.h"
+#include "late_starts/late_starts.h"
 #include "relocate.h"
 #include "restarts/restarts.h"
 #include "run_lists.h"
@@ -153,6 +154,9 @@
                                            : aState.options_.renewalWait_;
     effect.wait_ =
       std::min(effect.wait_, TrialWait(aState, aTarget).value_or(effect.wait_));
+    if (AwaitsLateStart(aState, aTarget)) {
+      effect.wait_ = std::min(effect.wait_, LookInterval(aState));
+    }
   }
   // An unresponsive target is asked without renewing its leases. A renewal that
   // gets no answer would delay the time when its runs have surely expired.
@@ -161,11 +165,14 @@
       ExtendLease(aState, aTarget, aState.options_.targetLease_);
   }
   // Runs there would be held up if a loaded target counted as unresponsive.
-  const bool isIdleProbe = aTarget.isProbed_ && aTarget.runs_.empty();
+  const bool isIdleProbe =
+    aTarget.runs_.empty() &&
+    (aTarget.isProbed_ || AwaitsLateStart(aState, aTarget));
   effect.limit_ = aTarget.contact_ == Contact::Good && !isIdleProbe
                     ? effect.wait_ + aState.options_.renewalGrace_
                     : aState.options_.reconcileTimeout_;
   aTarget.isRenewalPending_ = true;
+  aTarget.nextLook_ = aState.now_ + LookInterval(aState);
   aState.Emit(std::move(effect));
 }
 
@@ -185,7 +192,10 @@
     run.mayHaveEnded_ =
       run.mayHaveEnded_ || (!isRecent && !run.AwaitsStartAnswer());
   }
-  aTarget.nextRenewal_ = aState.now_ + kUnresponsiveRetry;
+  aTarget.nextRenewal_ =
+    aState.now_ + (AwaitsLateStart(aState, aTarget)
+                     ? std::min(kUnresponsiveRetry, LookInterval(aState) / 2)
+                     : kUnresponsiveRetry);
   const bool mayHaveUnknownRuns =
     aTarget.isInherited_ && !aTarget.hasListedRuns_;
   if (!aTarget.hasExited_ && (mayHaveUnknownRuns || !aTarget.runs_.empty())) {
@@ -233,6 +243,7 @@
                  DescribeContact(aState, aTarget) +
                  NoteReturn(aState, aTarget));
     aTarget.hasExited_ = false;
+    aTarget.isReplaced_ = false;
     aTarget.contact_ = Contact::Unreconciled;
     aTarget.nextRenewal_ = aState.now_;
   }
@@ -270,6 +281,7 @@
     aState.Log("target_gone", "", "", aTarget.report_.id_, evidence);
   }
   SetExited(aTarget);
+  aTarget.isReplaced_ = true;
   ReleaseEnded(
     aState, aTarget, { "the process of its target has ended", evidence });
 }
@@ -277,8 +289,11 @@
 void
 UpdateWatchedTargets(FleetState& aState)
 {
+  aState.targetsAwaitingStarts_ = 0;
   for (const auto& [id, target] : aState.targets_) {
-    if (NeedsRenewal(target)) {
+    const bool awaitsStart = AwaitsLateStart(aState, target);
+    aState.targetsAwaitingStarts_ += awaitsStart ? 1 : 0;
+    if (awaitsStart || NeedsRenewal(target)) {
       aState.watchedTargets_.insert(id);
     }
   }
@@ -369,7 +384,7 @@
     target.isInherited_ = target.isInherited_ && !target.hasExited_ &&
                           aState.now_ < InheritedWorkExpiry(aState);
     if (!target.isListed_ && !target.isInherited_ && target.runs_.empty() &&
-        !target.isRenewalPending_) {
+        !target.isRenewalPending_ && !AwaitsLateStart(aState, target)) {
       aState.unrecordedTargets_.erase(it->first);
       aState.removedTargets_.insert(it->first);
       it = aState.targets_.erase(it);
@@ -419,6 +434,11 @@
       break;
     case RenewalOutcome::Refused:
     case RenewalOutcome::Unresponsive:
+      if (aAnswer.outcome_ == RenewalOutcome::Unresponsive &&
+          MayMissLook(aState, target)) {
+        target.nextLook_ = aState.now_;
+        break;
+      }
       if (target.contact_ != Contact::Unresponsive) {
         aState.Log("target_silent",
                    "",
@@ -456,7 +476,7 @@
   const bool waitsForStore = aTarget.endsApplied_ > aTarget.endsStored_ &&
                              aState.now_ < aTarget.nextRenewal_ + kStoreWait;
   if (!aTarget.isRenewalPending_ && aTarget.nextRenewal_ <= aState.now_ &&
-      !waitsForStore && NeedsRenewal(aTarget) &&
+      !waitsForStore && (NeedsRenewal(aTarget) || IsLookDue(aState, aTarget)) &&
       !aTarget.report_.address_.empty()) {
     SendRenewal(aState, aTarget);
   }
@@ -471,7 +491,9 @@
   for (auto it = aState.watchedTargets_.begin();
        it != aState.watchedTargets_.end();) {
     const auto target = aState.targets_.find(*it);
-    if (target == aState.targets_.end() || !NeedsRenewal(target->second)) {
+    if (target == aState.targets_.end() ||
+        !(NeedsRenewal(target->second) ||
+          AwaitsLateStart(aState, target->second))) {
       it = aState.watchedTargets_.erase(it);
       continue;
     }
--- a/packages/fleet/tests/simulated_fleet.cpp
+++ b/packages/fleet/tests/simulated_fleet.cpp
@@ -405,10 +405,11 @@
                      Answer aNoAnswer,
                      Execution aExecute,
                      Reply aReply,
-                     double aHeldUp)
+                     double aHeldUp,
+                     std::optional<Millis> aHeldUpFor)
 {
   const auto owner = aOwner.shared_from_this();
-  const bool isHeldUp = aHeldUp > 0 && Draw() < aHeldUp;
+  const bool isHeldUp = aHeldUpFor || (aHeldUp > 0 && Draw() < aHeldUp);
   const bool isLate = Draw() < faults_.lateRequest_;
   const bool isLost = Draw() < faults_.lostRequest_;
   const bool isAnswerLost = Draw() < faults_.lostAnswer_;
@@ -421,7 +422,8 @@
     return kLateDelayMin + Millis(static_cast<std::int64_t>(Draw() * span));
   };
   if (isHeldUp) {
-    At(drawDelay(), [this, aTarget, aExecute] {
+    const auto delay = aHeldUpFor ? *aHeldUpFor : drawDelay();
+    At(delay, [this, aTarget, aExecute] {
       if (targets_.at(aTarget)->unreachableUntil_ <= now_) {
         aExecute();
       }
@@ -508,6 +510,8 @@
   if (auto* start = std::get_if<StartRun>(&aEffect)) {
     const auto call = *start;
     const auto sent = now_;
+    const auto heldUpFor = std::exchange(nextStartHeldUp_, std::nullopt);
+    heldUpAt_ = heldUpFor ? call.target_ : heldUpAt_;
     Call(
       aOwner,
       call.target_,
@@ -520,7 +524,8 @@
         return answer;
       },
       deliver,
-      faults_.heldUpStart_);
+      faults_.heldUpStart_,
+      heldUpFor);
   } else if (auto* stop = std::get_if<StopRun>(&aEffect)) {
     const auto call = *stop;
     Call(
--- a/packages/fleet/tests/simulated_fleet.h
+++ b/packages/fleet/tests/simulated_fleet.h
@@ -81,6 +81,11 @@
   void CrashTarget(const std::string& aTarget);
   // Every run of the item ends its target's process soon after it started.
   void MakeDeadly(const ItemName& aItem) { deadly_.insert(aItem); }
+  // The next start gets no answer and is carried out this much later, by
+  // whatever process its target has then.
+  void HoldUpNextStart(Millis aTime) { nextStartHeldUp_ = aTime; }
+  // Target of the last start that was held up so; empty if there was none.
+  const std::string& HeldUpAt() const { return heldUpAt_; }
   void DelistTarget(const std::string& aTarget, Millis aTime);
   void DrainTarget(const std::string& aTarget);
   // Runs started from now on work at this part of the usual speed; 0 makes no
@@ -124,6 +129,7 @@
   std::vector<PoolBacklog> ShortBacklogs() const; // of the current owner
   // Gang members that ended because the others did not arrive in time.
   int GangTimeouts() const { return gangTimeouts_; }
+  int RenewalsReceived() const { return renewals_; } // by all targets
 
 private:
   struct SimulatedRun;
@@ -158,7 +164,8 @@
             Answer aNoAnswer,
             Execution aExecute,
             Reply aReply,
-            double aHeldUp = 0);
+            double aHeldUp = 0,
+            std::optional<Millis> aHeldUpFor = std::nullopt);
   void Store(SimulatedOwner& aOwner, StoreProgress aStore);
 
   StartAnswered HandleStart(std::int64_t aToken, const StartRun& aStart);
@@ -204,6 +211,8 @@
   std::int64_t token_ = 0;
   int term_ = 0;
   Millis recordsDelay_{ 0 };
+  std::optional<Millis> nextStartHeldUp_;
+  std::string heldUpAt_;
   FleetConfig config_;
   Instant ownerCutAt_; // from the store, last time
   Instant ownerCutUntil_;
@@ -229,6 +238,7 @@
   std::map<ItemName, int> crashes_; // processes that ended under the item
   std::map<ItemName, int> startsAfterCrashes_; // once it has had kCrashesToStop
   int gangTimeouts_ = 0;
+  int renewals_ = 0;
   std::map<std::string, Instant> cancelledAt_;
   std::vector<std::string> violations_;
 };
--- a/packages/fleet/tests/simulated_targets.cpp
+++ b/packages/fleet/tests/simulated_targets.cpp
@@ -491,6 +491,7 @@
                               const RenewTarget& aRenewal,
                               Instant aSent)
 {
+  ++renewals_;
   auto& target = *targets_.at(aRenewal.target_);
   Advance(target);
   RenewalAnswered answer;
--- a/packages/jobs/include/cuminbridge/jobs.h
+++ b/packages/jobs/include/cuminbridge/jobs.h
@@ -334,6 +334,15 @@
   bool operator==(const Crash&) const = default;
 };
 
+// A start of an item that its target has not answered, and may carry out late.
+struct UnansweredStart
+{
+  std::string target_;
+  WallTime until_; // it is not carried out after this
+
+  bool operator==(const UnansweredStart&) const = default;
+};
+
 // Progress of one work item. Items without such a record were never started.
 struct ItemProgress
 {
@@ -346,6 +355,7 @@
   std::string checkpoint_;               // the last one; empty for none
   std::string target_; // where run_ was started; empty once that run is over
   std::vector<Crash> crashes_;
+  std::vector<UnansweredStart> lateStarts_;
 
   bool operator==(const ItemProgress&) const = default;
 };
--- a/packages/jobs/src/records.cpp
+++ b/packages/jobs/src/records.cpp
@@ -111,6 +111,27 @@
   return crashes;
 }
 
+json
+WriteLateStarts(const std::vector<UnansweredStart>& aStarts)
+{
+  json rows = json::array();
+  for (const auto& start : aStarts) {
+    rows.push_back({ start.target_, start.until_.time_since_epoch().count() });
+  }
+  return rows;
+}
+
+std::vector<UnansweredStart>
+ReadLateStarts(const json& aRows)
+{
+  std::vector<UnansweredStart> starts;
+  for (const auto& row : aRows) {
+    starts.push_back({ row.at(0).get<std::string>(),
+                       WallTime(Millis(row.at(1).get<std::int64_t>())) });
+  }
+  return starts;
+}
+
 } // namespace
 
 std::string
@@ -173,9 +194,13 @@
     json row = { item.occurrence_,     item.step_,       item.index_,
                  item.isDone_ ? 1 : 0, item.failedRuns_, item.run_,
                  item.checkpoint_,     item.target_ };
-    if (!item.crashes_.empty()) {
+    // Columns at the end are left out while they are empty.
+    if (!item.crashes_.empty() || !item.lateStarts_.empty()) {
       row.push_back(WriteCrashes(item.crashes_));
     }
+    if (!item.lateStarts_.empty()) {
+      row.push_back(WriteLateStarts(item.lateStarts_));
+    }
     items.push_back(std::move(row));
   }
   json record = { { "state", static_cast<int>(aProgress.state_) },
@@ -191,6 +216,7 @@
 DecodeProgress(std::string_view aText)
 {
   constexpr std::size_t kCrashesColumn = 8;
+  constexpr std::size_t kLateStartsColumn = 9;
   try {
     const auto record = json::parse(aText);
     Progress progress;
@@ -217,6 +243,9 @@
       if (row.size() > kCrashesColumn) { // absent in older records
         item.crashes_ = ReadCrashes(row.at(kCrashesColumn));
       }
+      if (row.size() > kLateStartsColumn) { // likewise
+        item.lateStarts_ = ReadLateStarts(row.at(kLateStartsColumn));
+      }
       progress.items_.push_back(std::move(item));
     }
     return progress;
--- a/packages/jobs/tests/records_test.cpp
+++ b/packages/jobs/tests/records_test.cpp
@@ -82,8 +82,18 @@
       "",
       "",
       { { "i-1", 2, CrashKind::Early }, { "i-2", 3, CrashKind::Uncertain } } });
+  progress.items_.push_back({ 0,
+                              1,
+                              5,
+                              false,
+                              {},
+                              4,
+                              "",
+                              "",
+                              {},
+                              { { "i-3", WallTime(Millis(1700000012000)) } } });
   CHECK(DecodeProgress(EncodeProgress(progress)) == progress);
-  // Records of earlier versions have no crashes.
+  // Records of earlier versions have neither crashes nor late starts.
   const auto earlier = DecodeProgress(
     R"({"state":1,"changed":0,"items":[[0,1,3,0,[],258,"cp","i-7f3a91c2"]]})");
   REQUIRE(earlier);
