--- a/packages/fleet/src/jobs.cpp
+++ b/packages/fleet/src/jobs.cpp
@@ -116,6 +116,7 @@
       return isOfJob;
     });
     for (auto& run : adopted) {
+      MarkBegun(aState, aState.jobs_[aJob].get());
       run.isJobUnknown_ = false;
       AddRun(aState, target, std::move(run));
     }
@@ -422,6 +423,15 @@
   aState.dirtyJobs_.insert(aJob.job_.id_);
 }
 
+void
+MarkBegun(FleetState& aState, JobEntry* aJob)
+{
+  if (aJob && aJob->state_ == JobState::Queued) {
+    aJob->state_ = JobState::Serving;
+    MarkDirty(aState, *aJob);
+  }
+}
+
 void
 EndJob(FleetState& aState, JobEntry& aJob, JobState aEndState)
 {
--- a/packages/fleet/src/jobs.h
+++ b/packages/fleet/src/jobs.h
@@ -36,6 +36,9 @@
 
 // Marks a job's progress as changed, so that the next batch stores it.
 void MarkDirty(FleetState& aState, JobEntry& aJob);
+// Some work item of the job, if there is one, is known to have been started by
+// its target. A job stays begun, whatever becomes of its runs.
+void MarkBegun(FleetState& aState, JobEntry* aJob);
 // Ends a job and stops its runs.
 void EndJob(FleetState& aState, JobEntry& aJob, JobState aEndState);
 // Completes a job whose occurrences are all done. Those of steps without items
--- a/packages/fleet/src/run_lists.cpp
+++ b/packages/fleet/src/run_lists.cpp
@@ -148,6 +148,7 @@
 {
   auto* run = FindRun(aTarget, aEnd.item_, aEnd.run_);
   const auto ref = FindItem(aState, aEnd.item_);
+  MarkBegun(aState, ref.job_);
   const bool isRecorded = run != nullptr;
   bool isCurrent = false;
   if (run) {
@@ -205,6 +206,7 @@
                     const RunningRun& aSeen)
 {
   const auto ref = FindItem(aState, aSeen.item_);
+  MarkBegun(aState, ref.job_);
   const bool isWanted = IsCurrentRun(aState, ref, aSeen.run_);
   Run run;
   run.item_ = aSeen.item_;
@@ -400,6 +402,9 @@
   for (const auto& seen : aAnswer.running_) {
     auto* run = FindRun(aTarget, seen.item_, seen.run_);
     if (run) {
+      if (!run->confirmedAt_) {
+        MarkBegun(aState, FindItem(aState, run->item_).job_);
+      }
       UpdateListedRun(aTarget, seen, *run, aState.now_);
       if (run->isTrial_ && run->hasPassedStart_) {
         aState.dirtyPools_.insert(aTarget.report_.pool_);
--- a/packages/fleet/src/runs.cpp
+++ b/packages/fleet/src/runs.cpp
@@ -75,7 +75,6 @@
   ref.item_->target_ = aTarget.report_.id_;
   ++ref.step_->assigned_;
   if (!ref.job_->HasEnded()) {
-    ref.job_->state_ = JobState::Serving;
     MarkDirty(aState, *ref.job_);
   }
 }
@@ -330,14 +329,16 @@
     target.heardAt_ = aState.now_;
   }
   auto* run = FindRun(target, aAnswer.item_, aAnswer.run_);
+  const auto ref = FindItem(aState, aAnswer.item_);
   if (aAnswer.outcome_ == StartOutcome::Unknown) {
     NoteUnansweredStart(aState, target, aAnswer.item_, run);
+  } else if (aAnswer.outcome_ == StartOutcome::Started) {
+    MarkBegun(aState, ref.job_);
   }
   if (!run) {
     return;
   }
   run->isStartPending_ = false;
-  const auto ref = FindItem(aState, aAnswer.item_);
   if (aAnswer.outcome_ == StartOutcome::Started) {
     if (ref.item_) {
       ref.item_->isStartUnanswered_ = false;
--- a/packages/jobs/include/cuminbridge/jobs.h
+++ b/packages/jobs/include/cuminbridge/jobs.h
@@ -120,8 +120,8 @@
 
 enum class JobState
 {
-  Queued,
-  Serving,
+  Queued,  // no work item is known to have been started by a target
+  Serving, // one was; it may have ended or been lost since
   Completed,
   Failed,
   Cancelled,
