--- a/packages/fleet/src/restarts/restarts.cpp
+++ b/packages/fleet/src/restarts/restarts.cpp
@@ -39,8 +39,6 @@
   aTarget.process_ = aState.restartsSeen_;
   if (aHasRestarted) {
     aTarget.isUnfenced_ = true;
-    aTarget.previousDeadline_ =
-      std::max(aTarget.previousDeadline_, aTarget.leaseUntil_);
   }
 }
 
@@ -52,9 +50,7 @@
 {
   if (aTarget.isUnfenced_ && aProcess == aTarget.process_) {
     const auto longest = aClockMs + aState.options_.longestLease_.count();
-    aTarget.leaseUntil_ = std::max(
-      aTarget.leaseUntil_, std::min(aTarget.previousDeadline_, longest));
-    aTarget.previousDeadline_ = 0;
+    aTarget.leaseUntil_ = std::max(aTarget.leaseUntil_, longest);
     aTarget.isUnfenced_ = false;
   }
 }
@@ -69,8 +65,7 @@
   const auto clock = LatestClock(
     aState, aTarget, ClockOf(aState, aTarget), options.maxReportAge_);
   const auto longest = clock + options.longestLease_.count();
-  aTarget.leaseUntil_ =
-    std::max(aTarget.leaseUntil_, std::min(aTarget.previousDeadline_, longest));
+  aTarget.leaseUntil_ = std::max(aTarget.leaseUntil_, longest);
 }
 
 void
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -211,9 +211,9 @@
   // got no answer.
   int process_ = 0;
   // It has not answered a call of its own process, so it may still take those
-  // for the one before. Latest deadline of these, on the clock of that one.
+  // for one before. Their deadlines may lie far ahead on its clock: that one
+  // may have lived long, and another owner may have sent them.
   bool isUnfenced_ = false;
-  std::int64_t previousDeadline_ = 0;
 
   // Its clock was at least clockMs_ at clockAt_. 0 means unknown.
   std::int64_t clockMs_ = 0;
--- a/packages/fleet/tests/held_up_calls_test.cpp
+++ b/packages/fleet/tests/held_up_calls_test.cpp
@@ -220,7 +220,12 @@
   CHECK(target.leaseUntil_ < fixture.clockMs_ + longest);
   fixture.Renew("t");
   CHECK(target.leaseUntil_ >= fixture.clockMs_ + longest);
-  CHECK(target.previousDeadline_ == 0);
+  CHECK(!target.isUnfenced_);
+  // A later answer does not prolong it.
+  const auto lease = target.leaseUntil_;
+  fixture.Wait(Millis(1000));
+  fixture.Renew("t");
+  CHECK(target.leaseUntil_ == lease);
 }
 
 TEST_CASE("a call for the process before may come until the first one is lost")
--- a/packages/fleet/tests/late_starts_test.cpp
+++ b/packages/fleet/tests/late_starts_test.cpp
@@ -268,3 +268,24 @@
   }
   CHECK(fleet.StoredState(MakeJobId(0)) == JobState::Completed);
 }
+
+TEST_CASE("a late call for a process long gone brings the longest lease")
+{
+  // Only the deadlines for the process just before were allowed for. After two
+  // restarts a run was given up, and its item started again, while it could
+  // still end as done.
+  ReplacedProcess fixture;
+  const auto replace = [&](std::int64_t aClockMs) {
+    fixture.report_.startUnixMs_ =
+      fixture.now_.time_since_epoch().count() - aClockMs;
+    fixture.clockMs_ = aClockMs;
+    fixture.ListTargets({ fixture.report_ });
+    fixture.Renew("t");
+  };
+  replace(50);
+  fixture.Wait(Millis(2000));
+  replace(1500);
+  const auto longest = FleetOptions{}.longestLease_.count();
+  CHECK(fixture.fleet_.State().targets_.at("t").leaseUntil_ >=
+        fixture.clockMs_ + longest);
+}
