--- a/packages/fleet/src/jobs.h
+++ b/packages/fleet/src/jobs.h
@@ -7,11 +7,16 @@
 
 namespace cuminbridge {
 
-// Restores the stored jobs and the unconfirmed runs of earlier owners.
+// Restores the stored jobs and the unconfirmed runs of earlier owners. In
+// takeover/load_jobs.cpp.
 void LoadJobs(FleetState& aState, const JobsLoaded& aLoaded);
+// Adds the entry of a job that is new here, without its runs.
+JobEntry& InsertJob(FleetState& aState, const Job& aJob);
 void AddJob(FleetState& aState, const Job& aJob, bool aIsGuest);
 // Keeps the cancellation of a job that is not known yet.
 void CancelJob(FleetState& aState, const std::string& aJob);
+// Cancels a job whose cancellation became known before it.
+void ApplyEarlyCancellation(FleetState& aState, const std::string& aJob);
 // Drops kept cancellations whose job can't arrive any more.
 void ForgetEarlyCancellations(FleetState& aState);
 
