--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -32,9 +32,8 @@
 struct LateStart
 {
   std::string target_;
-  Instant
-    notedAt_;     // calls to the target fence it off that were made after this
-  Instant until_; // it is not carried out after this
+  Instant notedAt_;        // later calls to the target fence it off
+  Instant until_;          // it is not carried out after this
   bool isAwaited_ = false; // its item waits for it, and the log says so
 };
 
--- a/packages/fleet/src/storing.cpp
+++ b/packages/fleet/src/storing.cpp
@@ -10,11 +10,15 @@
 
 namespace {
 
+// The next owner waits for these as this one does.
 void
 AddLateStarts(const FleetState& aState,
               ItemProgress& aRow,
               const std::string& aJob)
 {
+  if (aState.lateStarts_.empty()) {
+    return;
+  }
   const auto found = aState.lateStarts_.find(
     { aJob, aRow.occurrence_, aRow.step_, aRow.index_ });
   if (found == aState.lateStarts_.end()) {
