Fleet: start elsewhere after a start without an answer

A target that has left a start unanswered is now avoided for the item's next start, as one is where a run has failed. If no other has room, it is used.

--- a/packages/fleet/src/runs.cpp
+++ b/packages/fleet/src/runs.cpp
@@ -372,6 +372,7 @@
   if (aAnswer.outcome_ == StartOutcome::Unknown) {
     if (ref.item_) {
       ref.item_->isStartUnanswered_ = true;
+      ref.item_->avoidedTarget_ = aAnswer.target_;
     }
     // The start may still be carried out. An answered stop rules that out.
     Stop(aState, target, *run, "its start was not answered");
--- a/packages/fleet/src/state.h
+++ b/packages/fleet/src/state.h
@@ -51,9 +51,10 @@
   std::size_t crashesInBatch_ = 0; // of these, in the batch on its way
   std::size_t crashesStored_ = 0;  // of these, surely stored
   std::string checkpoint_;
-  std::string target_;        // while Assigned
-  std::string avoidedTarget_; // where a run failed last, or was too slow
-  int slowReplacements_ = 0;  // runs stopped because they were too slow
+  std::string target_; // while Assigned
+  // Where a run failed last, was too slow, or had its start left unanswered.
+  std::string avoidedTarget_;
+  int slowReplacements_ = 0; // runs stopped because they were too slow
   int surplusRuns_ = 0; // of Run::isSurplus_; it starts once there are none
   bool isStartUnanswered_ = false; // the last start of it
   Instant notBefore_; // earliest next start; never set, so no limit
--- a/packages/fleet/tests/late_starts_test.cpp
+++ b/packages/fleet/tests/late_starts_test.cpp
@@ -173,6 +173,15 @@
   CHECK(fixture.ProcessOf("t") > 0);
 }
 
+TEST_CASE("an item starts elsewhere after a start without an answer")
+{
+  // Its target may leave the next one unanswered too.
+  LateStartFixture fixture;
+  const auto starts = fixture.Pass(Millis(200), [&] { fixture.Renew("t"); });
+  REQUIRE(starts.size() == 1);
+  CHECK(starts[0].target_ == "u");
+}
+
 TEST_CASE("an item waits while a late start of it may run unseen")
 {
   LateStartFixture fixture;
