--- a/packages/fleet/src/dispatch.cpp
+++ b/packages/fleet/src/dispatch.cpp
@@ -139,9 +139,9 @@
 }
 
 bool
-AwaitsLateStart(FleetState& aState,
-                const WaitingStep& aWaiting,
-                std::size_t aIndex)
+IsHeldByLateStart(FleetState& aState,
+                  const WaitingStep& aWaiting,
+                  std::size_t aIndex)
 {
   return !aState.lateStarts_.empty() &&
          MustAwaitLateStart(aState, NameOf(aWaiting, aIndex));
@@ -167,7 +167,7 @@
     return true;
   }
   for (std::size_t index = 0; index < step.items_.size(); ++index) {
-    if (AwaitsLateStart(aState, aWaiting, index)) {
+    if (IsHeldByLateStart(aState, aWaiting, index)) {
       return true;
     }
   }
@@ -217,7 +217,7 @@
   for (std::size_t index = 0; index < step.items_.size(); ++index) {
     auto& item = step.items_[index];
     if (item.phase_ != ItemPhase::Waiting || item.notBefore_ > aState.now_ ||
-        HasSurplusRuns(item) || AwaitsLateStart(aState, aWaiting, index)) {
+        HasSurplusRuns(item) || IsHeldByLateStart(aState, aWaiting, index)) {
       continue;
     }
     if (!IsWithinLimit(aState, aWaiting.job_->job_.account_, spec.needs_)) {
--- a/packages/fleet/src/ended_targets.cpp
+++ b/packages/fleet/src/ended_targets.cpp
@@ -96,6 +96,7 @@
         DescribeVm(aState, target) + "; " + DescribeContact(aState, target);
       aState.Log("target_gone", "", "", id, std::string(why) + "; " + evidence);
       SetExited(target);
+      // Its VM runs one process at a time.
       const auto vm = aState.vms_.find(target.report_.vm_);
       target.isReplaced_ =
         vm != aState.vms_.end() && !vm->second.target_.empty();
--- a/packages/fleet/src/late_starts/late_starts.cpp
+++ b/packages/fleet/src/late_starts/late_starts.cpp
@@ -151,7 +151,7 @@
 }
 
 bool
-MayMissLook(const FleetState& aState, Target& aTarget)
+NoteMissedLook(const FleetState& aState, Target& aTarget)
 {
   constexpr int kMostMissed = 1; // in a row
   return aTarget.contact_ == Contact::Good && aTarget.runs_.empty() &&
--- a/packages/fleet/src/late_starts/late_starts.h
+++ b/packages/fleet/src/late_starts/late_starts.h
@@ -59,9 +59,10 @@
 // Whether the target is to be called now for that reason alone.
 bool IsLookDue(const FleetState& aState, const Target& aTarget);
 
-// An idle target has left a call unanswered. Whether it is called again before
-// it counts as unresponsive: a single call may be lost.
-bool MayMissLook(const FleetState& aState, Target& aTarget);
+// A target has left a call unanswered. Counts that, and returns whether it is
+// called again before it counts as unresponsive: one that is idle and awaits a
+// late start is called often, and a single call may be lost.
+bool NoteMissedLook(const FleetState& aState, Target& aTarget);
 
 // Forgets starts that can't come any more.
 void ForgetLateStarts(FleetState& aState);
--- a/packages/fleet/src/targets.cpp
+++ b/packages/fleet/src/targets.cpp
@@ -304,7 +304,7 @@
     case RenewalOutcome::Refused:
     case RenewalOutcome::Unresponsive:
       if (aAnswer.outcome_ == RenewalOutcome::Unresponsive &&
-          MayMissLook(aState, target)) {
+          NoteMissedLook(aState, target)) {
         target.nextLook_ = aState.now_;
         break;
       }
