--- a/packages/fleet/tests/late_starts_test.cpp
+++ b/packages/fleet/tests/late_starts_test.cpp
@@ -25,24 +25,49 @@
   Unknown,  // ... and the one before may go on for a while
 };
 
+// What the start belongs to.
+enum class Work
+{
+  Item,
+  Gang,
+  Occurrence, // of a repeating job
+};
+
+Job
+MakeWork(Work aWork, Millis aTakes)
+{
+  auto job = MakeJob(MakeJobId(0), "a", { aWork == Work::Gang ? 3 : 1 });
+  job.steps_[0].estimate_ = aTakes;
+  job.steps_[0].isGang_ = aWork == Work::Gang;
+  if (aWork == Work::Occurrence) {
+    job.repeats_ = 2; // both due at once
+    job.interval_ = Millis(1);
+  }
+  return job;
+}
+
 // A start is held up at a target that restarts kHeldUpAfterRestart before it is
 // carried out, at aRestart after its call. The owner changes at aChangeAt.
 void
-PlayLateStart(Millis aRestart, Change aChange, Millis aChangeAt, Millis aTakes)
+PlayLateStart(Millis aRestart,
+              Change aChange,
+              Millis aChangeAt,
+              Millis aTakes,
+              Work aWork = Work::Item,
+              std::optional<Millis> aFirstRestart = std::nullopt)
 {
   CAPTURE(aRestart.count(),
           static_cast<int>(aChange),
           aChangeAt.count(),
-          aTakes.count());
+          aTakes.count(),
+          static_cast<int>(aWork));
   constexpr Millis kHeldUpAfterRestart(150);
   SimulatedFleet fleet(1);
   fleet.AddTargets("a", 3);
   fleet.StartOwner();
   fleet.RunFor(kSettleTime);
   fleet.HoldUpNextStart(aRestart + kHeldUpAfterRestart);
-  auto job = MakeJob(MakeJobId(0), "a", { 1 });
-  job.steps_[0].estimate_ = aTakes;
-  fleet.Submit(job);
+  fleet.Submit(MakeWork(aWork, aTakes));
   fleet.RunFor(Millis(10));
   const auto target = fleet.HeldUpAt();
   REQUIRE(!target.empty());
@@ -58,6 +83,11 @@
                                                    : PreviousOwner::Unknown);
     }
   };
+  if (aFirstRestart) {
+    fleet.RunFor(*aFirstRestart);
+    fleet.RestartTarget(target);
+    aRestart -= *aFirstRestart;
+  }
   const bool changesFirst = aChangeAt < aRestart;
   fleet.RunFor(changesFirst ? aChangeAt : aRestart);
   changesFirst ? change() : restart();
@@ -163,6 +193,28 @@
   }
 }
 
+TEST_CASE("a late start of a gang or of an occurrence runs once")
+{
+  const auto work = GENERATE(Work::Gang, Work::Occurrence);
+  const auto change = GENERATE(Change::None, Change::Ended, Change::Unknown);
+  for (Millis restart(2000); restart <= kLatest; restart += Millis(470)) {
+    PlayLateStart(restart, change, Millis(1000), Millis(9000), work);
+  }
+}
+
+TEST_CASE("a late start runs once, although its target restarts twice")
+{
+  const auto change = GENERATE(Change::None, Change::Ended, Change::Unknown);
+  for (Millis first(100); first <= kLatest; first += Millis(590)) {
+    for (Millis second = std::max(Millis(2000), first + Millis(300));
+         second <= kLatest;
+         second += Millis(970)) {
+      PlayLateStart(
+        second, change, Millis(0), Millis(20000), Work::Item, first);
+    }
+  }
+}
+
 TEST_CASE("one answered call fences an unanswered start off")
 {
   // Also if the stop of the run is lost.
